--- /dev/null
+++ b/src/bin/currantgw.rs
@@ -0,0 +1,3 @@
+//! The `currantgw` command line (subcommands come with the entry instance).
+
+fn main() {}
--- /dev/null
+++ b/src/kernel/clock.rs
@@ -0,0 +1,128 @@
+//! The one clock edge of a process: real time, or a manual clock that tests pause and advance.
+//!
+//! async-std has no pausable clock, so every timer in the crate goes through [`Clock`]: `now`,
+//! `sleep` and `timeout`. A test builds [`Clock::manual`] and moves time with
+//! [`Clock::advance`]; sleepers wake in deadline order, and nothing races the real clock.
+
+use futures::future::{self, Either};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+/// A point in time: milliseconds since the clock started.
+pub type Millis = u64;
+
+/// The clock every timer of a process reads.
+#[derive(Clone, Debug)]
+pub enum Clock {
+    /// Wall time since `start`.
+    Real(Instant),
+    /// Time that moves only when a test calls [`Clock::advance`].
+    Manual(Arc<Mutex<Manual>>),
+}
+
+/// State of a manual clock: the time and who sleeps until when.
+#[derive(Debug, Default)]
+pub struct Manual {
+    now: Millis,
+    next: u64,
+    sleepers: BTreeMap<(Millis, u64), Waker>,
+}
+
+/// Returned by [`Clock::timeout`] when the time ran out first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("timed out after {0} ms")]
+pub struct Elapsed(pub Millis);
+
+impl Clock {
+    /// A clock on real time, starting now.
+    pub fn real() -> Self {
+        Self::Real(Instant::now())
+    }
+
+    /// A paused clock at time 0.
+    pub fn manual() -> Self {
+        Self::Manual(Arc::new(Mutex::new(Manual::default())))
+    }
+
+    /// Milliseconds since the clock started.
+    pub fn now(&self) -> Millis {
+        match self {
+            Self::Real(start) => start.elapsed().as_millis() as Millis,
+            Self::Manual(m) => m.lock().unwrap().now,
+        }
+    }
+
+    /// Sleeps `ms` milliseconds of this clock's time.
+    pub async fn sleep(&self, ms: Millis) {
+        match self {
+            Self::Real(_) => async_std::task::sleep(Duration::from_millis(ms)).await,
+            Self::Manual(m) => {
+                let until = m.lock().unwrap().now + ms;
+                ManualSleep { clock: m.clone(), until, id: None }.await
+            }
+        }
+    }
+
+    /// Runs `fut` for at most `ms` milliseconds.
+    pub async fn timeout<F: Future>(&self, ms: Millis, fut: F) -> Result<F::Output, Elapsed> {
+        let fut = std::pin::pin!(fut);
+        let nap = std::pin::pin!(self.sleep(ms));
+        match future::select(fut, nap).await {
+            Either::Left((out, _)) => Ok(out),
+            Either::Right(((), _)) => Err(Elapsed(ms)),
+        }
+    }
+
+    /// Moves a manual clock forward by `ms` and wakes every sleeper whose time has come.
+    ///
+    /// Panics on a real clock: only tests move time.
+    pub fn advance(&self, ms: Millis) {
+        let Self::Manual(m) = self else { panic!("advance on a real clock") };
+        let due: Vec<Waker> = {
+            let mut st = m.lock().unwrap();
+            st.now += ms;
+            let edge = (st.now + 1, 0);
+            let later = st.sleepers.split_off(&edge);
+            std::mem::replace(&mut st.sleepers, later).into_values().collect()
+        };
+        due.into_iter().for_each(Waker::wake);
+    }
+}
+
+struct ManualSleep {
+    clock: Arc<Mutex<Manual>>,
+    until: Millis,
+    id: Option<u64>,
+}
+
+impl Future for ManualSleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        let clock = self.clock.clone();
+        let mut st = clock.lock().unwrap();
+        if st.now >= self.until {
+            return Poll::Ready(());
+        }
+        let id = *self.id.get_or_insert_with(|| {
+            st.next += 1;
+            st.next
+        });
+        st.sleepers.insert((self.until, id), cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl Drop for ManualSleep {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            if let Ok(mut st) = self.clock.lock() {
+                st.sleepers.remove(&(self.until, id));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,12 @@
+//! currantgw: a cluster scheduler and request gateway for unlike workloads on one shared cell.
+//!
+//! The crate is a library with one thin binary. `kernel` holds keys, arenas, the clock and the
+//! plug-in registry; `platform` the stand-in of the platform and its client; `entry` the entry
+//! instance (API, catalogue, scheduler, routing); `runner` the backend server stand-in;
+//! `options` the settings; `smoke` the load driver.
+
+pub mod admin;
+pub mod kernel;
+pub mod logs;
+pub mod options;
+pub mod platform;
--- /dev/null
+++ b/src/platform/api.rs
@@ -0,0 +1,84 @@
+//! Request and answer bodies of the platform's HTTP API (JSON), shared by server and client.
+
+use crate::platform::table::{Counts, Lease, Row};
+use crate::platform::workers::StartReq;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Rows by key.
+pub type Rows = BTreeMap<String, Row>;
+
+/// Leases by key.
+pub type Leases = BTreeMap<String, Lease>;
+
+/// `POST /table/get`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct GetReq {
+    /// Keys to read.
+    pub keys: Vec<String>,
+}
+
+/// `POST /table/scan` and `POST /table/leases`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ScanReq {
+    /// Key prefix.
+    pub prefix: String,
+}
+
+/// `POST /workers/start`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StartBatch {
+    /// Tasks to start.
+    pub starts: Vec<StartReq>,
+}
+
+/// `POST /workers/stop`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StopReq {
+    /// Task id.
+    pub task: String,
+    /// Worker name.
+    pub worker: String,
+}
+
+/// `POST /objects/:name` answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PutAnswer {
+    /// New version of the object.
+    pub version: u64,
+}
+
+/// The body of every error answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// `throttled`, `unavailable`, `answer_lost`, `not_found` or `bad_request`.
+    pub error: String,
+    /// When to come back, ms, where that helps.
+    #[serde(default)]
+    pub retry_ms: Option<u64>,
+}
+
+/// `GET /stats`: counters and the oracle figures that the smoke report checks.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Stats {
+    /// Table counters.
+    pub table: Counts,
+    /// Write transactions per second since start.
+    pub writes_per_s: f64,
+    /// Reads per second since start.
+    pub reads_per_s: f64,
+    /// Tasks started.
+    pub started: u64,
+    /// Tasks running now.
+    pub running: u64,
+    /// Starts refused, by reason.
+    pub refused: BTreeMap<String, u64>,
+    /// Workers that ever ran beyond capacity (must be empty).
+    pub overcommitted: BTreeSet<String>,
+    /// Their number.
+    pub overcommitted_workers: u64,
+    /// Starts of a task that was already running somewhere (must be 0).
+    pub double_runs: u64,
+    /// Platform clock, ms.
+    pub uptime_ms: u64,
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,44 @@
+//! The object store of the platform stand-in: named blobs with versions.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// One stored object.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Object {
+    /// Grows by one per put.
+    pub version: u64,
+    /// The bytes, as JSON text for the stand-in.
+    pub body: String,
+}
+
+/// Every object, by name.
+#[derive(Debug, Default)]
+pub struct Store {
+    objects: BTreeMap<String, Object>,
+    /// Puts served.
+    pub puts: u64,
+    /// Gets served.
+    pub gets: u64,
+}
+
+impl Store {
+    /// Stores `body` under `name` and returns its new version.
+    pub fn put(&mut self, name: &str, body: String) -> u64 {
+        self.puts += 1;
+        let version = self.objects.get(name).map_or(0, |o| o.version) + 1;
+        self.objects.insert(name.to_string(), Object { version, body });
+        version
+    }
+
+    /// The object under `name`.
+    pub fn get(&mut self, name: &str) -> Option<Object> {
+        self.gets += 1;
+        self.objects.get(name).cloned()
+    }
+
+    /// Number of objects and bytes held.
+    pub fn size(&self) -> (usize, usize) {
+        (self.objects.len(), self.objects.values().map(|o| o.body.len()).sum())
+    }
+}
--- /dev/null
+++ b/src/platform/table.rs
@@ -0,0 +1,389 @@
+//! The transactional table service of the platform stand-in: rows with versions, leases with
+//! epochs, multi-row transactions with conditions, idempotency keys and a budget of writes and
+//! reads per second shared by the whole cell.
+
+use crate::kernel::clock::Millis;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// A stored row. Versions start at 1 and grow by one with each write; 0 means "absent".
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// The row's version.
+    pub version: u64,
+    /// The document.
+    pub value: Value,
+}
+
+/// A lease: who holds a key, under which fencing epoch, until when (platform clock, ms).
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// Holder id.
+    pub holder: String,
+    /// Fencing epoch; grows by one each time the lease changes hands.
+    pub epoch: u64,
+    /// Expiry, platform ms.
+    pub expires: Millis,
+}
+
+/// A condition that must hold for a transaction to commit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "if", rename_all = "snake_case")]
+pub enum Cond {
+    /// The row's version is exactly `version` (0: the row is absent).
+    Version {
+        /// Row key.
+        key: String,
+        /// Expected version.
+        version: u64,
+    },
+    /// The lease at `key` is held by `holder` under `epoch` and has not expired: the fence.
+    Lease {
+        /// Lease key.
+        key: String,
+        /// Expected holder.
+        holder: String,
+        /// Expected epoch.
+        epoch: u64,
+    },
+}
+
+/// A change that a transaction makes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "op", rename_all = "snake_case")]
+pub enum Op {
+    /// Writes `value` at `key`.
+    Put {
+        /// Row key.
+        key: String,
+        /// The new document.
+        value: Value,
+    },
+    /// Removes the row.
+    Delete {
+        /// Row key.
+        key: String,
+    },
+    /// Takes a free or expired lease, or extends one already held by `holder`.
+    Acquire {
+        /// Lease key.
+        key: String,
+        /// Who takes it.
+        holder: String,
+        /// Lifetime in ms.
+        ttl_ms: u64,
+    },
+    /// Extends a lease held by `holder` under `epoch`; fails once it has expired.
+    Renew {
+        /// Lease key.
+        key: String,
+        /// Holder.
+        holder: String,
+        /// Epoch held.
+        epoch: u64,
+        /// New lifetime in ms.
+        ttl_ms: u64,
+    },
+    /// Gives a lease up at once.
+    Release {
+        /// Lease key.
+        key: String,
+        /// Holder.
+        holder: String,
+        /// Epoch held.
+        epoch: u64,
+    },
+}
+
+/// A transaction: all conditions checked, then all operations applied, or nothing.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Txn {
+    /// Conditions, all of which must hold.
+    #[serde(default)]
+    pub conds: Vec<Cond>,
+    /// Operations, applied in order.
+    #[serde(default)]
+    pub ops: Vec<Op>,
+    /// An idempotency key: a second transaction with the same key returns the first outcome
+    /// and changes nothing. The record is written in the same transaction as the effect.
+    #[serde(default)]
+    pub idem: Option<String>,
+}
+
+/// What a transaction did.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "outcome", rename_all = "snake_case")]
+pub enum Outcome {
+    /// Applied; `epochs` holds the epoch of each lease operation, in order; `versions` the new
+    /// version of each row written.
+    Committed {
+        /// Epochs of lease operations, in order.
+        epochs: Vec<u64>,
+        /// New versions of rows put, by key.
+        versions: BTreeMap<String, u64>,
+        /// True when this answer is the recorded one of an earlier try with the same key.
+        replay: bool,
+    },
+    /// Not applied: condition or lease operation number `index` (conditions first, then
+    /// operations) failed at `key`.
+    Conflict {
+        /// Index of what failed.
+        index: usize,
+        /// Its key.
+        key: String,
+        /// The row's current version there (0 absent).
+        version: u64,
+        /// The lease there, if any.
+        lease: Option<Lease>,
+    },
+}
+
+/// How many transactions and reads were taken and refused.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Counts {
+    /// Write transactions applied (replays excluded).
+    pub writes: u64,
+    /// Rows written by them.
+    pub rows_written: u64,
+    /// Read calls served.
+    pub reads: u64,
+    /// Calls refused by the budget.
+    pub throttled: u64,
+    /// Transactions that failed a condition.
+    pub conflicts: u64,
+    /// Transactions answered from an idempotency record.
+    pub replays: u64,
+}
+
+/// The budget's answer when a call would exceed it: come back after `retry_ms`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[error("table budget exhausted, retry in {retry_ms} ms")]
+pub struct Throttled {
+    /// When to come back.
+    pub retry_ms: u64,
+}
+
+/// Per-second windows of writes and reads against their limits.
+#[derive(Clone, Debug, Default)]
+struct Budget {
+    writes: u32,
+    reads: u32,
+    window: Millis,
+    used_writes: u32,
+    used_reads: u32,
+}
+
+impl Budget {
+    fn take(&mut self, now: Millis, write: bool) -> Result<(), Throttled> {
+        if now >= self.window + 1000 {
+            self.window = now - now % 1000;
+            self.used_writes = 0;
+            self.used_reads = 0;
+        }
+        let (used, limit) = if write {
+            (&mut self.used_writes, self.writes)
+        } else {
+            (&mut self.used_reads, self.reads)
+        };
+        if *used >= limit {
+            return Err(Throttled { retry_ms: self.window + 1000 - now });
+        }
+        *used += 1;
+        Ok(())
+    }
+}
+
+/// The table: rows, leases, idempotency records, the budget and counters.
+#[derive(Debug, Default)]
+pub struct Table {
+    rows: BTreeMap<String, Row>,
+    leases: BTreeMap<String, Lease>,
+    idem: BTreeMap<String, Outcome>,
+    budget: Budget,
+    /// Counters since start.
+    pub counts: Counts,
+}
+
+impl Table {
+    /// An empty table allowing `writes` transactions and `reads` reads a second.
+    pub fn new(writes: u32, reads: u32) -> Self {
+        Self { budget: Budget { writes, reads, ..Budget::default() }, ..Self::default() }
+    }
+
+    /// Applies `txn` at platform time `now`.
+    pub fn apply(&mut self, txn: &Txn, now: Millis) -> Result<Outcome, Throttled> {
+        if let Some(done) = txn.idem.as_ref().and_then(|k| self.idem.get(k)) {
+            self.counts.replays += 1;
+            let mut done = done.clone();
+            if let Outcome::Committed { replay, .. } = &mut done {
+                *replay = true;
+            }
+            return Ok(done);
+        }
+        self.budget.take(now, true)?;
+        let out = self.attempt(txn, now);
+        match &out {
+            Outcome::Committed { .. } => {
+                self.counts.writes += 1;
+                self.counts.rows_written += txn.ops.len() as u64;
+                if let Some(k) = &txn.idem {
+                    self.idem.insert(k.clone(), out.clone());
+                }
+            }
+            Outcome::Conflict { .. } => self.counts.conflicts += 1,
+        }
+        Ok(out)
+    }
+
+    fn conflict(&self, index: usize, key: &str) -> Outcome {
+        Outcome::Conflict {
+            index,
+            key: key.to_string(),
+            version: self.rows.get(key).map_or(0, |r| r.version),
+            lease: self.leases.get(key).cloned(),
+        }
+    }
+
+    fn lease_held(&self, key: &str, holder: &str, epoch: u64, now: Millis) -> bool {
+        self.leases
+            .get(key)
+            .is_some_and(|l| l.holder == holder && l.epoch == epoch && l.expires > now)
+    }
+
+    /// Whether the lease at `key` is unexpired under `epoch`, whoever holds it (workers check
+    /// this before starting a task: the fence on the worker side).
+    pub fn epoch_valid(&self, key: &str, epoch: u64, now: Millis) -> bool {
+        self.leases.get(key).is_some_and(|l| l.epoch == epoch && l.expires > now)
+    }
+
+    fn attempt(&mut self, txn: &Txn, now: Millis) -> Outcome {
+        for (i, c) in txn.conds.iter().enumerate() {
+            let ok = match c {
+                Cond::Version { key, version } => {
+                    self.rows.get(key).map_or(0, |r| r.version) == *version
+                }
+                Cond::Lease { key, holder, epoch } => self.lease_held(key, holder, *epoch, now),
+            };
+            if !ok {
+                let key = match c {
+                    Cond::Version { key, .. } | Cond::Lease { key, .. } => key,
+                };
+                return self.conflict(i, key);
+            }
+        }
+        // Lease operations are checked before anything is applied, so a failed one leaves the
+        // table untouched.
+        let base = txn.conds.len();
+        for (i, op) in txn.ops.iter().enumerate() {
+            let ok = match op {
+                Op::Acquire { key, holder, .. } => {
+                    self.leases.get(key).is_none_or(|l| l.expires <= now || l.holder == *holder)
+                }
+                Op::Renew { key, holder, epoch, .. } | Op::Release { key, holder, epoch } => {
+                    self.lease_held(key, holder, *epoch, now)
+                }
+                Op::Put { .. } | Op::Delete { .. } => true,
+            };
+            if !ok {
+                let key = match op {
+                    Op::Acquire { key, .. } | Op::Renew { key, .. } | Op::Release { key, .. } => {
+                        key
+                    }
+                    Op::Put { key, .. } | Op::Delete { key } => key,
+                };
+                return self.conflict(base + i, key);
+            }
+        }
+        let mut epochs = Vec::new();
+        let mut versions = BTreeMap::new();
+        for op in &txn.ops {
+            match op {
+                Op::Put { key, value } => {
+                    let version = self.rows.get(key).map_or(0, |r| r.version) + 1;
+                    self.rows.insert(key.clone(), Row { version, value: value.clone() });
+                    versions.insert(key.clone(), version);
+                }
+                Op::Delete { key } => {
+                    self.rows.remove(key);
+                    versions.insert(key.clone(), 0);
+                }
+                Op::Acquire { key, holder, ttl_ms } => {
+                    let prev = self.leases.get(key);
+                    let epoch = match prev {
+                        Some(l) if l.holder == *holder && l.expires > now => l.epoch,
+                        Some(l) => l.epoch + 1,
+                        None => 1,
+                    };
+                    let lease = Lease { holder: holder.clone(), epoch, expires: now + ttl_ms };
+                    self.leases.insert(key.clone(), lease);
+                    epochs.push(epoch);
+                }
+                Op::Renew { key, ttl_ms, epoch, .. } => {
+                    if let Some(l) = self.leases.get_mut(key) {
+                        l.expires = now + ttl_ms;
+                    }
+                    epochs.push(*epoch);
+                }
+                Op::Release { key, epoch, .. } => {
+                    // The lease stays, expired, so that the next holder's epoch is higher.
+                    if let Some(l) = self.leases.get_mut(key) {
+                        l.expires = now;
+                    }
+                    epochs.push(*epoch);
+                }
+            }
+        }
+        Outcome::Committed { epochs, versions, replay: false }
+    }
+
+    /// Reads the rows at `keys` (absent ones are left out); one read of the budget.
+    pub fn get(
+        &mut self,
+        keys: &[String],
+        now: Millis,
+    ) -> Result<BTreeMap<String, Row>, Throttled> {
+        self.budget.take(now, false)?;
+        self.counts.reads += 1;
+        Ok(keys.iter().filter_map(|k| self.rows.get(k).map(|r| (k.clone(), r.clone()))).collect())
+    }
+
+    /// Reads every row whose key starts with `prefix`; one read of the budget.
+    pub fn scan(&mut self, prefix: &str, now: Millis) -> Result<BTreeMap<String, Row>, Throttled> {
+        self.budget.take(now, false)?;
+        self.counts.reads += 1;
+        Ok(self
+            .rows
+            .range(prefix.to_string()..)
+            .take_while(|(k, _)| k.starts_with(prefix))
+            .map(|(k, r)| (k.clone(), r.clone()))
+            .collect())
+    }
+
+    /// Reads every unexpired lease whose key starts with `prefix`; one read of the budget.
+    pub fn leases(
+        &mut self,
+        prefix: &str,
+        now: Millis,
+    ) -> Result<BTreeMap<String, Lease>, Throttled> {
+        self.budget.take(now, false)?;
+        self.counts.reads += 1;
+        Ok(self
+            .leases
+            .range(prefix.to_string()..)
+            .take_while(|(k, _)| k.starts_with(prefix))
+            .filter(|(_, l)| l.expires > now)
+            .map(|(k, l)| (k.clone(), l.clone()))
+            .collect())
+    }
+
+    /// A row without charging the budget: for the platform's own checks.
+    pub fn peek(&self, key: &str) -> Option<&Row> {
+        self.rows.get(key)
+    }
+
+    /// Number of rows and of leases, for the state dump.
+    pub fn sizes(&self) -> (usize, usize, usize) {
+        (self.rows.len(), self.leases.len(), self.idem.len())
+    }
+}
