Entry instance, runner stand-in, wire frames, command line, smoke driver and scripts/cell: the whole path runs

What runs: an entry instance with its HTTP API (catalogue edits against a base version, job submission with idempotency keys, status, cancellation, lookups, writes), membership and shard leases by rendezvous hashing renewed in one transaction per heartbeat, scheduling rounds that group-commit each shard's placements under the shard lease's fencing epoch, placement policies per class registered with inventory, and routing to runners over websocket+CBOR with correlation ids, hedging within a retry budget, pings, ejection and drain.

Ruled out: retrying writes after the frame was sent (a write runs at most once, so an unanswered write is reported as timeout, not repeated); one table scan per shard per round (one scan of the domain's pending rows per round).

--- a/src/bin/currantgw.rs
+++ b/src/bin/currantgw.rs
@@ -1,3 +1,6 @@
-//! The `currantgw` command line (subcommands come with the entry instance).
+//! The `currantgw` command: a thin shell over the library's command line.
 
-fn main() {}
+#[async_std::main]
+async fn main() -> eyre::Result<()> {
+    currantgw::cli::run(argh::from_env()).await
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,255 @@
+//! The command line: one binary with a subcommand per role and per operator action.
+
+use crate::kernel::clock::Clock;
+use crate::kernel::stop;
+use crate::options;
+use argh::FromArgs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+/// currantgw: cluster scheduler and request gateway for unlike workloads on one shared cell.
+#[derive(FromArgs, Debug)]
+pub struct Args {
+    /// settings file of the cell (JSON); the embedded example cell when absent
+    #[argh(option)]
+    pub settings: Option<PathBuf>,
+    /// log level: error, warn, info, debug (default info)
+    #[argh(option, default = "log::LevelFilter::Info")]
+    pub log: log::LevelFilter,
+    /// what to do
+    #[argh(subcommand)]
+    pub cmd: Cmd,
+}
+
+/// Subcommands.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum Cmd {
+    /// Run the platform stand-in.
+    Platform(PlatformCmd),
+    /// Run an entry instance.
+    Entry(EntryCmd),
+    /// Run a runner stand-in.
+    Runner(RunnerCmd),
+    /// Edit or read the catalogue.
+    Catalogue(CatalogueCmd),
+    /// Submit a job from a JSON file.
+    Submit(SubmitCmd),
+    /// Look a key up through an entry.
+    Lookup(LookupCmd),
+    /// Print the state dump of a process.
+    Dump(DumpCmd),
+    /// Drive a running cell and print a JSON report.
+    Smoke(SmokeCmd),
+}
+
+/// Run the platform stand-in.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "platform")]
+pub struct PlatformCmd {}
+
+/// Run an entry instance.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "entry")]
+pub struct EntryCmd {
+    /// id of the entry in the settings
+    #[argh(option)]
+    pub id: String,
+}
+
+/// Run a runner stand-in.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "runner")]
+pub struct RunnerCmd {
+    /// id of the runner in the settings
+    #[argh(option)]
+    pub id: String,
+}
+
+/// Edit or read the catalogue: `apply FILE` or `get`.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "catalogue")]
+pub struct CatalogueCmd {
+    /// address of an entry instance (host:port)
+    #[argh(option)]
+    pub entry: SocketAddr,
+    /// action: apply or get
+    #[argh(positional)]
+    pub action: String,
+    /// catalogue file for `apply` ({"entries": [...]})
+    #[argh(positional)]
+    pub file: Option<PathBuf>,
+}
+
+/// Submit a job from a JSON file.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "submit")]
+pub struct SubmitCmd {
+    /// address of an entry instance
+    #[argh(option)]
+    pub entry: SocketAddr,
+    /// job file
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Look a key up through an entry.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "lookup")]
+pub struct LookupCmd {
+    /// address of an entry instance
+    #[argh(option)]
+    pub entry: SocketAddr,
+    /// key
+    #[argh(positional)]
+    pub key: String,
+}
+
+/// Print the state dump of a process.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "dump")]
+pub struct DumpCmd {
+    /// address of its HTTP API (host:port)
+    #[argh(positional)]
+    pub addr: SocketAddr,
+}
+
+/// Drive a running cell and print a JSON report.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "smoke")]
+pub struct SmokeCmd {
+    /// seconds of load (default 20)
+    #[argh(option, default = "20")]
+    pub seconds: u64,
+    /// concurrent lookup loops (default 8)
+    #[argh(option, default = "8")]
+    pub lookers: u32,
+    /// jobs submitted per second (default 10)
+    #[argh(option, default = "10")]
+    pub jobs: u32,
+    /// fault plan to post to the platform first (JSON list)
+    #[argh(option)]
+    pub faults: Option<PathBuf>,
+}
+
+async fn http(req: surf::RequestBuilder) -> eyre::Result<String> {
+    let mut res = req.await.map_err(|e| eyre::eyre!("{e}"))?;
+    let status = res.status();
+    let text = res.body_string().await.map_err(|e| eyre::eyre!("{e}"))?;
+    if !status.is_success() {
+        eyre::bail!("{status}: {text}");
+    }
+    Ok(text)
+}
+
+async fn daemon(
+    role: &str,
+    id: &str,
+    level: log::LevelFilter,
+) -> eyre::Result<(Clock, stop::Stop, async_std::task::JoinHandle<()>)> {
+    crate::logs::init(role, id, level)?;
+    crate::admin::metrics();
+    let (mut trigger, stop) = stop::pair();
+    let mut signals = signal_hook_async_std::Signals::new([
+        signal_hook::consts::SIGTERM,
+        signal_hook::consts::SIGINT,
+    ])?;
+    let waiter = async_std::task::spawn(async move {
+        use futures::StreamExt;
+        if signals.next().await.is_some() {
+            log::info!("signal received, draining");
+        }
+        trigger.fire();
+    });
+    Ok((Clock::real(), stop, waiter))
+}
+
+/// Runs the command line.
+pub async fn run(args: Args) -> eyre::Result<()> {
+    let cell = options::load(args.settings.as_deref())?;
+    match args.cmd {
+        Cmd::Platform(_) => {
+            let (clock, stop, _signals) = daemon("platform", "platform", args.log).await?;
+            let names: Vec<String> = cell.runners.iter().map(|r| r.id.clone()).collect();
+            let p = Arc::new(crate::platform::Platform::new(
+                cell.platform.clone(),
+                &names,
+                clock.clone(),
+            ));
+            let (addr, serve) = crate::admin::bind(
+                crate::platform::server::app(p),
+                cell.platform.listen,
+                stop,
+                clock,
+                1000,
+            )
+            .await?;
+            log::info!("platform listening on {addr}");
+            serve.await?;
+        }
+        Cmd::Entry(c) => {
+            let (clock, stop, _signals) = daemon("entry", &c.id, args.log).await?;
+            let e = crate::entry::Entry::new(&cell, &c.id, clock, &stop).await?;
+            e.run(stop).await?;
+        }
+        Cmd::Runner(c) => {
+            let (clock, stop, _signals) = daemon("runner", &c.id, args.log).await?;
+            let addr = cell
+                .runner_addr(&c.id)
+                .ok_or_else(|| eyre::eyre!("no runner {} in the settings", c.id))?;
+            let r = crate::runner::Runner::new(addr.clone(), cell.runner.clone(), clock);
+            r.serve(stop).await?;
+        }
+        Cmd::Catalogue(c) => {
+            let url = format!("http://{}/catalogue", c.entry);
+            let out = match (c.action.as_str(), c.file) {
+                ("get", _) => http(surf::get(url)).await?,
+                ("apply", Some(f)) => {
+                    let text = std::fs::read_to_string(&f)?;
+                    let mut edit: serde_json::Value = serde_json::from_str(&text)?;
+                    let current: crate::entry::catalogue::Catalogue =
+                        serde_json::from_str(&http(surf::get(&url)).await?)?;
+                    edit["base"] = current.version.into();
+                    http(surf::post(url).body_json(&edit).map_err(|e| eyre::eyre!("{e}"))?).await?
+                }
+                _ => eyre::bail!("catalogue takes `get` or `apply FILE`"),
+            };
+            println!("{out}");
+        }
+        Cmd::Submit(c) => {
+            let text = std::fs::read_to_string(&c.file)?;
+            let spec: serde_json::Value = serde_json::from_str(&text)?;
+            let url = format!("http://{}/jobs", c.entry);
+            println!(
+                "{}",
+                http(surf::post(url).body_json(&spec).map_err(|e| eyre::eyre!("{e}"))?).await?
+            );
+        }
+        Cmd::Lookup(c) => {
+            let url = format!("http://{}/lookup?key={}", c.entry, c.key);
+            println!("{}", http(surf::get(url)).await?);
+        }
+        Cmd::Dump(c) => {
+            println!("{}", http(surf::get(format!("http://{}/debug/state", c.addr))).await?)
+        }
+        Cmd::Smoke(c) => {
+            let faults = match &c.faults {
+                Some(f) => serde_json::from_str(&std::fs::read_to_string(f)?)?,
+                None => Vec::new(),
+            };
+            let knobs = crate::smoke::Knobs {
+                seconds: c.seconds,
+                lookers: c.lookers,
+                jobs: c.jobs,
+                faults,
+            };
+            let report = crate::smoke::run(&cell, &knobs).await?;
+            println!("{}", serde_json::to_string_pretty(&report)?);
+            if !report.promises_kept() {
+                eyre::bail!("a promise was broken: see the report");
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/entry/api.rs
@@ -0,0 +1,251 @@
+//! The entry's HTTP API: catalogue edits, job submission, status and cancellation, lookups and
+//! writes. Every refusal has a typed body and, where coming back can help, `Retry-After`; a
+//! request given up on is answered at once, never held until its deadline.
+
+use crate::admin;
+use crate::entry::catalogue::{self, EditError};
+use crate::entry::jobs::{self, CancelError, SubmitError};
+use crate::entry::route::RouteError;
+use crate::entry::rows::{self, JobRow, JobSpec, JobState};
+use crate::entry::Entry;
+use crate::platform::client::PlatformError;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use tide::{Request, Response};
+
+type State = Arc<Entry>;
+
+/// The body of every error answer of the entry.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ApiError {
+    /// Kind: `bad_request`, `invalid`, `conflict`, `not_run`, `not_found`, `unavailable`,
+    /// `timeout`, `busy`.
+    pub error: String,
+    /// What went wrong.
+    pub detail: String,
+    /// When to come back, ms.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_ms: Option<u64>,
+    /// The catalogue version in force, on a conflict.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub current: Option<u64>,
+    /// The job, for `not_run`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub job: Option<JobRow>,
+}
+
+fn fail(status: u16, error: &str, detail: impl ToString, retry_ms: Option<u64>) -> Response {
+    let body = ApiError {
+        error: error.into(),
+        detail: detail.to_string(),
+        retry_ms,
+        ..ApiError::default()
+    };
+    with_retry(admin::json(status, &body), retry_ms)
+}
+
+fn with_retry(mut res: Response, retry_ms: Option<u64>) -> Response {
+    if let Some(ms) = retry_ms {
+        res.insert_header("Retry-After", ms.div_ceil(1000).max(1).to_string());
+    }
+    res
+}
+
+fn platform(e: &PlatformError) -> Response {
+    let retry = match e {
+        PlatformError::Throttled { retry_ms } => *retry_ms,
+        _ => 1000,
+    };
+    fail(503, "unavailable", e, Some(retry))
+}
+
+/// Reads a JSON body; malformed JSON or unknown fields are a typed 400 and change nothing.
+async fn body<T: serde::de::DeserializeOwned>(req: &mut Request<State>) -> Result<T, Response> {
+    let text = req.body_string().await.map_err(|e| fail(400, "bad_request", e, None))?;
+    serde_json::from_str(&text).map_err(|e| fail(400, "bad_request", e, None))
+}
+
+async fn edit(mut req: Request<State>) -> tide::Result {
+    let edit: catalogue::Edit = match body(&mut req).await {
+        Ok(e) => e,
+        Err(res) => return Ok(res),
+    };
+    let e = req.state().clone();
+    Ok(match catalogue::commit(&e.table, &edit).await {
+        Ok(version) => {
+            // Bring this instance up to date at once; the others follow within watch_ms.
+            let mut cat = e.cat.lock().unwrap().clone();
+            if catalogue::catch_up(&e.table, &mut cat).await.is_ok() {
+                let mut held = e.cat.lock().unwrap();
+                if cat.version > held.version {
+                    *held = cat;
+                }
+            }
+            admin::json(200, &serde_json::json!({ "version": version }))
+        }
+        Err(EditError::Conflict { current, .. }) => {
+            let body = ApiError {
+                error: "conflict".into(),
+                detail: format!("catalogue is at version {current}"),
+                current: Some(current),
+                ..ApiError::default()
+            };
+            admin::json(409, &body)
+        }
+        Err(err @ EditError::Invalid { .. }) => fail(400, "invalid", err, None),
+        Err(EditError::Platform(p)) => platform(&p),
+    })
+}
+
+async fn submit(mut req: Request<State>) -> tide::Result {
+    let spec: JobSpec = match body(&mut req).await {
+        Ok(s) => s,
+        Err(res) => return Ok(res),
+    };
+    let e = req.state().clone();
+    let cat = e.cat.lock().unwrap().clone();
+    let place = jobs::Placement { shards: &e.shards, caps: &e.caps };
+    Ok(match jobs::submit(&e.table, &e.clock, &cat, &place, &e.addr.domain, spec).await {
+        Ok(row) if matches!(row.state, JobState::Refused { .. }) => not_run(row),
+        Ok(row) => admin::json(200, &row),
+        Err(err @ SubmitError::Invalid { .. }) => fail(400, "invalid", err, None),
+        Err(err @ (SubmitError::UnknownEntry(_) | SubmitError::OverLimits(_))) => {
+            fail(422, "not_run", err, None)
+        }
+        Err(err @ SubmitError::KeyReused(_)) => fail(409, "conflict", err, None),
+        Err(SubmitError::Platform(p)) => platform(&p),
+    })
+}
+
+fn not_run(row: JobRow) -> Response {
+    let detail = match &row.state {
+        JobState::Refused { reason } => reason.clone(),
+        _ => String::new(),
+    };
+    admin::json(
+        422,
+        &ApiError { error: "not_run".into(), detail, job: Some(row), ..ApiError::default() },
+    )
+}
+
+/// `POST /jobs/status` body.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StatusReq {
+    /// Job ids.
+    pub ids: Vec<String>,
+}
+
+async fn status(mut req: Request<State>) -> tide::Result {
+    let q: StatusReq = match body(&mut req).await {
+        Ok(q) => q,
+        Err(res) => return Ok(res),
+    };
+    let e = req.state().clone();
+    let keys = q.ids.iter().map(|id| rows::job_key(id)).collect();
+    Ok(match e.table.get(keys).await {
+        Ok(got) => {
+            let jobs: Vec<JobRow> = got.values().filter_map(|r| rows::decode(&r.value)).collect();
+            admin::json(200, &jobs)
+        }
+        Err(p) => platform(&p),
+    })
+}
+
+async fn job(req: Request<State>) -> tide::Result {
+    let e = req.state().clone();
+    let id = req.param("id")?.to_string();
+    Ok(match e.table.get(vec![rows::job_key(&id)]).await {
+        Ok(got) => {
+            match got.get(&rows::job_key(&id)).and_then(|r| rows::decode::<JobRow>(&r.value)) {
+                Some(row) => admin::json(200, &row),
+                None => fail(404, "not_found", format!("no job {id}"), None),
+            }
+        }
+        Err(p) => platform(&p),
+    })
+}
+
+async fn cancel(req: Request<State>) -> tide::Result {
+    let e = req.state().clone();
+    let id = req.param("id")?.to_string();
+    Ok(match jobs::cancel(&e.table, &e.clock, &e.addr.domain, &id).await {
+        Ok((row, running)) => {
+            for (task, worker) in running {
+                let _ = e.table.stop(&task, &worker).await;
+            }
+            admin::json(200, &row)
+        }
+        Err(err @ CancelError::NotFound(_)) => fail(404, "not_found", err, None),
+        Err(err @ CancelError::Busy(_)) => fail(503, "busy", err, Some(100)),
+        Err(CancelError::Platform(p)) => platform(&p),
+    })
+}
+
+fn route_error(err: RouteError) -> Response {
+    match err {
+        RouteError::NoRunner { retry_ms } => fail(503, "unavailable", err, Some(retry_ms)),
+        RouteError::Busy { retry_ms } => fail(503, "busy", err, Some(retry_ms)),
+        RouteError::Timeout(_) => fail(504, "timeout", err, None),
+    }
+}
+
+async fn lookup(req: Request<State>) -> tide::Result {
+    #[derive(Deserialize)]
+    struct Q {
+        key: String,
+    }
+    let q: Q = match req.query() {
+        Ok(q) => q,
+        Err(e) => return Ok(fail(400, "bad_request", e, None)),
+    };
+    let e = req.state().clone();
+    let started = e.clock.now();
+    let out = e.pool.lookup(&q.key).await;
+    metrics::histogram!("entry_lookup_ms").record((e.clock.now() - started) as f64);
+    Ok(match out {
+        Ok(a) => admin::json(200, &a),
+        Err(err) => route_error(err),
+    })
+}
+
+/// `POST /write` body.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WriteReq {
+    /// The write's id: sent once; a write whose answer was lost is reported `timeout`.
+    pub id: String,
+    /// Payload.
+    pub body: String,
+}
+
+async fn write(mut req: Request<State>) -> tide::Result {
+    let w: WriteReq = match body(&mut req).await {
+        Ok(w) => w,
+        Err(res) => return Ok(res),
+    };
+    let e = req.state().clone();
+    Ok(match e.pool.write(&w.id, &w.body).await {
+        Ok(done) => admin::json(200, &done),
+        Err(err) => route_error(err),
+    })
+}
+
+/// The entry's HTTP application.
+pub fn app(e: Arc<Entry>) -> tide::Server<State> {
+    let mut app = tide::with_state(e);
+    app.at("/catalogue").post(edit).get(|r: Request<State>| async move {
+        let cat = r.state().cat.lock().unwrap().clone();
+        Ok(admin::json(200, &cat))
+    });
+    app.at("/jobs").post(submit);
+    app.at("/jobs/status").post(status);
+    app.at("/jobs/:id").get(job);
+    app.at("/jobs/:id/cancel").post(cancel);
+    app.at("/lookup").get(lookup);
+    app.at("/write").post(write);
+    app.at("/debug/state")
+        .get(|r: Request<State>| async move { Ok(admin::json(200, &r.state().dump().await)) });
+    app.at("/metrics").get(|_| async { Ok(admin::render()) });
+    app
+}
--- /dev/null
+++ b/src/entry/policy.rs
@@ -0,0 +1,54 @@
+//! Placement policies, one per class of work, each registering itself with the kernel.
+
+use crate::kernel::arena::WorkerKey;
+use crate::kernel::registry::{Candidate, Policy};
+use crate::kernel::res::{Class, Resources};
+
+/// Places tasks one by one on the fitting worker that `rank` puts first (lowest), taking each
+/// choice's room off before the next, so that the chosen set never oversells a worker.
+fn greedy(
+    demand: &Resources,
+    count: usize,
+    pool: &[Candidate],
+    rank: impl Fn(&Candidate) -> (u64, u64),
+) -> Vec<WorkerKey> {
+    let mut pool = pool.to_vec();
+    let mut out = Vec::with_capacity(count);
+    for _ in 0..count {
+        let best =
+            pool.iter_mut().filter(|c| demand.fits(&c.free)).min_by_key(|c| (rank(c), c.key));
+        let Some(c) = best else { break };
+        c.free = c.free.sub(demand);
+        c.same_job += 1;
+        out.push(c.key);
+    }
+    out
+}
+
+/// Best fit: the worker left with the least room, to pack tightly (batch).
+fn best_fit(demand: &Resources, count: usize, pool: &[Candidate]) -> Option<Vec<WorkerKey>> {
+    Some(greedy(demand, count, pool, |c| (c.free.sub(demand).slack(&c.cap), 0)))
+}
+
+/// Worst fit: the worker with the most room, so urgent work starts without waiting.
+fn worst_fit(demand: &Resources, count: usize, pool: &[Candidate]) -> Option<Vec<WorkerKey>> {
+    Some(greedy(demand, count, pool, |c| (1000 - c.free.slack(&c.cap).min(1000), 0)))
+}
+
+/// Spread: fewest tasks of the same job first, then most room (services).
+fn spread(demand: &Resources, count: usize, pool: &[Candidate]) -> Option<Vec<WorkerKey>> {
+    Some(greedy(demand, count, pool, |c| {
+        (c.same_job.into(), 1000 - c.free.slack(&c.cap).min(1000))
+    }))
+}
+
+/// All or nothing: best fit for every task, or no placement at all (gangs).
+fn all_or_nothing(demand: &Resources, count: usize, pool: &[Candidate]) -> Option<Vec<WorkerKey>> {
+    let chosen = best_fit(demand, count, pool)?;
+    (chosen.len() == count).then_some(chosen)
+}
+
+inventory::submit! { Policy { class: Class::Batch, name: "best-fit", choose: best_fit } }
+inventory::submit! { Policy { class: Class::Urgent, name: "worst-fit", choose: worst_fit } }
+inventory::submit! { Policy { class: Class::Service, name: "spread", choose: spread } }
+inventory::submit! { Policy { class: Class::Gang, name: "all-or-nothing", choose: all_or_nothing } }
--- a/src/kernel/clock.rs
+++ b/src/kernel/clock.rs
@@ -12,14 +12,20 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
-/// A point in time: milliseconds since the clock started.
+/// A point in time in ms: since the Unix epoch on a real clock (so that processes agree on
+/// deadlines stored in the table), since creation on a manual one.
 pub type Millis = u64;
 
 /// The clock every timer of a process reads.
 #[derive(Clone, Debug)]
 pub enum Clock {
-    /// Wall time since `start`.
-    Real(Instant),
+    /// Wall time: `base` ms since the Unix epoch at the instant `start`.
+    Real {
+        /// When the clock was made.
+        start: Instant,
+        /// Unix ms at `start`.
+        base: Millis,
+    },
     /// Time that moves only when a test calls [`Clock::advance`].
     Manual(Arc<Mutex<Manual>>),
 }
@@ -40,7 +46,10 @@
 impl Clock {
     /// A clock on real time, starting now.
     pub fn real() -> Self {
-        Self::Real(Instant::now())
+        let base = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .map_or(0, |d| d.as_millis() as Millis);
+        Self::Real { start: Instant::now(), base }
     }
 
     /// A paused clock at time 0.
@@ -48,10 +57,10 @@
         Self::Manual(Arc::new(Mutex::new(Manual::default())))
     }
 
-    /// Milliseconds since the clock started.
+    /// The time now.
     pub fn now(&self) -> Millis {
         match self {
-            Self::Real(start) => start.elapsed().as_millis() as Millis,
+            Self::Real { start, base } => base + start.elapsed().as_millis() as Millis,
             Self::Manual(m) => m.lock().unwrap().now,
         }
     }
@@ -59,7 +68,7 @@
     /// Sleeps `ms` milliseconds of this clock's time.
     pub async fn sleep(&self, ms: Millis) {
         match self {
-            Self::Real(_) => async_std::task::sleep(Duration::from_millis(ms)).await,
+            Self::Real { .. } => async_std::task::sleep(Duration::from_millis(ms)).await,
             Self::Manual(m) => {
                 let until = m.lock().unwrap().now + ms;
                 ManualSleep { clock: m.clone(), until, id: None }.await
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,12 @@
 //! `options` the settings; `smoke` the load driver.
 
 pub mod admin;
+pub mod cli;
+pub mod entry;
 pub mod kernel;
 pub mod logs;
 pub mod options;
 pub mod platform;
+pub mod runner;
+pub mod smoke;
+pub mod wire;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -39,6 +39,7 @@
     instances: Mutex<instances::Instances>,
     plan: Mutex<faults::Plan>,
     double_runs: AtomicU64,
+    born: crate::kernel::clock::Millis,
     refused: Mutex<BTreeMap<String, u64>>,
 }
 
@@ -58,13 +59,14 @@
         let mut list = instances::Instances::default();
         runners.iter().for_each(|r| list.add(r));
         Self {
-            clock,
+            clock: clock.clone(),
             table: Mutex::new(table::Table::new(settings.writes, settings.reads)),
             store: Mutex::new(store::Store::default()),
             domains,
             instances: Mutex::new(list),
             plan: Mutex::new(faults::Plan::default()),
             double_runs: AtomicU64::new(0),
+            born: clock.now(),
             refused: Mutex::new(BTreeMap::new()),
             settings,
         }
@@ -211,14 +213,15 @@
     /// Counters and oracle figures.
     pub fn stats(&self) -> api::Stats {
         self.tick_all();
-        let secs = (self.clock.now() as f64 / 1000.0).max(0.001);
+        let up = self.clock.now() - self.born;
+        let secs = (up as f64 / 1000.0).max(0.001);
         let table = self.table.lock().unwrap().counts.clone();
         let mut s = api::Stats {
             writes_per_s: table.writes as f64 / secs,
             reads_per_s: table.reads as f64 / secs,
             table,
             double_runs: self.double_runs.load(Ordering::Relaxed),
-            uptime_ms: self.clock.now(),
+            uptime_ms: up,
             ..api::Stats::default()
         };
         for d in self.domains.values() {
