--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -74,13 +74,7 @@
     Ok(match catalogue::commit(&e.table, &edit).await {
         Ok(version) => {
             // Bring this instance up to date at once; the others follow within watch_ms.
-            let mut cat = e.cat.lock().unwrap().clone();
-            if catalogue::catch_up(&e.table, &mut cat).await.is_ok() {
-                let mut held = e.cat.lock().unwrap();
-                if cat.version > held.version {
-                    *held = cat;
-                }
-            }
+            e.refresh_catalogue().await;
             admin::json(200, &serde_json::json!({ "version": version }))
         }
         Err(EditError::Conflict { current, .. }) => {
@@ -103,7 +97,12 @@
         Err(res) => return Ok(res),
     };
     let e = req.state().clone();
-    let cat = e.cat.lock().unwrap().clone();
+    let mut cat = e.cat.lock().unwrap().clone();
+    if !cat.entries.contains_key(&spec.entry) {
+        // An entry accepted on another instance a moment ago may not have reached this one:
+        // read the catalogue once before saying "no such entry".
+        cat = e.refresh_catalogue().await;
+    }
     let place = jobs::Placement { shards: &e.shards, caps: &e.caps };
     Ok(match jobs::submit(&e.table, &e.clock, &cat, &place, &e.addr.domain, spec).await {
         Ok(row) if matches!(row.state, JobState::Refused { .. }) => not_run(row),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -223,22 +223,31 @@
         Ok(())
     }
 
-    async fn watch(self: Arc<Self>, stop: Stop) {
-        loop {
-            let mut cat = self.cat.lock().unwrap().clone();
-            match catalogue::catch_up(&self.table, &mut cat).await {
-                Ok(true) => {
-                    let mut held = self.cat.lock().unwrap();
-                    // Never back: a slower watch must not overwrite a newer catalogue.
-                    if cat.version > held.version {
-                        log::info!("catalogue version {} in force", cat.version);
-                        *held = cat;
-                    }
+    /// Brings the catalogue held here up to the table's version and returns what is in force.
+    /// While the table is down the last catalogue held stays in force.
+    pub async fn refresh_catalogue(&self) -> catalogue::Catalogue {
+        let mut cat = self.cat.lock().unwrap().clone();
+        match catalogue::catch_up(&self.table, &mut cat).await {
+            Ok(true) => {
+                let mut held = self.cat.lock().unwrap();
+                // Never back: a slower refresh must not overwrite a newer catalogue.
+                if cat.version > held.version {
+                    log::info!("catalogue version {} in force", cat.version);
+                    *held = cat;
                 }
-                Ok(false) => {}
-                // The table is down: keep serving the last catalogue held.
-                Err(e) => log::debug!("catalogue watch: {e}"),
+                held.clone()
             }
+            Ok(false) => cat,
+            Err(e) => {
+                log::debug!("catalogue watch: {e}");
+                cat
+            }
+        }
+    }
+
+    async fn watch(self: Arc<Self>, stop: Stop) {
+        loop {
+            self.refresh_catalogue().await;
             if !self.nap(self.timing.watch_ms, &stop).await {
                 return;
             }
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,212 @@
+//! A small cell in the test process, on loopback: the platform stand-in, runners and entry
+//! instances, each with its own stop trigger, joined on `stop`.
+
+#![allow(dead_code)]
+
+use currantgw::entry::Entry;
+use currantgw::kernel::clock::Clock;
+use currantgw::kernel::res::Resources;
+use currantgw::kernel::stop::{self, Trigger};
+use currantgw::options::{
+    Cell, DomainSpec, EntryAddr, PlatformSettings, RunnerAddr, RunnerKnobs, Timing,
+};
+use currantgw::platform::Platform;
+use currantgw::runner::Runner;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A loopback address with a port that was free a moment ago.
+pub fn free_addr() -> SocketAddr {
+    let l = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    l.local_addr().unwrap()
+}
+
+/// Settings of a cell with one domain `a` of `racks` racks × 4 workers of 16 cores / 64 GiB.
+pub fn cell(entries: usize, runners: usize, racks: u32) -> Cell {
+    Cell {
+        platform: PlatformSettings {
+            listen: free_addr(),
+            writes: 400,
+            reads: 2000,
+            usage_lag_ms: 100,
+            instance_lag_ms: 200,
+            domains: vec![DomainSpec {
+                name: "a".into(),
+                region: "andes".into(),
+                racks,
+                workers: 4,
+                worker: Resources { cpu: 16000, mem: 65536, acc: 1 },
+            }],
+        },
+        timing: Timing {
+            lease_ms: 900,
+            heartbeat_ms: 150,
+            round_ms: 50,
+            watch_ms: 100,
+            lookup_ms: 1000,
+            write_ms: 1000,
+            hedge_ms: 100,
+            retry_pct: 10,
+            ping_ms: 100,
+            idle_ms: 400,
+            instances_ms: 100,
+        },
+        entries: (0..entries)
+            .map(|i| EntryAddr {
+                id: format!("entry-{i}"),
+                domain: "a".into(),
+                listen: free_addr(),
+            })
+            .collect(),
+        runners: (0..runners)
+            .map(|i| RunnerAddr {
+                id: format!("runner-{i}"),
+                domain: "a".into(),
+                listen: free_addr(),
+                admin: free_addr(),
+            })
+            .collect(),
+        runner: RunnerKnobs { slots: 8, connections: 64, service_ms: 1 },
+    }
+}
+
+/// A running cell.
+pub struct TestCell {
+    pub cell: Cell,
+    pub platform: Arc<Platform>,
+    pub runners: Vec<Arc<Runner>>,
+    pub entries: Vec<Arc<Entry>>,
+    triggers: Vec<Trigger>,
+    tasks: Vec<async_std::task::JoinHandle<()>>,
+}
+
+impl TestCell {
+    /// Starts every process of `cell` as tasks of this test process.
+    pub async fn start(cell: Cell) -> Self {
+        let clock = Clock::real();
+        let names: Vec<String> = cell.runners.iter().map(|r| r.id.clone()).collect();
+        let platform = Arc::new(Platform::new(cell.platform.clone(), &names, clock.clone()));
+        let mut me = Self {
+            cell: cell.clone(),
+            platform: platform.clone(),
+            runners: vec![],
+            entries: vec![],
+            triggers: vec![],
+            tasks: vec![],
+        };
+        let (t, s) = stop::pair();
+        let (_, serve) = currantgw::admin::bind(
+            currantgw::platform::server::app(platform),
+            cell.platform.listen,
+            s,
+            clock.clone(),
+            100,
+        )
+        .await
+        .unwrap();
+        me.triggers.push(t);
+        me.tasks.push(async_std::task::spawn(async move { serve.await.unwrap() }));
+        for r in &cell.runners {
+            let runner = Runner::new(r.clone(), cell.runner.clone(), clock.clone());
+            let (t, s) = stop::pair();
+            me.triggers.push(t);
+            let run = runner.clone();
+            me.tasks.push(async_std::task::spawn(async move { run.serve(s).await.unwrap() }));
+            me.runners.push(runner);
+        }
+        for e in &cell.entries {
+            me.add_entry(&e.id).await;
+        }
+        me
+    }
+
+    /// Starts entry `id` of the settings.
+    pub async fn add_entry(&mut self, id: &str) -> usize {
+        let (t, s) = stop::pair();
+        let entry = Entry::new(&self.cell, id, Clock::real(), &s).await.unwrap();
+        self.triggers.push(t);
+        let run = entry.clone();
+        self.tasks.push(async_std::task::spawn(async move { run.run(s).await.unwrap() }));
+        self.entries.push(entry);
+        self.entries.len() - 1
+    }
+
+    /// Base URL of entry `i`.
+    pub fn url(&self, i: usize) -> String {
+        format!("http://{}", self.cell.entries[i].listen)
+    }
+
+    /// Waits (bounded) until every shard is held by some entry and runners are connected.
+    pub async fn ready(&self) {
+        for _ in 0..100 {
+            let mut held = 0;
+            for e in &self.entries {
+                held += e.members.lock().await.held.len();
+            }
+            let shards = self.entries[0].shards.len();
+            let linked = self.entries.iter().all(|e| {
+                e.pool.dump()["links"].as_object().unwrap().values().all(|l| l["connected"] == true)
+            });
+            if held >= shards && linked {
+                return;
+            }
+            async_std::task::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("cell did not become ready");
+    }
+
+    /// Stops everything and joins every task.
+    pub async fn stop(mut self) {
+        for t in self.triggers.iter_mut().rev() {
+            t.fire();
+        }
+        for t in self.tasks.drain(..) {
+            t.await;
+        }
+    }
+}
+
+/// POSTs JSON and returns status and body.
+pub async fn post(url: &str, body: &serde_json::Value) -> (u16, serde_json::Value) {
+    let mut res = surf::post(url).body_json(body).unwrap().await.unwrap();
+    let status: u16 = res.status().into();
+    (status, res.body_json().await.unwrap_or(serde_json::Value::Null))
+}
+
+/// POSTs raw text and returns status and body.
+pub async fn post_raw(url: &str, body: &str) -> (u16, serde_json::Value) {
+    let mut res = surf::post(url).body_string(body.to_string()).await.unwrap();
+    let status: u16 = res.status().into();
+    (status, res.body_json().await.unwrap_or(serde_json::Value::Null))
+}
+
+/// GETs JSON.
+pub async fn get(url: &str) -> (u16, serde_json::Value) {
+    let mut res = surf::get(url).await.unwrap();
+    let status: u16 = res.status().into();
+    (status, res.body_json().await.unwrap_or(serde_json::Value::Null))
+}
+
+/// The example catalogue as an edit against `base`.
+pub fn catalogue(base: u64) -> serde_json::Value {
+    let mut v: serde_json::Value =
+        serde_json::from_str(include_str!("../../examples/catalogue.json")).unwrap();
+    v["base"] = base.into();
+    v
+}
+
+/// Polls `f` until it is true, at most `tries` × 50 ms.
+pub async fn eventually<F, Fut>(tries: u32, mut f: F) -> bool
+where
+    F: FnMut() -> Fut,
+    Fut: std::future::Future<Output = bool>,
+{
+    for _ in 0..tries {
+        if f().await {
+            return true;
+        }
+        async_std::task::sleep(Duration::from_millis(50)).await;
+    }
+    false
+}
