--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -149,11 +149,14 @@
                     let Some(d) = self.domains.get(Self::domain_of(&r.worker)) else {
                         return Some(workers::StartRefusal::UnknownWorker);
                     };
-                    // The oracle: a task that already runs anywhere in the cell is a double run.
-                    if self.domains.values().any(|d| d.lock().unwrap().holds(&r.task)) {
+                    // The oracle: a task started while it already runs anywhere in the cell is
+                    // a double run. A repeated start on the same worker is refused, not counted.
+                    let before = self.domains.values().any(|d| d.lock().unwrap().holds(&r.task));
+                    let refused = d.lock().unwrap().start(r, now, rng.gen_range(50..=200));
+                    if before && refused.is_none() {
                         self.double_runs.fetch_add(1, Ordering::Relaxed);
                     }
-                    d.lock().unwrap().start(r, now, rng.gen_range(50..=200))
+                    refused
                 });
                 if let Some(why) = refused {
                     *self.refused.lock().unwrap().entry(format!("{why:?}")).or_default() += 1;
--- /dev/null
+++ b/tests/faults.rs
@@ -0,0 +1,186 @@
+//! Promises of the brief under platform outages, lost answers, broken workers, cancellation
+//! waves, silent connections and leaving runners, on a cell in this process.
+
+mod common;
+
+use common::{catalogue, eventually, get, post, TestCell};
+use currantgw::platform::faults::{Fault, FaultKind, Target};
+use currantgw::platform::instances::InstanceState;
+
+fn job(entry: &str, tasks: u32, run_ms: u64, key: &str) -> serde_json::Value {
+    serde_json::json!({
+        "entry": entry, "tasks": tasks, "demand": { "cpu": 1000, "mem": 1024 },
+        "run_ms": run_ms, "key": key,
+    })
+}
+
+async fn ready_cell(entries: usize, runners: usize, racks: u32) -> TestCell {
+    let c = TestCell::start(common::cell(entries, runners, racks)).await;
+    c.ready().await;
+    assert_eq!(post(&format!("{}/catalogue", c.url(0)), &catalogue(0)).await.0, 200);
+    c
+}
+
+/// Symptom: during a table outage lookups fail, or a submission hangs until its deadline.
+/// Sequence: the table goes down; lookups and a submission arrive; the table comes back.
+/// Cause: a request path that needs the table. Lookups must be served from what the entry
+/// holds; the submission must be refused at once with Retry-After; placement resumes after.
+#[async_std::test]
+async fn table_outage_keeps_lookups_and_refuses_submissions_at_once() {
+    let c = ready_cell(1, 2, 1).await;
+    let outage =
+        Fault { target: Target::Table, kind: FaultKind::Outage, from_ms: None, for_ms: 1500 };
+    c.platform.add_faults(vec![outage]);
+    for i in 0..20 {
+        let (status, _) = get(&format!("{}/lookup?key=k{i}", c.url(0))).await;
+        assert_eq!(status, 200, "lookups go on during the outage");
+    }
+    let (status, body) =
+        post(&format!("{}/jobs", c.url(0)), &job("cronometria/splits", 2, 50, "during")).await;
+    assert_eq!(status, 503, "{body}");
+    assert!(body["retry_ms"].as_u64().is_some(), "says when to come back");
+    let (status, body) =
+        post(&format!("{}/jobs", c.url(0)), &job("cronometria/splits", 2, 50, "after")).await;
+    let accepted = status == 200 || {
+        let retried = eventually(100, || async {
+            post(&format!("{}/jobs", c.url(0)), &job("cronometria/splits", 2, 50, "after")).await.0
+                == 200
+        });
+        retried.await
+    };
+    assert!(accepted, "{body}");
+    let url = format!("{}/jobs/{}", c.url(0), currantgw::entry::jobs::job_id("after"));
+    assert!(eventually(200, || async { get(&url).await.1["state"] == "finished" }).await);
+    assert_eq!(c.platform.stats().double_runs, 0);
+    c.stop().await;
+}
+
+/// Symptom: a job submitted once appears twice, or its tasks run twice.
+/// Sequence: every table answer is lost after the write took effect; a submission is retried
+/// by the entry with the same idempotency key.
+/// Cause: retries treated as new work. The replay must return the first outcome.
+#[async_std::test]
+async fn lost_answers_on_submission_make_one_job() {
+    let c = ready_cell(1, 1, 1).await;
+    let lose =
+        Fault { target: Target::Table, kind: FaultKind::LoseAnswer, from_ms: None, for_ms: 150 };
+    c.platform.add_faults(vec![lose]);
+    let (status, body) =
+        post(&format!("{}/jobs", c.url(0)), &job("cronometria/splits", 3, 50, "lost-1")).await;
+    assert!(status == 200 || status == 503, "{status} {body}");
+    let url = format!("{}/jobs/{}", c.url(0), currantgw::entry::jobs::job_id("lost-1"));
+    if status == 503 {
+        // The entry gave up on its tries: the client retries with the same key.
+        let ok = eventually(100, || async {
+            post(&format!("{}/jobs", c.url(0)), &job("cronometria/splits", 3, 50, "lost-1")).await.0
+                == 200
+        });
+        assert!(ok.await);
+    }
+    assert!(eventually(200, || async { get(&url).await.1["state"] == "finished" }).await);
+    let stats = c.platform.stats();
+    assert_eq!(stats.started, 3, "three tasks, each started once");
+    assert_eq!(stats.double_runs, 0);
+    c.stop().await;
+}
+
+/// Symptom: a cancelled job's tasks start after the cancellation was accepted.
+/// Sequence: 100 jobs are submitted and, while they are being placed, all are cancelled.
+/// Cause: a placement committed over a cancellation, or a start sent after it. The placement
+/// transaction is conditional on the job's version and the worker checks the placement row.
+#[async_std::test]
+async fn cancellation_wave_starts_nothing_cancelled() {
+    let c = ready_cell(1, 1, 2).await;
+    let keys: Vec<String> = (0..100).map(|i| format!("wave-{i}")).collect();
+    for k in &keys {
+        assert_eq!(
+            post(&format!("{}/jobs", c.url(0)), &job("sabgha/shades", 2, 60_000, k)).await.0,
+            200
+        );
+    }
+    for k in &keys {
+        let id = currantgw::entry::jobs::job_id(k);
+        let (status, body) =
+            post(&format!("{}/jobs/{id}/cancel", c.url(0)), &serde_json::json!({})).await;
+        assert_eq!(status, 200, "{body}");
+    }
+    let started_after_cancel = c.platform.stats().started;
+    let quiet = eventually(40, || async { c.platform.stats().running == 0 }).await;
+    assert!(quiet, "cancelled tasks were stopped: {:?}", c.platform.stats());
+    // Rounds go on; nothing more may start.
+    async_std::task::sleep(std::time::Duration::from_millis(300)).await;
+    assert_eq!(c.platform.stats().started, started_after_cancel);
+    for k in &keys {
+        let url = format!("{}/jobs/{}", c.url(0), currantgw::entry::jobs::job_id(k));
+        assert_eq!(get(&url).await.1["state"], "cancelled");
+    }
+    c.stop().await;
+}
+
+/// Symptom: jobs keep failing because they keep landing on a worker that fails everything.
+/// Sequence: one worker is broken; short jobs are submitted.
+/// Cause: no memory of failures. Failed tasks are retried elsewhere and the worker avoided.
+#[async_std::test]
+async fn broken_worker_is_avoided_and_tasks_move() {
+    let c = ready_cell(1, 1, 1).await;
+    let broken = Fault {
+        target: Target::Workers,
+        kind: FaultKind::Broken { worker: "a-r0-w0".into() },
+        from_ms: None,
+        for_ms: 0,
+    };
+    c.platform.add_faults(vec![broken]);
+    let keys: Vec<String> = (0..12).map(|i| format!("broken-{i}")).collect();
+    for k in &keys {
+        assert_eq!(
+            post(&format!("{}/jobs", c.url(0)), &job("cronometria/splits", 1, 50, k)).await.0,
+            200
+        );
+    }
+    for k in &keys {
+        let url = format!("{}/jobs/{}", c.url(0), currantgw::entry::jobs::job_id(k));
+        let ok = eventually(200, || async { get(&url).await.1["state"] == "finished" }).await;
+        assert!(ok, "{}", get(&url).await.1);
+        assert_eq!(get(&url).await.1["failed"], 0, "every task ended well in the end");
+    }
+    c.stop().await;
+}
+
+/// Symptom: lookups time out for good on a connection that is open but carries nothing.
+/// Sequence: every open connection of the runner goes silent; lookups go on.
+/// Cause: trusting an open connection. Pings past idle_ms must drop it; a new one works.
+#[async_std::test]
+async fn silent_connection_is_dropped_and_replaced() {
+    let c = ready_cell(1, 1, 1).await;
+    c.runners[0].silence();
+    let pool = &c.entries[0].pool;
+    let dropped = eventually(100, || async {
+        pool.counts.silent_drops.load(std::sync::atomic::Ordering::Relaxed) > 0
+    })
+    .await;
+    assert!(dropped, "the silent connection was not dropped");
+    let served =
+        eventually(100, || async { get(&format!("{}/lookup?key=after", c.url(0))).await.0 == 200 })
+            .await;
+    assert!(served, "lookups go over a fresh connection");
+    c.stop().await;
+}
+
+/// Symptom: a runner being taken out keeps receiving new lookups.
+/// Sequence: the runner is marked leaving in the lagging instance list; lookups go on.
+/// Cause: routing that ignores the list. After the lag and one read, it gets nothing new.
+#[async_std::test]
+async fn leaving_runner_gets_no_new_lookups() {
+    let c = ready_cell(1, 2, 1).await;
+    assert!(c.platform.set_instance("runner-0", InstanceState::Leaving));
+    let pool = &c.entries[0].pool;
+    let seen =
+        eventually(100, || async { pool.dump()["links"]["runner-0"]["leaving"] == true }).await;
+    assert!(seen, "the entry did not see the runner leave");
+    let before = c.runners[0].stats().lookups;
+    for i in 0..50 {
+        assert_eq!(get(&format!("{}/lookup?key=l{i}", c.url(0))).await.0, 200);
+    }
+    assert_eq!(c.runners[0].stats().lookups, before, "no new lookup reached the leaving runner");
+    c.stop().await;
+}
