--- a/src/admin.rs
+++ b/src/admin.rs
@@ -1,6 +1,7 @@
 //! What every daemon serves besides its own API: `/metrics` (Prometheus text) and
 //! `/debug/state` (JSON dump), plus an HTTP listener that drains requests in flight on stop.
 
+use crate::http;
 use crate::kernel::clock::Clock;
 use crate::kernel::stop::Stop;
 use futures::future::{self, Either};
@@ -22,27 +23,49 @@
     metrics().map(|h| h.render()).unwrap_or_default()
 }
 
-/// Counts requests in flight, so that a stopping server can wait for them.
-#[derive(Clone, Debug, Default)]
-pub struct InFlight(Arc<AtomicUsize>);
+/// Counts requests in flight, so that a stopping server can wait for them, and asks callers to
+/// close their connections once it drains.
+#[derive(Clone, Debug)]
+struct InFlight {
+    count: Arc<AtomicUsize>,
+    stop: Stop,
+}
+
+/// Takes a request off the count however its handler ends.
+struct Counted(Arc<AtomicUsize>);
 
-impl InFlight {
-    /// Requests being served now.
-    pub fn count(&self) -> usize {
-        self.0.load(Ordering::SeqCst)
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
 #[tide::utils::async_trait]
 impl<S: Clone + Send + Sync + 'static> tide::Middleware<S> for InFlight {
     async fn handle(&self, req: tide::Request<S>, next: tide::Next<'_, S>) -> tide::Result {
-        self.0.fetch_add(1, Ordering::SeqCst);
-        let res = next.run(req).await;
-        self.0.fetch_sub(1, Ordering::SeqCst);
+        self.count.fetch_add(1, Ordering::SeqCst);
+        let counted = Counted(self.count.clone());
+        let mut res = next.run(req).await;
+        drop(counted);
+        if self.stop.fired() {
+            res.insert_header("Connection", "close");
+        }
         Ok(res)
     }
 }
 
+/// How a listener stops.
+#[derive(Clone, Copy, Debug)]
+pub struct Drain {
+    /// Goes on accepting this long after the stop, until the balancer has seen `/ready` fail, ms.
+    pub linger_ms: u64,
+    /// Then waits this long at most for requests in flight, ms.
+    pub drain_ms: u64,
+}
+
+/// Time for the last answers to leave the process before it ends, ms.
+const FLUSH_MS: u64 = 50;
+
 /// Errors of the HTTP listener.
 #[derive(Debug, thiserror::Error)]
 pub enum ServeError {
@@ -59,37 +82,42 @@
     Accept(std::io::Error),
 }
 
-/// A bound listener: its address, and a future that serves until `stop`, then waits up to
-/// `drain_ms` for requests in flight to finish.
+/// A bound listener: its address, and a future that serves until `stop` and then drains.
 pub async fn bind<S: Clone + Send + Sync + 'static>(
     mut app: tide::Server<S>,
     addr: SocketAddr,
     stop: Stop,
     clock: Clock,
-    drain_ms: u64,
+    drain: Drain,
 ) -> Result<(SocketAddr, impl std::future::Future<Output = Result<(), ServeError>>), ServeError> {
-    let flight = InFlight::default();
-    app.with(flight.clone());
-    let mut listener = app.bind(addr).await.map_err(|source| ServeError::Bind { addr, source })?;
-    let bound = listener
-        .info()
-        .first()
-        .and_then(|i| i.connection().trim_start_matches("http://").parse().ok())
-        .unwrap_or(addr);
+    let flight = InFlight { count: Arc::default(), stop: stop.clone() };
+    let count = flight.count.clone();
+    app.with(flight);
+    let failed = |source| ServeError::Bind { addr, source };
+    let socket = http::listen(addr).map_err(failed)?;
+    let bound = socket.local_addr().map_err(failed)?;
+    let mut listener = app.bind(socket).await.map_err(failed)?;
     let serve = async move {
-        let accept = std::pin::pin!(listener.accept());
-        let stopped = std::pin::pin!(stop.wait());
-        if let Either::Left((res, _)) = future::select(accept, stopped).await {
-            return res.map_err(ServeError::Accept);
+        {
+            let accept = std::pin::pin!(listener.accept());
+            let stopped = std::pin::pin!(async {
+                stop.wait().await;
+                clock.sleep(drain.linger_ms).await;
+            });
+            if let Either::Left((res, _)) = future::select(accept, stopped).await {
+                return res.map_err(ServeError::Accept);
+            }
         }
-        // Graceful shutdown: the listener is dropped above, so no new request arrives; those in
-        // flight run to their end (bounded by `drain_ms`) instead of being cut.
-        let waited = clock.timeout(drain_ms, async {
-            while flight.count() > 0 {
+        // Graceful shutdown: the socket is closed, so no new connection is taken into a backlog
+        // that nobody serves; requests in flight run to their end (bounded by `drain_ms`).
+        drop(listener);
+        let drained = clock.timeout(drain.drain_ms, async {
+            while count.load(Ordering::SeqCst) > 0 {
                 clock.sleep(5).await;
             }
         });
-        let _ = waited.await;
+        let _ = drained.await;
+        clock.sleep(FLUSH_MS).await;
         Ok(())
     };
     Ok((bound, serve))
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -133,7 +133,7 @@
     pub faults: Option<PathBuf>,
 }
 
-async fn http(req: surf::RequestBuilder) -> eyre::Result<String> {
+async fn body(req: surf::RequestBuilder) -> eyre::Result<String> {
     let mut res = req.await.map_err(|e| eyre::eyre!("{e}"))?;
     let status = res.status();
     let text = res.body_string().await.map_err(|e| eyre::eyre!("{e}"))?;
@@ -168,6 +168,7 @@
 /// Runs the command line.
 pub async fn run(args: Args) -> eyre::Result<()> {
     let cell = options::load(args.settings.as_deref())?;
+    let http = crate::http::client();
     match args.cmd {
         Cmd::Platform(_) => {
             let (clock, stop, _signals) = daemon("platform", "platform", args.log).await?;
@@ -182,7 +183,7 @@
                 cell.platform.listen,
                 stop,
                 clock,
-                1000,
+                crate::admin::Drain { linger_ms: 0, drain_ms: 1000 },
             )
             .await?;
             log::info!("platform listening on {addr}");
@@ -190,8 +191,7 @@
         }
         Cmd::Entry(c) => {
             let (clock, stop, _signals) = daemon("entry", &c.id, args.log).await?;
-            let e = crate::entry::Entry::new(&cell, &c.id, clock, &stop).await?;
-            e.run(stop).await?;
+            crate::entry::Entry::new(&cell, &c.id, clock, stop)?.run().await?;
         }
         Cmd::Runner(c) => {
             let (clock, stop, _signals) = daemon("runner", &c.id, args.log).await?;
@@ -204,14 +204,14 @@
         Cmd::Catalogue(c) => {
             let url = format!("http://{}/catalogue", c.entry);
             let out = match (c.action.as_str(), c.file) {
-                ("get", _) => http(surf::get(url)).await?,
+                ("get", _) => body(http.get(url)).await?,
                 ("apply", Some(f)) => {
                     let text = std::fs::read_to_string(&f)?;
                     let mut edit: serde_json::Value = serde_json::from_str(&text)?;
                     let current: crate::entry::catalogue::Catalogue =
-                        serde_json::from_str(&http(surf::get(&url)).await?)?;
+                        serde_json::from_str(&body(http.get(&url)).await?)?;
                     edit["base"] = current.version.into();
-                    http(surf::post(url).body_json(&edit).map_err(|e| eyre::eyre!("{e}"))?).await?
+                    body(http.post(url).body_json(&edit).map_err(|e| eyre::eyre!("{e}"))?).await?
                 }
                 _ => eyre::bail!("catalogue takes `get` or `apply FILE`"),
             };
@@ -223,15 +223,15 @@
             let url = format!("http://{}/jobs", c.entry);
             println!(
                 "{}",
-                http(surf::post(url).body_json(&spec).map_err(|e| eyre::eyre!("{e}"))?).await?
+                body(http.post(url).body_json(&spec).map_err(|e| eyre::eyre!("{e}"))?).await?
             );
         }
         Cmd::Lookup(c) => {
             let url = format!("http://{}/lookup?key={}", c.entry, c.key);
-            println!("{}", http(surf::get(url)).await?);
+            println!("{}", body(http.get(url)).await?);
         }
         Cmd::Dump(c) => {
-            println!("{}", http(surf::get(format!("http://{}/debug/state", c.addr))).await?)
+            println!("{}", body(http.get(format!("http://{}/debug/state", c.addr))).await?)
         }
         Cmd::Smoke(c) => {
             let faults = match &c.faults {
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -5,8 +5,10 @@
 use crate::admin;
 use crate::entry::catalogue::{self, EditError};
 use crate::entry::jobs::{self, CancelError, SubmitError};
+use crate::entry::ledger::LedgerError;
 use crate::entry::route::RouteError;
 use crate::entry::rows::{self, JobRow, JobSpec, JobState};
+use crate::entry::writes::{WriteError, Writes};
 use crate::entry::Entry;
 use crate::platform::client::PlatformError;
 use serde::{Deserialize, Serialize};
@@ -15,11 +17,14 @@
 
 type State = Arc<Entry>;
 
+/// When to come back while an instance starts, ms.
+const RETRY_MS: u64 = 500;
+
 /// The body of every error answer of the entry.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ApiError {
     /// Kind: `bad_request`, `invalid`, `conflict`, `not_run`, `not_found`, `unavailable`,
-    /// `timeout`, `busy`.
+    /// `timeout`, `busy`, `unknown` (a write that may have run).
     pub error: String,
     /// What went wrong.
     pub detail: String,
@@ -71,7 +76,7 @@
         Err(res) => return Ok(res),
     };
     let e = req.state().clone();
-    Ok(match catalogue::commit(&e.table, &edit).await {
+    Ok(match catalogue::commit(&e.platform, &edit).await {
         Ok(version) => {
             // Bring this instance up to date at once; the others follow within watch_ms.
             e.refresh_catalogue().await;
@@ -97,14 +102,26 @@
         Err(res) => return Ok(res),
     };
     let e = req.state().clone();
-    let mut cat = e.cat.lock().unwrap().clone();
+    let Some(inventory) = e.inventory.lock().unwrap().clone() else {
+        let detail = "not run: the platform's worker list has not been read yet";
+        return Ok(fail(503, "unavailable", detail, Some(RETRY_MS)));
+    };
+    let mut cat = e.catalogue();
     if !cat.entries.contains_key(&spec.entry) {
         // An entry accepted on another instance a moment ago may not have reached this one:
         // read the catalogue once before saying "no such entry".
         cat = e.refresh_catalogue().await;
     }
-    let place = jobs::Placement { shards: &e.shards, caps: &e.caps };
-    Ok(match jobs::submit(&e.table, &e.clock, &cat, &place, &e.addr.domain, spec).await {
+    let rooms = e.rooms.lock().unwrap().clone();
+    let accept = jobs::Accept {
+        table: &e.platform,
+        clock: &e.clock,
+        cat: &cat,
+        inventory: &inventory,
+        rooms: &rooms,
+        domain: &e.addr.domain,
+    };
+    Ok(match jobs::submit(&accept, spec).await {
         Ok(row) if matches!(row.state, JobState::Refused { .. }) => not_run(row),
         Ok(row) => admin::json(200, &row),
         Err(err @ SubmitError::Invalid { .. }) => fail(400, "invalid", err, None),
@@ -142,7 +159,7 @@
     };
     let e = req.state().clone();
     let keys = q.ids.iter().map(|id| rows::job_key(id)).collect();
-    Ok(match e.table.get(keys).await {
+    Ok(match e.platform.get(keys).await {
         Ok(got) => {
             let jobs: Vec<JobRow> = got.values().filter_map(|r| rows::decode(&r.value)).collect();
             admin::json(200, &jobs)
@@ -154,7 +171,7 @@
 async fn job(req: Request<State>) -> tide::Result {
     let e = req.state().clone();
     let id = req.param("id")?.to_string();
-    Ok(match e.table.get(vec![rows::job_key(&id)]).await {
+    Ok(match e.platform.get(vec![rows::job_key(&id)]).await {
         Ok(got) => {
             match got.get(&rows::job_key(&id)).and_then(|r| rows::decode::<JobRow>(&r.value)) {
                 Some(row) => admin::json(200, &row),
@@ -168,10 +185,11 @@
 async fn cancel(req: Request<State>) -> tide::Result {
     let e = req.state().clone();
     let id = req.param("id")?.to_string();
-    Ok(match jobs::cancel(&e.table, &e.clock, &e.addr.domain, &id).await {
-        Ok((row, running)) => {
-            for (task, worker) in running {
-                let _ = e.table.stop(&task, &worker).await;
+    Ok(match jobs::cancel(&e.platform, &e.clock, &id).await {
+        Ok((row, stops)) => {
+            // Only to be quick: the shard's holder sends them again until the end is reported.
+            if !stops.is_empty() {
+                let _ = e.platform.stop(stops).await;
             }
             admin::json(200, &row)
         }
@@ -208,11 +226,15 @@
     })
 }
 
+/// Longest write id.
+const MAX_WRITE_ID: usize = 128;
+
 /// `POST /write` body.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WriteReq {
-    /// The write's id: sent once; a write whose answer was lost is reported `timeout`.
+    /// The write's id, 1 to 128 bytes; the same id runs at most once, a repeat gets the first
+    /// outcome.
     pub id: String,
     /// Payload.
     pub body: String,
@@ -224,23 +246,43 @@
         Err(res) => return Ok(res),
     };
     let e = req.state().clone();
-    Ok(match e.pool.write(&w.id, &w.body).await {
+    if w.id.is_empty() || w.id.len() > MAX_WRITE_ID || w.id.contains('/') {
+        let detail = "id must be 1 to 128 bytes without a slash";
+        return Ok(fail(400, "invalid", detail, None));
+    }
+    let writes = Writes {
+        pool: e.pool.clone(),
+        ledger: e.ledger.clone(),
+        clock: e.clock.clone(),
+        write_ms: e.timing.write_ms,
+    };
+    Ok(match writes.run(&w.id, &w.body).await {
         Ok(done) => admin::json(200, &done),
-        Err(err) => route_error(err),
+        Err(WriteError::Ledger(LedgerError::Platform(p))) => platform(&p),
+        Err(err @ WriteError::Ledger(_)) => fail(503, "busy", err, Some(RETRY_MS)),
+        Err(WriteError::Refused(err)) => route_error(err),
+        Err(WriteError::Unknown { runner, retry_ms }) => {
+            fail(504, "unknown", WriteError::Unknown { runner, retry_ms }, Some(retry_ms))
+        }
     })
 }
 
+async fn ready(req: Request<State>) -> tide::Result {
+    let ready = req.state().ready();
+    Ok(admin::json(if ready { 200 } else { 503 }, &serde_json::json!({ "ready": ready })))
+}
+
 /// The entry's HTTP application.
 pub fn app(e: Arc<Entry>) -> tide::Server<State> {
     let mut app = tide::with_state(e);
-    app.at("/catalogue").post(edit).get(|r: Request<State>| async move {
-        let cat = r.state().cat.lock().unwrap().clone();
-        Ok(admin::json(200, &cat))
-    });
+    app.at("/catalogue")
+        .post(edit)
+        .get(|r: Request<State>| async move { Ok(admin::json(200, &*r.state().catalogue())) });
     app.at("/jobs").post(submit);
     app.at("/jobs/status").post(status);
     app.at("/jobs/:id").get(job);
     app.at("/jobs/:id/cancel").post(cancel);
+    app.at("/ready").get(ready);
     app.at("/lookup").get(lookup);
     app.at("/write").post(write);
     app.at("/debug/state")
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -5,10 +5,13 @@
 use crate::entry::rows::{self, JobRow, JobSpec, JobState, TaskRow, TaskState};
 use crate::kernel::clock::Clock;
 use crate::kernel::res::{Class, Resources};
+use crate::platform::api::StopReq;
 use crate::platform::client::{Client, PlatformError};
 use crate::platform::place_key;
 use crate::platform::table::{Cond, Op, Outcome, Txn};
-use std::hash::{Hash, Hasher};
+use crate::platform::workers::RackRoom;
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3;
 
 /// Tries of a submission or cancellation whose answer was lost.
 pub const TRIES: u32 = 4;
@@ -62,17 +65,9 @@
     Platform(#[from] PlatformError),
 }
 
-/// The job id for an idempotency key.
+/// The job id for an idempotency key: 128 bits of its hash, so that two keys never meet.
 pub fn job_id(key: &str) -> String {
-    let mut h = std::collections::hash_map::DefaultHasher::new();
-    key.hash(&mut h);
-    format!("j{:016x}", h.finish())
-}
-
-fn pick_shard<'a>(id: &str, shards: &'a [String]) -> &'a str {
-    let mut h = std::collections::hash_map::DefaultHasher::new();
-    id.hash(&mut h);
-    &shards[(h.finish() % shards.len() as u64) as usize]
+    format!("j{:032x}", xxh3::xxh3_128(key.as_bytes()))
 }
 
 /// Applies `txn`, retrying with backoff and jitter while the answer is lost or the budget is
@@ -101,24 +96,63 @@
     Err(last)
 }
 
-/// Where a job may go: the shards of the domain with the capacity of each.
-pub struct Placement<'a> {
-    /// Shard names.
-    pub shards: &'a [String],
-    /// (total, largest worker) per shard, in the same order.
-    pub caps: &'a [(Resources, Resources)],
+/// The shards of a failure domain with the capacity of each, in a fixed order.
+#[derive(Clone, Debug, Default)]
+pub struct Inventory {
+    /// (shard, total capacity, largest worker).
+    pub shards: Vec<(String, Resources, Resources)>,
 }
 
-/// Checks and commits a job. A job that can never run is committed as refused ("not run")
-/// at once; the caller reads the state in the answer.
-pub async fn submit(
-    table: &Client,
-    clock: &Clock,
-    cat: &Catalogue,
-    place: &Placement<'_>,
-    domain: &str,
-    mut spec: JobSpec,
-) -> Result<JobRow, SubmitError> {
+impl Inventory {
+    /// The shard for a new job: the better of two picked by the job's hash, by the workers'
+    /// lagging room; two choices spread a burst that one "best" shard would attract whole.
+    pub fn choose(&self, id: &str, spec: &JobSpec, rooms: &BTreeMap<String, RackRoom>) -> usize {
+        let n = self.shards.len().max(1) as u64;
+        let h = xxh3::xxh3_64(id.as_bytes());
+        let (a, b) = ((h % n) as usize, ((h >> 32) % n) as usize);
+        let rank = |i: usize| {
+            let room = self.shards.get(i).and_then(|(s, _, _)| rooms.get(s));
+            room.map(|r| (spec.demand.fits(&r.largest), r.free))
+        };
+        if rank(b) > rank(a) {
+            b
+        } else {
+            a
+        }
+    }
+}
+
+/// Where and under what a job is accepted.
+pub struct Accept<'a> {
+    /// The table.
+    pub table: &'a Client,
+    /// The process clock.
+    pub clock: &'a Clock,
+    /// The catalogue in force here.
+    pub cat: &'a Catalogue,
+    /// Shards of the domain.
+    pub inventory: &'a Inventory,
+    /// Their lagging room.
+    pub rooms: &'a BTreeMap<String, RackRoom>,
+    /// The failure domain.
+    pub domain: &'a str,
+}
+
+/// Why a job that is well formed can never run, if so.
+fn never_runs(
+    spec: &JobSpec,
+    class: Class,
+    total: &Resources,
+    largest: &Resources,
+) -> Option<&'static str> {
+    if !spec.demand.fits(largest) {
+        return Some("a task is larger than any worker");
+    }
+    let whole = spec.demand.times(spec.tasks.into());
+    (class == Class::Gang && !whole.fits(total)).then_some("the gang is larger than its shard")
+}
+
+fn check(spec: &JobSpec) -> Result<(), SubmitError> {
     if spec.tasks == 0 || spec.tasks > rows::MAX_TASKS {
         return Err(SubmitError::Invalid { field: "tasks", why: "must be 1 to 10000" });
     }
@@ -128,7 +162,15 @@
     if spec.demand.cpu == 0 || spec.demand.mem == 0 {
         return Err(SubmitError::Invalid { field: "demand", why: "cpu and mem must be above 0" });
     }
-    let entry = cat
+    Ok(())
+}
+
+/// Checks and commits a job. A job that can never run is committed as refused ("not run")
+/// at once; the caller reads the state in the answer.
+pub async fn submit(a: &Accept<'_>, mut spec: JobSpec) -> Result<JobRow, SubmitError> {
+    check(&spec)?;
+    let entry = a
+        .cat
         .entries
         .get(&spec.entry)
         .ok_or_else(|| SubmitError::UnknownEntry(spec.entry.clone()))?;
@@ -143,75 +185,68 @@
         };
     }
     let id = job_id(&spec.key);
-    let i = place.shards.iter().position(|s| s == pick_shard(&id, place.shards)).unwrap_or(0);
-    let shard = place.shards[i].clone();
-    let (total, largest) = place.caps[i];
-    let never = if !spec.demand.fits(&largest) {
-        Some("a task is larger than any worker")
-    } else if entry.class == Class::Gang && !spec.demand.times(spec.tasks.into()).fits(&total) {
-        Some("the gang is larger than its shard")
-    } else {
-        None
-    };
-    let state = match never {
-        Some(r) => JobState::Refused { reason: r.to_string() },
-        None => JobState::Pending,
+    let (shard, total, largest) = &a.inventory.shards[a.inventory.choose(&id, &spec, a.rooms)];
+    let never = never_runs(&spec, entry.class, total, largest);
+    let (state, task) = match never {
+        Some(r) => (JobState::Refused { reason: r.to_string() }, TaskState::Refused),
+        None => (JobState::Pending, TaskState::Pending),
     };
-    let task_state = if never.is_some() { TaskState::Refused } else { TaskState::Pending };
     let row = JobRow {
         id: id.clone(),
         class: entry.class,
         team: entry.team.clone(),
+        catalogue: a.cat.version,
         shard: shard.clone(),
         state,
-        tasks: (0..spec.tasks)
-            .map(|_| TaskRow { state: task_state, worker: None, epoch: 0, tries: 0 })
-            .collect(),
-        submitted: clock.now(),
+        tasks: vec![TaskRow { state: task, ..TaskRow::default() }; spec.tasks as usize],
+        submitted: a.clock.now(),
         started: None,
+        moves: 0,
         spec,
     };
-    let mut ops = vec![Op::Put { key: rows::job_key(&id), value: rows::encode(&row) }];
-    if never.is_none() {
-        ops.push(Op::Put {
-            key: rows::pend_key(domain, &shard, &id),
-            value: serde_json::json!({}),
-        });
-    }
+    let note = match never {
+        Some(_) => rows::done_key(a.domain, shard, row.submitted, &id),
+        None => rows::pend_key(a.domain, shard, &id),
+    };
     let txn = Txn {
         conds: vec![Cond::Version { key: rows::job_key(&id), version: 0 }],
-        ops,
-        idem: Some(format!("submit/{}", row.spec.key)),
+        ops: vec![
+            Op::Put { key: rows::job_key(&id), value: rows::encode(&row) },
+            Op::Put { key: note, value: serde_json::json!({}) },
+        ],
+        // The row is part of the key: another entry's submission of the same key differs in
+        // time or shard, and must meet the condition above, not this record.
+        idem: Some(format!("submit/{id}/{:x}", rand::random::<u64>())),
     };
-    match apply(table, clock, &txn).await? {
+    match apply(a.table, a.clock, &txn).await? {
         Outcome::Committed { .. } => {
             metrics::counter!("entry_jobs_submitted").increment(1);
             Ok(row)
         }
-        Outcome::Conflict { .. } => {
-            // The key was seen before: answer with the job it made, if it is this job.
-            let got = table.get(vec![rows::job_key(&id)]).await?;
-            let old: Option<JobRow> =
-                got.get(&rows::job_key(&id)).and_then(|r| rows::decode(&r.value));
-            match old {
-                Some(o) if o.spec.entry == row.spec.entry && o.spec.tasks == row.spec.tasks => {
-                    Ok(o)
-                }
-                _ => Err(SubmitError::KeyReused(row.spec.key)),
-            }
-        }
+        Outcome::Conflict { .. } => known_job(a.table, row).await,
+    }
+}
+
+/// The job that an earlier submission of the same key made, if it is this job.
+async fn known_job(table: &Client, row: JobRow) -> Result<JobRow, SubmitError> {
+    let key = rows::job_key(&row.id);
+    let got = table.get(vec![key.clone()]).await?;
+    let old: Option<JobRow> = got.get(&key).and_then(|r| rows::decode(&r.value));
+    match old {
+        Some(o) if o.spec == row.spec => Ok(o),
+        _ => Err(SubmitError::KeyReused(row.spec.key)),
     }
 }
 
 /// Cancels a job: tasks not yet ended are marked cancelled and their placements withdrawn in
-/// one transaction, so that a worker asked to start one later refuses; then running ones are
-/// stopped. Returns the tasks to stop as (task, worker).
+/// one transaction, so that a worker asked to start one later refuses. The job's mark tells the
+/// shard's holder to stop what runs and to release its room, also if this instance dies now.
+/// Returns the stops worth sending at once.
 pub async fn cancel(
     table: &Client,
     clock: &Clock,
-    domain: &str,
     id: &str,
-) -> Result<(JobRow, Vec<(String, String)>), CancelError> {
+) -> Result<(JobRow, Vec<StopReq>), CancelError> {
     for _ in 0..TRIES {
         let got = table.get(vec![rows::job_key(id)]).await?;
         let Some(r) = got.get(&rows::job_key(id)) else {
@@ -220,23 +255,33 @@
         let Some(mut row) = rows::decode::<JobRow>(&r.value) else {
             return Err(CancelError::NotFound(id.into()));
         };
-        if !matches!(row.state, JobState::Pending | JobState::Running) {
+        if row.ended() {
             return Ok((row, Vec::new()));
         }
-        let mut ops = vec![Op::Delete { key: rows::pend_key(domain, &row.shard, id) }];
-        let mut stop = Vec::new();
+        let mut ops = Vec::new();
+        let mut stops = Vec::new();
         for n in 0..row.tasks.len() {
             let task = row.task_id(n);
             let t = &mut row.tasks[n];
-            if t.state == TaskState::Placed {
+            if let (TaskState::Placed, Some(worker)) = (t.state, t.worker.clone()) {
                 ops.push(Op::Delete { key: place_key(&task) });
-                stop.push((task, t.worker.clone().unwrap_or_default()));
+                stops.push(StopReq { task, attempt: t.attempt, worker });
             }
             if !t.state.ended() {
                 t.state = TaskState::Cancelled;
             }
         }
         row.state = JobState::Cancelled;
+        let domain = row.domain().to_string();
+        let mark = rows::pend_key(&domain, &row.shard, id);
+        ops.push(match stops.is_empty() {
+            true => Op::Delete { key: mark },
+            false => Op::Put { key: mark, value: serde_json::json!({}) },
+        });
+        ops.push(Op::Put {
+            key: rows::done_key(&domain, &row.shard, clock.now(), id),
+            value: serde_json::json!({}),
+        });
         ops.push(Op::Put { key: rows::job_key(id), value: rows::encode(&row) });
         let txn = Txn {
             conds: vec![Cond::Version { key: rows::job_key(id), version: r.version }],
@@ -244,7 +289,7 @@
             idem: Some(format!("cancel/{id}/{}", r.version)),
         };
         if let Outcome::Committed { .. } = apply(table, clock, &txn).await? {
-            return Ok((row, stop));
+            return Ok((row, stops));
         }
     }
     Err(CancelError::Busy(id.into()))
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -8,7 +8,7 @@
 use crate::platform::lease_key;
 use crate::platform::table::{Op, Outcome, Txn};
 use std::collections::{BTreeMap, BTreeSet};
-use std::hash::{Hash, Hasher};
+use xxhash_rust::xxh3;
 
 /// A shard lease this instance holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
@@ -19,13 +19,10 @@
     pub renewed: Millis,
 }
 
-/// The member that owns `shard` among `members`: highest hash of the pair.
+/// The member that owns `shard` among `members`: highest hash of the pair (rendezvous hashing).
 pub fn owner<'a>(shard: &str, members: &'a BTreeSet<String>) -> Option<&'a String> {
-    members.iter().max_by_key(|m| {
-        let mut h = std::collections::hash_map::DefaultHasher::new();
-        (shard, m.as_str()).hash(&mut h);
-        h.finish()
-    })
+    let weight = |m: &str| xxh3::xxh3_64(format!("{shard}/{m}").as_bytes());
+    members.iter().max_by_key(|m| weight(m))
 }
 
 /// Heartbeat state of one entry instance.
@@ -43,6 +40,8 @@
     pub members: BTreeSet<String>,
     /// Lease lifetime, ms.
     pub lease_ms: u64,
+    /// Epoch of the membership lease.
+    pub epoch: u64,
 }
 
 impl Membership {
@@ -55,13 +54,8 @@
     }
 
     /// One heartbeat at local time `now`: renew membership and held leases, read members,
-    /// take the shards this instance owns and give up those it no longer owns. Returns the
-    /// shards newly taken (whose commitments must be read before placing).
-    pub async fn beat(
-        &mut self,
-        table: &Client,
-        now: Millis,
-    ) -> Result<Vec<String>, PlatformError> {
+    /// take the shards this instance owns and give up those it no longer owns.
+    pub async fn beat(&mut self, table: &Client, now: Millis) -> Result<(), PlatformError> {
         loop {
             let mut ops = vec![Op::Acquire {
                 key: rows::member_key(&self.domain, &self.me),
@@ -76,7 +70,8 @@
                 ttl_ms: self.lease_ms,
             }));
             match table.txn(&Txn { conds: vec![], ops, idem: None }).await? {
-                Outcome::Committed { .. } => {
+                Outcome::Committed { epochs, .. } => {
+                    self.epoch = epochs.first().copied().unwrap_or_default();
                     self.held.values_mut().for_each(|h| h.renewed = now);
                     break;
                 }
@@ -99,32 +94,60 @@
         self.members =
             live.keys().filter_map(|k| k.strip_prefix(&prefix)).map(String::from).collect();
         self.members.insert(self.me.clone());
-        let mut taken = Vec::new();
         for s in self.shards.clone() {
             let mine = owner(&s, &self.members) == Some(&self.me);
-            let holding = self.held.contains_key(&s);
-            if mine && !holding {
-                let op = Op::Acquire {
-                    key: lease_key(&s),
-                    holder: self.me.clone(),
-                    ttl_ms: self.lease_ms,
-                };
-                if let Outcome::Committed { epochs, .. } =
-                    table.txn(&Txn { conds: vec![], ops: vec![op], idem: None }).await?
-                {
-                    let epoch = epochs[0];
-                    log::info!("took shard {s} epoch {epoch}");
-                    self.held.insert(s.clone(), Held { epoch, renewed: now });
-                    taken.push(s);
-                }
-            } else if !mine && holding {
-                let epoch = self.held[&s].epoch;
-                let op = Op::Release { key: lease_key(&s), holder: self.me.clone(), epoch };
-                self.held.remove(&s);
-                log::info!("gave up shard {s} epoch {epoch}");
-                let _ = table.txn(&Txn { conds: vec![], ops: vec![op], idem: None }).await;
+            match (mine, self.held.get(&s).copied()) {
+                (true, None) => self.take(table, &s, now).await?,
+                (false, Some(h)) => self.give_up(table, &s, h.epoch).await,
+                (true, Some(_)) | (false, None) => {}
             }
         }
-        Ok(taken)
+        Ok(())
+    }
+
+    /// Takes `shard`'s lease if it is free or expired.
+    async fn take(
+        &mut self,
+        table: &Client,
+        shard: &str,
+        now: Millis,
+    ) -> Result<(), PlatformError> {
+        let op =
+            Op::Acquire { key: lease_key(shard), holder: self.me.clone(), ttl_ms: self.lease_ms };
+        let txn = Txn { conds: vec![], ops: vec![op], idem: None };
+        if let Outcome::Committed { epochs, .. } = table.txn(&txn).await? {
+            let epoch = epochs[0];
+            log::info!("took shard {shard} epoch {epoch}");
+            metrics::counter!("entry_shards_taken").increment(1);
+            self.held.insert(shard.to_string(), Held { epoch, renewed: now });
+        }
+        Ok(())
+    }
+
+    /// Gives `shard` up to the member that now owns it.
+    async fn give_up(&mut self, table: &Client, shard: &str, epoch: u64) {
+        self.held.remove(shard);
+        log::info!("gave up shard {shard} epoch {epoch}");
+        let op = Op::Release { key: lease_key(shard), holder: self.me.clone(), epoch };
+        // A lost release costs the next holder one lease period, nothing more.
+        let _ = table.txn(&Txn { conds: vec![], ops: vec![op], idem: None }).await;
+    }
+
+    /// Gives every lease up at shutdown, membership included, so that others take over at once.
+    pub async fn leave(&mut self, table: &Client) {
+        let mut ops: Vec<Op> = std::mem::take(&mut self.held)
+            .into_iter()
+            .map(|(s, h)| Op::Release {
+                key: lease_key(&s),
+                holder: self.me.clone(),
+                epoch: h.epoch,
+            })
+            .collect();
+        ops.push(Op::Release {
+            key: rows::member_key(&self.domain, &self.me),
+            holder: self.me.clone(),
+            epoch: self.epoch,
+        });
+        let _ = table.txn(&Txn { conds: vec![], ops, idem: None }).await;
     }
 }
--- a/src/entry/rows.rs
+++ b/src/entry/rows.rs
@@ -8,9 +8,13 @@
 //! | `cat/<name>` | catalogue entry | catalogue edits |
 //! | `catlog/<version>` | the edit that made `version` | catalogue edits |
 //! | `job/<id>` | [`JobRow`] | submission, the shard holder, cancellation |
-//! | `pend/<domain>/<shard>/<id>` | `{}`: the job has tasks waiting | submission, the holder |
+//! | `pend/<domain>/<shard>/<id>` | `{}`: the job wants the shard holder's attention (tasks waiting, or a cancellation to carry out) | submission, cancellation, the holder |
 //! | `commit/<worker>` | [`CommitRow`]: what is committed on a worker | the shard holder |
-//! | `place/<task>` | `{worker, epoch}`: checked by the worker before a start | the holder |
+//! | `place/<task>` | `{worker, epoch, attempt}`: checked by the worker before a start | the holder |
+//! | `quota/<domain>/<team>` | [`QuotaRow`]: the team's quota granted to shards | shard holders |
+//! | `done/<domain>/<shard>/<ms>/<id>` | `{}`: the job ended then; swept to a report later | the holder |
+//! | `write/<id>` | [`WriteRow`]: which runner a write was sent to, and its outcome | entries |
+//! | `wrote/<domain>/<ms>/<id>` | `{}`: when the write was claimed, for the sweep | entries |
 
 use crate::kernel::clock::Millis;
 use crate::kernel::res::{Class, Resources};
@@ -71,10 +75,11 @@
 }
 
 /// A task's state.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TaskState {
     /// Waiting for a place.
+    #[default]
     Pending,
     /// Placed and started (or being started) on `worker`.
     Placed,
@@ -96,19 +101,25 @@
 }
 
 /// One task of a job.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskRow {
     /// State.
     pub state: TaskState,
     /// Worker it is placed on.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub worker: Option<String>,
     /// Fencing epoch of the placement.
     #[serde(default)]
     pub epoch: u64,
-    /// Tries so far.
+    /// Number of starts so far; names the current one.
+    #[serde(default)]
+    pub attempt: u32,
+    /// Starts that ended as failed.
     #[serde(default)]
-    pub tries: u32,
+    pub fails: u32,
+    /// Share of the work done and checkpointed, percent.
+    #[serde(default)]
+    pub saved: u8,
 }
 
 /// The job row.
@@ -122,6 +133,9 @@
     pub class: Class,
     /// Team, from the catalogue entry.
     pub team: String,
+    /// Catalogue version under which it was accepted.
+    #[serde(default)]
+    pub catalogue: u64,
     /// Shard that places it.
     pub shard: String,
     /// State.
@@ -131,9 +145,12 @@
     pub tasks: Vec<TaskRow>,
     /// When it was submitted, Unix ms.
     pub submitted: Millis,
-    /// When the first task started, Unix ms.
+    /// When the first task was placed, Unix ms.
     #[serde(default)]
     pub started: Option<Millis>,
+    /// How often the job moved to another shard for want of room.
+    #[serde(default)]
+    pub moves: u32,
 }
 
 impl JobRow {
@@ -144,7 +161,22 @@
 
     /// Whether some task was ever placed.
     pub fn ever_placed(&self) -> bool {
-        self.tasks.iter().any(|t| t.tries > 0 || t.state != TaskState::Pending)
+        self.tasks.iter().any(|t| t.attempt > 0)
+    }
+
+    /// Whether some task is placed now.
+    pub fn placed(&self) -> bool {
+        self.tasks.iter().any(|t| t.state == TaskState::Placed)
+    }
+
+    /// Whether nothing more happens to the job.
+    pub fn ended(&self) -> bool {
+        !matches!(self.state, JobState::Pending | JobState::Running)
+    }
+
+    /// Failure domain of the job's shard.
+    pub fn domain(&self) -> &str {
+        self.shard.split_once("-r").map_or(self.shard.as_str(), |(d, _)| d)
     }
 
     /// Whether the job has tasks waiting.
@@ -182,6 +214,42 @@
     }
 }
 
+/// A team's quota in one failure domain, granted in parts to its shards so that each holder can
+/// place against its own part without asking the others.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaRow {
+    /// Shard to the part granted to it. The sum never exceeds the quota in force when granted.
+    pub granted: BTreeMap<String, Resources>,
+}
+
+impl QuotaRow {
+    /// The sum granted to shards other than `shard`.
+    pub fn others(&self, shard: &str) -> Resources {
+        self.granted
+            .iter()
+            .filter(|(s, _)| *s != shard)
+            .fold(Resources::ZERO, |sum, (_, r)| sum.add(r))
+    }
+}
+
+/// The record of a write: made before it is sent, so that a repeated write is recognised.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WriteRow {
+    /// Runner it was sent to; a repeat asks there and nowhere else.
+    pub runner: String,
+    /// Which life of the runner.
+    pub incarnation: u64,
+    /// Executions reported by the runner, once known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub runs: Option<u64>,
+}
+
+/// Splits a task id into its job id and task number.
+pub fn task_parts(task: &str) -> Option<(&str, usize)> {
+    let (job, n) = task.rsplit_once('.')?;
+    Some((job, n.parse().ok()?))
+}
+
 /// Key of a job row.
 pub fn job_key(id: &str) -> String {
     format!("job/{id}")
@@ -197,6 +265,36 @@
     format!("commit/{worker}")
 }
 
+/// Key of a team's quota row in a failure domain.
+pub fn quota_key(domain: &str, team: &str) -> String {
+    format!("quota/{domain}/{team}")
+}
+
+/// Prefix of the ended-job markers of a shard.
+pub fn done_prefix(domain: &str, shard: &str) -> String {
+    format!("done/{domain}/{shard}/")
+}
+
+/// Key of an ended-job marker.
+pub fn done_key(domain: &str, shard: &str, at: Millis, id: &str) -> String {
+    format!("{}{at:015}/{id}", done_prefix(domain, shard))
+}
+
+/// Key of a write record.
+pub fn write_key(id: &str) -> String {
+    format!("write/{id}")
+}
+
+/// Prefix of the write-claim markers of a failure domain.
+pub fn wrote_prefix(domain: &str) -> String {
+    format!("wrote/{domain}/")
+}
+
+/// Key of a write-claim marker.
+pub fn wrote_key(domain: &str, at: Millis, id: &str) -> String {
+    format!("{}{at:015}/{id}", wrote_prefix(domain))
+}
+
 /// Key of a catalogue entry.
 pub fn cat_key(name: &str) -> String {
     format!("cat/{name}")
--- /dev/null
+++ b/src/entry/sched/commit.rs
@@ -0,0 +1,227 @@
+//! Committing a plan: one transaction for every shard it touches, fenced by each shard's lease
+//! and conditional on every row it read, with an idempotency key so that a lost answer can be
+//! asked for again.
+
+use super::plan::Plan;
+use super::{Cached, Ctx, Sched, AVOID_AFTER, AVOID_MS};
+use crate::entry::jobs;
+use crate::entry::rows;
+use crate::kernel::arena::WorkerKey;
+use crate::platform::client::PlatformError;
+use crate::platform::table::{Cond, Op, Outcome, Txn};
+use crate::platform::{lease_key, place_key};
+use serde_json::json;
+use std::collections::BTreeMap;
+
+/// At most one worker in this many of a shard is avoided at once: a wave of jobs that fail
+/// everywhere must not leave the shard without workers.
+const AVOID_ONE_IN: usize = 4;
+
+/// Quota rows of teams that wait for quota are read anew every this many rounds.
+const REREAD_ROUNDS: u64 = 5;
+
+/// What became of a commit.
+pub(super) enum Verdict {
+    /// Committed, or nothing to commit.
+    Done,
+    /// A row had changed: read it anew and plan again.
+    Again,
+    /// The lease of this shard is lost.
+    Lost(String),
+}
+
+impl Sched {
+    /// Commits `plan` and takes it into the caches.
+    pub(super) async fn commit(
+        &mut self,
+        cx: &Ctx<'_>,
+        plan: Plan,
+    ) -> Result<Verdict, PlatformError> {
+        if !plan.writes() {
+            self.take_in(cx, plan, &BTreeMap::new());
+            return Ok(Verdict::Done);
+        }
+        self.seq += 1;
+        let txn = self.transaction(cx, &plan);
+        match jobs::apply(cx.platform, cx.clock, &txn).await {
+            Ok(Outcome::Committed { versions, .. }) => {
+                self.counts.commits += 1;
+                metrics::counter!("entry_tasks_placed").increment(plan.counts.placed);
+                self.take_in(cx, plan, &versions);
+                Ok(Verdict::Done)
+            }
+            Ok(Outcome::Conflict { key, .. }) => {
+                self.counts.conflicts += 1;
+                metrics::counter!("entry_commit_conflicts").increment(1);
+                Ok(self.conflict(cx, &key))
+            }
+            Err(e) => {
+                // Whether it took effect is not known, even after asking again with the same
+                // key: read and reconcile every shard it touched before planning them again, so
+                // that no commitment counts twice and no placed task stays unstarted.
+                plan.leases.keys().for_each(|s| self.unload(s));
+                plan.jobs.keys().for_each(|id| drop(self.jobs.remove(id)));
+                plan.quotas.keys().for_each(|t| drop(self.quotas.remove(t)));
+                Err(e)
+            }
+        }
+    }
+
+    fn transaction(&self, cx: &Ctx<'_>, plan: &Plan) -> Txn {
+        let mut conds: Vec<Cond> = plan
+            .leases
+            .iter()
+            .map(|(s, &epoch)| Cond::Lease { key: lease_key(s), holder: cx.me.into(), epoch })
+            .collect();
+        let mut ops = Vec::new();
+        let mut put = |key: String, version: u64, value: serde_json::Value| {
+            conds.push(Cond::Version { key: key.clone(), version });
+            ops.push(Op::Put { key, value });
+        };
+        for (id, row) in &plan.jobs {
+            let version = self.jobs.get(id).map_or(0, |c| c.version);
+            put(rows::job_key(id), version, rows::encode(row));
+        }
+        for (&k, row) in &plan.commits {
+            let w = self.workers.get(k);
+            put(rows::commit_key(&w.info.name), w.version, rows::encode(row));
+        }
+        for (team, row) in &plan.quotas {
+            let version = self.quotas.get(team).map_or(0, |c| c.version);
+            put(rows::quota_key(cx.domain, team), version, rows::encode(row));
+        }
+        ops.extend(plan.places.iter().map(|(task, value)| match value {
+            Some(v) => Op::Put { key: place_key(task), value: v.clone() },
+            None => Op::Delete { key: place_key(task) },
+        }));
+        ops.extend(plan.marks.iter().map(|((shard, id), set)| {
+            let key = rows::pend_key(cx.domain, shard, id);
+            match set {
+                true => Op::Put { key, value: json!({}) },
+                false => Op::Delete { key },
+            }
+        }));
+        ops.extend(plan.done.iter().map(|(shard, id)| Op::Put {
+            key: rows::done_key(cx.domain, shard, plan.now, id),
+            value: json!({}),
+        }));
+        let idem = Some(format!("round/{}/{:x}/{}", cx.me, self.nonce, self.seq));
+        Txn { conds, ops, idem }
+    }
+
+    /// Drops from the caches what a conflict at `key` showed to be stale.
+    fn conflict(&mut self, cx: &Ctx<'_>, key: &str) -> Verdict {
+        if let Some(shard) = key.strip_prefix("shard/") {
+            return Verdict::Lost(shard.to_string());
+        }
+        if let Some(id) = key.strip_prefix("job/") {
+            self.jobs.remove(id);
+        }
+        if let Some(team) = key.strip_prefix(&format!("quota/{}/", cx.domain)) {
+            self.quotas.remove(team);
+        }
+        if let Some(&k) = key.strip_prefix("commit/").and_then(|w| self.names.get(w)) {
+            let shard = crate::platform::workers::shard_of(&self.workers.get(k).info);
+            self.unload(&shard);
+        }
+        Verdict::Again
+    }
+
+    /// Takes a committed plan into the caches and queues its orders.
+    fn take_in(&mut self, cx: &Ctx<'_>, plan: Plan, versions: &BTreeMap<String, u64>) {
+        let version = |key: String, old: u64| versions.get(&key).copied().unwrap_or(old + 1);
+        for (k, row) in plan.commits {
+            let w = self.workers.get_mut(k);
+            w.version = version(rows::commit_key(&w.info.name), w.version);
+            w.commit = row;
+        }
+        for (id, row) in plan.jobs {
+            let old = self.jobs.get(&id).map_or(0, |c| c.version);
+            let version = version(rows::job_key(&id), old);
+            self.jobs.insert(id, Cached { version, row });
+        }
+        for (team, row) in plan.quotas {
+            let old = self.quotas.get(&team).map_or(0, |c| c.version);
+            let version = version(rows::quota_key(cx.domain, &team), old);
+            self.quotas.insert(team, Cached { version, row });
+        }
+        for ((shard, id), set) in plan.marks {
+            let m = self.marks.entry(shard).or_default();
+            if set {
+                m.entry(id).or_insert(plan.now);
+            } else {
+                m.remove(&id);
+            }
+        }
+        for (name, seq) in plan.acked {
+            let Some(s) = self.shards.get_mut(&name) else { continue };
+            s.acked = seq;
+            for e in std::mem::take(&mut s.ended) {
+                if s.stopping.get(&e.task).is_some_and(|r| r.attempt <= e.attempt) {
+                    s.stopping.remove(&e.task);
+                }
+                if s.unstarted.get(&e.task).is_some_and(|r| r.attempt <= e.attempt) {
+                    s.unstarted.remove(&e.task);
+                }
+            }
+        }
+        for name in plan.reconciled {
+            if let Some(s) = self.shards.get_mut(&name) {
+                s.running = None;
+            }
+        }
+        for (name, req) in plan.starts {
+            if let Some(s) = self.shards.get_mut(&name) {
+                s.unstarted.insert(req.task.clone(), req);
+            }
+        }
+        for (name, req) in plan.stops {
+            if let Some(s) = self.shards.get_mut(&name) {
+                s.unstarted.remove(&req.task);
+                s.stopping.entry(req.task.clone()).or_insert(req);
+            }
+        }
+        if self.counts.rounds.is_multiple_of(REREAD_ROUNDS) {
+            plan.blocked.iter().for_each(|t| drop(self.quotas.remove(t)));
+        }
+        for (k, job, failed) in plan.blame {
+            self.blame(k, &job, failed, plan.now);
+        }
+        self.counts.add(&plan.counts);
+    }
+
+    /// Remembers that a task of `job` failed or succeeded on worker `k`. A worker that fails
+    /// everything it starts is noticed by several jobs failing on it that failed nowhere else;
+    /// it is avoided for a while so that their tasks go elsewhere. A job that fails on two
+    /// workers is itself to blame, and no worker is.
+    fn blame(&mut self, k: WorkerKey, job: &str, failed: bool, now: u64) {
+        if !failed {
+            self.workers.get_mut(k).blame.clear();
+            return;
+        }
+        let elsewhere: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(o, w)| *o != k && w.blame.contains(job))
+            .map(|(o, _)| o)
+            .collect();
+        if !elsewhere.is_empty() {
+            for o in elsewhere {
+                self.workers.get_mut(o).blame.remove(job);
+            }
+            return;
+        }
+        let shard = crate::platform::workers::shard_of(&self.workers.get(k).info);
+        let peers = self.shards.get(&shard).map_or(&[][..], |s| &s.workers);
+        let avoided = peers.iter().filter(|&&p| self.workers.get(p).avoid > now).count();
+        let may = avoided < peers.len().div_ceil(AVOID_ONE_IN);
+        let w = self.workers.get_mut(k);
+        w.blame.insert(job.to_string());
+        if w.blame.len() >= AVOID_AFTER && may && w.avoid <= now {
+            w.avoid = now + AVOID_MS;
+            w.blame.clear();
+            log::warn!("worker {} avoided for {AVOID_MS} ms", w.info.name);
+            metrics::counter!("entry_workers_avoided").increment(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/sched/load.rs
@@ -0,0 +1,168 @@
+//! Reading: the workers' polls, the marks of jobs that want attention, and the rows of a shard
+//! newly taken.
+
+use super::{Cached, Ctx, Sched};
+use crate::entry::rows::{self, CommitRow, JobRow};
+use crate::platform::client::PlatformError;
+use crate::platform::workers::ShardPoll;
+use std::collections::{BTreeMap, BTreeSet};
+
+impl Sched {
+    /// Polls the workers of every held shard. Returns the shards whose epoch was superseded.
+    pub(super) async fn poll(
+        &mut self,
+        cx: &Ctx<'_>,
+        held: &BTreeMap<String, u64>,
+    ) -> Result<Vec<String>, PlatformError> {
+        let polls: Vec<ShardPoll> = held
+            .iter()
+            .filter_map(|(name, &epoch)| {
+                let s = self.shards.get(name)?;
+                Some(ShardPoll {
+                    shard: name.clone(),
+                    epoch,
+                    acked: s.acked,
+                    hold_ms: cx.hold_ms,
+                    inventory: s.loaded.is_none(),
+                })
+            })
+            .collect();
+        let reports = match cx.platform.poll(polls.clone()).await {
+            Ok(r) => r,
+            Err(e) => {
+                // The poll may have taken effect although its answer was lost: task leases may
+                // have been extended until now plus the lease period, so no worker of these
+                // shards may be given up for lost before that.
+                let now = cx.clock.now();
+                for name in held.keys() {
+                    self.heard(name, &BTreeSet::new(), now);
+                }
+                return Err(e);
+            }
+        };
+        let now = cx.clock.now();
+        let mut lost = Vec::new();
+        for (p, r) in polls.iter().zip(reports) {
+            if r.stale {
+                log::warn!("shard {}: epoch {} superseded at the workers", p.shard, p.epoch);
+                lost.push(p.shard.clone());
+                continue;
+            }
+            let cut: BTreeSet<String> = r.cut.into_iter().collect();
+            self.heard(&p.shard, &cut, now);
+            let Some(s) = self.shards.get_mut(&p.shard) else { continue };
+            s.ended = r.ended;
+            if p.inventory {
+                s.running = Some(r.running.into_iter().map(|(t, a, w)| (t, (a, w))).collect());
+            }
+        }
+        Ok(lost)
+    }
+
+    /// Notes that the workers of `shard` outside `cut` were reached at `now`.
+    fn heard(&mut self, shard: &str, cut: &BTreeSet<String>, now: u64) {
+        let Some(s) = self.shards.get(shard) else { return };
+        for &k in &s.workers {
+            let w = self.workers.get_mut(k);
+            let was = w.cut;
+            w.cut = cut.contains(&w.info.name);
+            if w.cut != was {
+                log::info!("worker {} reachable={}", w.info.name, was);
+            }
+            if !w.cut || w.heard == 0 {
+                w.heard = now;
+            }
+        }
+    }
+
+    /// Brings the marks of the domain up to date from the table's feed: only changes travel.
+    pub(super) async fn follow_marks(&mut self, cx: &Ctx<'_>) -> Result<(), PlatformError> {
+        let prefix = format!("pend/{}/", cx.domain);
+        let feed = cx.platform.feed(&prefix, self.revision).await?;
+        self.revision = feed.revision;
+        if feed.reset {
+            self.marks.clear();
+            self.jobs.clear();
+        }
+        let now = cx.clock.now();
+        let split = |key: &str| {
+            let (shard, id) = key.strip_prefix(&prefix)?.split_once('/')?;
+            Some((shard.to_string(), id.to_string()))
+        };
+        for (shard, id) in feed.rows.keys().filter_map(|k| split(k)) {
+            // Whoever set the mark also changed the job: read it anew.
+            self.jobs.remove(&id);
+            self.marks.entry(shard).or_default().entry(id).or_insert(now);
+        }
+        for (shard, id) in feed.gone.iter().filter_map(|k| split(k)) {
+            if let Some(m) = self.marks.get_mut(&shard) {
+                m.remove(&id);
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads the commitment rows of shards not yet loaded under their epoch.
+    pub(super) async fn load(
+        &mut self,
+        cx: &Ctx<'_>,
+        live: &BTreeMap<String, u64>,
+    ) -> Result<(), PlatformError> {
+        let fresh: Vec<(String, u64)> = live
+            .iter()
+            .filter(|(n, _)| self.shards.get(*n).is_some_and(|s| s.loaded.is_none()))
+            .map(|(n, e)| (n.clone(), *e))
+            .collect();
+        if fresh.is_empty() {
+            return Ok(());
+        }
+        let workers: Vec<_> =
+            fresh.iter().flat_map(|(n, _)| self.shards[n].workers.clone()).collect();
+        let key = |s: &Self, k| rows::commit_key(&s.workers.get(k).info.name);
+        let keys = workers.iter().map(|&k| key(self, k)).collect();
+        let got = cx.platform.get(keys).await?;
+        for k in workers {
+            let row = got.get(&key(self, k));
+            let w = self.workers.get_mut(k);
+            w.version = row.map_or(0, |r| r.version);
+            w.commit = row.and_then(|r| rows::decode::<CommitRow>(&r.value)).unwrap_or_default();
+        }
+        for (name, epoch) in fresh {
+            if let Some(s) = self.shards.get_mut(&name) {
+                s.loaded = Some(epoch);
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads the rows, not yet cached, of every job that this round may touch.
+    pub(super) async fn read_jobs(
+        &mut self,
+        cx: &Ctx<'_>,
+        live: &BTreeMap<String, u64>,
+    ) -> Result<(), PlatformError> {
+        let mut want: BTreeSet<String> = BTreeSet::new();
+        for name in live.keys() {
+            want.extend(self.marks.get(name).into_iter().flat_map(|m| m.keys().cloned()));
+            let Some(s) = self.shards.get(name) else { continue };
+            let ended = s.ended.iter().map(|e| &e.task);
+            let committed = s.workers.iter().flat_map(|&k| self.workers.get(k).commit.tasks.keys());
+            let tasks = ended.chain(committed);
+            want.extend(tasks.filter_map(|t| Some(rows::task_parts(t)?.0.to_string())));
+        }
+        let keys: Vec<String> = want
+            .iter()
+            .filter(|id| !self.jobs.contains_key(*id))
+            .map(|id| rows::job_key(id))
+            .collect();
+        if keys.is_empty() {
+            return Ok(());
+        }
+        for r in cx.platform.get(keys).await?.into_values() {
+            if let Some(row) = rows::decode::<JobRow>(&r.value) {
+                self.jobs.insert(row.id.clone(), Cached { version: r.version, row });
+            }
+        }
+        Ok(())
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,11 +3,12 @@
 //! The crate is a library with one thin binary. `kernel` holds keys, arenas, the clock and the
 //! plug-in registry; `platform` the stand-in of the platform and its client; `entry` the entry
 //! instance (API, catalogue, scheduler, routing); `runner` the backend server stand-in;
-//! `options` the settings; `smoke` the load driver.
+//! `options` the settings; `http` the HTTP client and listener; `smoke` the load driver.
 
 pub mod admin;
 pub mod cli;
 pub mod entry;
+pub mod http;
 pub mod kernel;
 pub mod logs;
 pub mod options;
--- a/src/options/cell.rs
+++ b/src/options/cell.rs
@@ -86,6 +86,16 @@
     pub idle_ms: u64,
     /// Interval at which the instance list is read.
     pub instances_ms: u64,
+    /// Lifetime of task leases on workers without extension.
+    pub hold_ms: u64,
+    /// How long a stopping entry goes on accepting, so that the balancer sees it is not ready.
+    pub linger_ms: u64,
+    /// Gap between two commits of write records, per entry instance of the domain.
+    pub ledger_ms: u64,
+    /// How long outcomes stay in the table before they are swept to a report.
+    pub keep_ms: u64,
+    /// Interval of those sweeps.
+    pub sweep_ms: u64,
 }
 
 impl Default for Timing {
@@ -102,6 +112,11 @@
             ping_ms: 500,
             idle_ms: 2000,
             instances_ms: 500,
+            hold_ms: 10_000,
+            linger_ms: 1000,
+            ledger_ms: 40,
+            keep_ms: 86_400_000,
+            sweep_ms: 60_000,
         }
     }
 }
--- a/src/options/check.rs
+++ b/src/options/check.rs
@@ -50,6 +50,11 @@
     range("timing.ping_ms", t.ping_ms, 10, 60_000)?;
     range("timing.idle_ms", t.idle_ms, t.ping_ms * 2, 600_000)?;
     range("timing.instances_ms", t.instances_ms, 10, 60_000)?;
+    range("timing.hold_ms", t.hold_ms, t.lease_ms, 600_000)?;
+    range("timing.linger_ms", t.linger_ms, 0, 60_000)?;
+    range("timing.ledger_ms", t.ledger_ms, 1, 10_000)?;
+    range("timing.keep_ms", t.keep_ms, t.hold_ms, 30 * 86_400_000)?;
+    range("timing.sweep_ms", t.sweep_ms, 100, 86_400_000)?;
     let r = &cell.runner;
     range("runner.slots", r.slots.into(), 1, 4096)?;
     range("runner.connections", r.connections.into(), 1, 65_536)?;
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -1,7 +1,7 @@
 //! Request and answer bodies of the platform's HTTP API (JSON), shared by server and client.
 
 use crate::platform::table::{Counts, Lease, Row};
-use crate::platform::workers::StartReq;
+use crate::platform::workers::{ShardPoll, StartReq};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -32,15 +32,40 @@
     pub starts: Vec<StartReq>,
 }
 
-/// `POST /workers/stop`.
+/// One attempt to stop.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct StopReq {
     /// Task id.
     pub task: String,
+    /// Which start of it.
+    pub attempt: u32,
     /// Worker name.
     pub worker: String,
 }
 
+/// `POST /workers/stop`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StopBatch {
+    /// Attempts to stop.
+    pub stops: Vec<StopReq>,
+}
+
+/// `POST /workers/poll`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PollBatch {
+    /// Shards to poll.
+    pub polls: Vec<ShardPoll>,
+}
+
+/// `POST /table/feed`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FeedReq {
+    /// Key prefix.
+    pub prefix: String,
+    /// Revision of the last answer; 0 for everything.
+    pub since: u64,
+}
+
 /// `POST /objects/:name` answer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PutAnswer {
@@ -69,6 +94,9 @@
     pub reads_per_s: f64,
     /// Tasks started.
     pub started: u64,
+    /// Tasks killed because nobody extended their task lease.
+    #[serde(default)]
+    pub lapsed: u64,
     /// Tasks running now.
     pub running: u64,
     /// Starts refused, by reason.
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -1,22 +1,42 @@
 //! The client that entry instances use to reach the platform: typed answers and typed errors,
 //! each call bounded by a timeout on the process clock.
 
+use crate::http;
 use crate::kernel::clock::Clock;
 use crate::platform::api::{
-    ErrorBody, GetReq, Leases, PutAnswer, Rows, ScanReq, StartBatch, Stats, StopReq,
+    ErrorBody, FeedReq, GetReq, Leases, PollBatch, PutAnswer, Rows, ScanReq, StartBatch, Stats,
+    StopBatch, StopReq,
 };
 use crate::platform::faults::Fault;
 use crate::platform::instances::InstanceState;
 use crate::platform::store::Object;
-use crate::platform::table::{Outcome, Txn};
-use crate::platform::workers::{Report, StartReq, StartResult, WorkerInfo};
+use crate::platform::table::{Feed, Outcome, Txn};
+use crate::platform::workers::{
+    RackRoom, ShardPoll, ShardReport, StartReq, StartResult, WorkerInfo,
+};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 
 /// Time allowed for one call to the platform, ms.
 pub const CALL_MS: u64 = 2000;
 
+/// Header that names the failure domain of the calling process.
+pub const CALLER: &str = "x-currantgw-domain";
+
+/// Bytes and calls between this process and the platform, bodies only, for `/debug/state`.
+#[derive(Debug, Default, Serialize)]
+pub struct Traffic {
+    /// Calls made.
+    pub calls: AtomicU64,
+    /// Request body bytes.
+    pub sent: AtomicU64,
+    /// Answer body bytes.
+    pub received: AtomicU64,
+}
+
 /// Why a platform call failed.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum PlatformError {
@@ -60,7 +80,9 @@
 pub struct Client {
     http: surf::Client,
     base: String,
+    domain: String,
     clock: Clock,
+    traffic: Arc<Traffic>,
 }
 
 fn transport(e: surf::Error) -> PlatformError {
@@ -68,22 +90,42 @@
 }
 
 impl Client {
-    /// A client of the platform at `addr` (`host:port`).
+    /// A client of the platform at `addr` (`host:port`), for a process of no failure domain.
     pub fn new(addr: std::net::SocketAddr, clock: Clock) -> Self {
-        Self { http: surf::Client::new(), base: format!("http://{addr}"), clock }
+        Self::of_domain(addr, "", clock)
+    }
+
+    /// A client for a process of failure domain `domain`.
+    pub fn of_domain(addr: std::net::SocketAddr, domain: &str, clock: Clock) -> Self {
+        Self {
+            http: http::client(),
+            base: format!("http://{addr}"),
+            domain: domain.to_string(),
+            clock,
+            traffic: Arc::default(),
+        }
+    }
+
+    /// Calls and bytes so far.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
     }
 
     async fn call<T: DeserializeOwned>(
         &self,
         req: surf::RequestBuilder,
     ) -> Result<T, PlatformError> {
+        self.traffic.calls.fetch_add(1, Ordering::Relaxed);
         let sent = self.clock.timeout(CALL_MS, async {
-            let mut res = req.await.map_err(transport)?;
+            let mut res = req.header(CALLER, &self.domain).await.map_err(transport)?;
             let status: u16 = res.status().into();
+            let text = res.body_bytes().await.map_err(transport)?;
+            self.traffic.received.fetch_add(text.len() as u64, Ordering::Relaxed);
             if status == 200 {
-                return res.body_json::<T>().await.map_err(transport);
+                return serde_json::from_slice::<T>(&text)
+                    .map_err(|e| PlatformError::Transport { detail: e.to_string() });
             }
-            let body: Option<ErrorBody> = res.body_json().await.ok();
+            let body: Option<ErrorBody> = serde_json::from_slice(&text).ok();
             let (kind, retry) = body.map_or((String::new(), None), |b| (b.error, b.retry_ms));
             Err(match (status, kind.as_str()) {
                 (429, _) => PlatformError::Throttled { retry_ms: retry.unwrap_or(1000) },
@@ -100,9 +142,11 @@
         path: &str,
         body: &B,
     ) -> Result<T, PlatformError> {
-        let req =
-            self.http.post(format!("{}{path}", self.base)).body_json(body).map_err(transport)?;
-        self.call(req).await
+        let text = serde_json::to_string(body)
+            .map_err(|e| PlatformError::Transport { detail: e.to_string() })?;
+        self.traffic.sent.fetch_add(text.len() as u64, Ordering::Relaxed);
+        let req = self.http.post(format!("{}{path}", self.base));
+        self.call(req.header("content-type", "application/json").body_string(text)).await
     }
 
     async fn fetch<T: DeserializeOwned>(&self, path: &str) -> Result<T, PlatformError> {
@@ -124,6 +168,11 @@
         self.post("/table/scan", &ScanReq { prefix: prefix.to_string() }).await
     }
 
+    /// What changed under `prefix` since revision `since` (0: everything).
+    pub async fn feed(&self, prefix: &str, since: u64) -> Result<Feed, PlatformError> {
+        self.post("/table/feed", &FeedReq { prefix: prefix.to_string(), since }).await
+    }
+
     /// Reads unexpired leases by prefix.
     pub async fn leases(&self, prefix: &str) -> Result<Leases, PlatformError> {
         self.post("/table/leases", &ScanReq { prefix: prefix.to_string() }).await
@@ -151,15 +200,19 @@
         self.post("/workers/start", &StartBatch { starts }).await
     }
 
-    /// Stops a task.
-    pub async fn stop(&self, task: &str, worker: &str) -> Result<bool, PlatformError> {
-        let body = StopReq { task: task.to_string(), worker: worker.to_string() };
-        self.post("/workers/stop", &body).await
+    /// Stops attempts of tasks; for each whether its worker was reached.
+    pub async fn stop(&self, stops: Vec<StopReq>) -> Result<Vec<bool>, PlatformError> {
+        self.post("/workers/stop", &StopBatch { stops }).await
+    }
+
+    /// Polls shards: extends task leases, acknowledges ends, fetches new ones.
+    pub async fn poll(&self, polls: Vec<ShardPoll>) -> Result<Vec<ShardReport>, PlatformError> {
+        self.post("/workers/poll", &PollBatch { polls }).await
     }
 
-    /// The lagging report of ended tasks of `domain` after `since`.
-    pub async fn report(&self, domain: &str, since: u64) -> Result<Report, PlatformError> {
-        self.fetch(&format!("/workers/report?domain={domain}&since={since}")).await
+    /// Room per rack of `domain`, from the workers' usage.
+    pub async fn rooms(&self, domain: &str) -> Result<Vec<RackRoom>, PlatformError> {
+        self.fetch(&format!("/workers/rooms?domain={domain}")).await
     }
 
     /// The lagging instance list.
--- a/src/platform/faults.rs
+++ b/src/platform/faults.rs
@@ -3,6 +3,7 @@
 
 use crate::kernel::clock::Millis;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// The interface a fault strikes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,8 +20,7 @@
 }
 
 /// What goes wrong.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "kind", rename_all = "snake_case")]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FaultKind {
     /// Every call fails with 503 and has no effect.
     Outage,
@@ -36,23 +36,115 @@
         /// Worker name.
         worker: String,
     },
+    /// The named worker cannot be reached, and runs on (target `workers`).
+    Cut {
+        /// Worker name.
+        worker: String,
+    },
 }
 
 /// One fault, active from `from_ms` for `for_ms` (platform ms; `for_ms` 0 means for good).
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(try_from = "WireFault", into = "WireFault")]
 pub struct Fault {
     /// Where.
     pub target: Target,
     /// What.
-    #[serde(flatten)]
     pub kind: FaultKind,
     /// Start, platform ms; absent means now.
-    #[serde(default)]
     pub from_ms: Option<Millis>,
     /// Length in ms; 0 for good.
-    #[serde(default)]
     pub for_ms: Millis,
+    /// Strikes only calls from this failure domain (a domain cut off from the platform); absent
+    /// strikes every caller.
+    pub from: Option<String>,
+}
+
+/// Kinds of fault as written in a plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WireKind {
+    /// [`FaultKind::Outage`].
+    Outage,
+    /// [`FaultKind::Delay`]; needs `ms`.
+    Delay,
+    /// [`FaultKind::LoseAnswer`].
+    LoseAnswer,
+    /// [`FaultKind::Broken`]; needs `worker`.
+    Broken,
+    /// [`FaultKind::Cut`]; needs `worker`.
+    Cut,
+}
+
+/// A fault as written in a plan: flat, unknown fields refused.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireFault {
+    target: Target,
+    kind: WireKind,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    worker: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    from_ms: Option<Millis>,
+    #[serde(default)]
+    for_ms: Millis,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    from: Option<String>,
+}
+
+/// Why a plan was refused.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FaultError {
+    /// This kind needs a field that is absent.
+    #[error("fault of kind {kind:?} needs {field}")]
+    Missing {
+        /// The kind.
+        kind: WireKind,
+        /// The field.
+        field: &'static str,
+    },
+}
+
+impl TryFrom<WireFault> for Fault {
+    type Error = FaultError;
+
+    fn try_from(w: WireFault) -> Result<Self, Self::Error> {
+        let kind = w.kind;
+        let worker = w.worker.ok_or(FaultError::Missing { kind, field: "worker" });
+        let kind = match kind {
+            WireKind::Outage => FaultKind::Outage,
+            WireKind::Delay => {
+                FaultKind::Delay { ms: w.ms.ok_or(FaultError::Missing { kind, field: "ms" })? }
+            }
+            WireKind::LoseAnswer => FaultKind::LoseAnswer,
+            WireKind::Broken => FaultKind::Broken { worker: worker? },
+            WireKind::Cut => FaultKind::Cut { worker: worker? },
+        };
+        Ok(Self { target: w.target, kind, from_ms: w.from_ms, for_ms: w.for_ms, from: w.from })
+    }
+}
+
+impl From<Fault> for WireFault {
+    fn from(f: Fault) -> Self {
+        let (kind, ms, worker) = match f.kind {
+            FaultKind::Outage => (WireKind::Outage, None, None),
+            FaultKind::Delay { ms } => (WireKind::Delay, Some(ms), None),
+            FaultKind::LoseAnswer => (WireKind::LoseAnswer, None, None),
+            FaultKind::Broken { worker } => (WireKind::Broken, None, Some(worker)),
+            FaultKind::Cut { worker } => (WireKind::Cut, None, Some(worker)),
+        };
+        let Fault { target, from_ms, for_ms, from, .. } = f;
+        Self { target, kind, ms, worker, from_ms, for_ms, from }
+    }
+}
+
+impl Fault {
+    /// `kind` on `target` from now on for `for_ms` (0 for good), for every caller.
+    pub fn now(target: Target, kind: FaultKind, for_ms: Millis) -> Self {
+        Self { target, kind, from_ms: None, for_ms, from: None }
+    }
 }
 
 /// What the plan does to one call.
@@ -79,30 +171,42 @@
         now >= from && (f.for_ms == 0 || now < from + f.for_ms)
     }
 
-    /// The effect on a call to `target` at `now`.
-    pub fn effect(&self, target: Target, now: Millis) -> Effect {
+    /// The effect on a call to `target` by a process of failure domain `caller` at `now`.
+    pub fn effect(&self, target: Target, caller: &str, now: Millis) -> Effect {
         let mut e = Effect::default();
-        for f in self.faults.iter().filter(|f| f.target == target && Self::active(f, now)) {
+        let strikes = |f: &&Fault| {
+            f.target == target
+                && Self::active(f, now)
+                && f.from.as_ref().is_none_or(|from| from == caller)
+        };
+        for f in self.faults.iter().filter(strikes) {
             match f.kind {
                 FaultKind::Outage => e.outage = true,
                 FaultKind::Delay { ms } => e.delay = e.delay.max(ms),
                 FaultKind::LoseAnswer => e.lose = true,
-                FaultKind::Broken { .. } => {}
+                FaultKind::Broken { .. } | FaultKind::Cut { .. } => {}
             }
         }
         e
     }
 
-    /// Workers broken at `now`.
-    pub fn broken(&self, now: Millis) -> Vec<String> {
-        self.faults
-            .iter()
-            .filter(|f| Self::active(f, now))
-            .filter_map(|f| match &f.kind {
-                FaultKind::Broken { worker } => Some(worker.clone()),
-                _ => None,
-            })
-            .collect()
+    /// Workers broken and workers cut off at `now`.
+    pub fn workers(&self, now: Millis) -> (BTreeSet<String>, BTreeSet<String>) {
+        let (mut broken, mut cut) = (BTreeSet::new(), BTreeSet::new());
+        for f in self.faults.iter().filter(|f| Self::active(f, now)) {
+            match &f.kind {
+                FaultKind::Broken { worker } => broken.insert(worker.clone()),
+                FaultKind::Cut { worker } => cut.insert(worker.clone()),
+                FaultKind::Outage | FaultKind::Delay { .. } | FaultKind::LoseAnswer => continue,
+            };
+        }
+        (broken, cut)
+    }
+
+    /// Whether some fault strikes single workers, now or ever.
+    pub fn strikes_workers(&self) -> bool {
+        let single = |f: &Fault| matches!(f.kind, FaultKind::Broken { .. } | FaultKind::Cut { .. });
+        self.faults.iter().any(single)
     }
 
     /// Adds faults; those without a start begin at `now`.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -28,6 +28,11 @@
     format!("place/{task}")
 }
 
+/// Value of a placement row: what a start must match.
+pub fn place_value(worker: &str, epoch: u64, attempt: u32) -> serde_json::Value {
+    json!({ "worker": worker, "epoch": epoch, "attempt": attempt })
+}
+
 /// The platform stand-in: every interface, each under its own lock.
 pub struct Platform {
     /// The platform's clock (lease expiry, task run times, lags).
@@ -90,6 +95,12 @@
         self.table.lock().unwrap().scan(prefix, now)
     }
 
+    /// What changed under a prefix since a revision.
+    pub fn feed(&self, prefix: &str, since: u64) -> Result<table::Feed, table::Throttled> {
+        let now = self.clock.now();
+        self.table.lock().unwrap().feed(prefix, since, now)
+    }
+
     /// Reads unexpired leases by prefix.
     pub fn leases(&self, prefix: &str) -> Result<api::Leases, table::Throttled> {
         let now = self.clock.now();
@@ -117,12 +128,22 @@
 
     fn tick_all(&self) {
         let now = self.clock.now();
-        self.domains.values().for_each(|d| d.lock().unwrap().tick(now));
+        let faults = {
+            let plan = self.plan.lock().unwrap();
+            plan.strikes_workers().then(|| plan.workers(now))
+        };
+        for d in self.domains.values() {
+            let mut d = d.lock().unwrap();
+            d.tick(now);
+            if let Some((broken, cut)) = &faults {
+                d.set_faults(broken, cut);
+            }
+        }
     }
 
     /// Starts tasks, each only if its shard's lease epoch is current and the table holds its
-    /// placement on that worker under that epoch: a placer that lost its lease while paused, or
-    /// a task refused or cancelled, is not started.
+    /// placement on that worker under that epoch and attempt: a placer that lost its lease while
+    /// paused, or a task refused or cancelled, is not started.
     pub fn start(&self, reqs: &[workers::StartReq]) -> Vec<workers::StartResult> {
         self.tick_all();
         let now = self.clock.now();
@@ -133,7 +154,7 @@
                     if !t.epoch_valid(&r.lease, r.epoch, now) {
                         return Some(workers::StartRefusal::StaleEpoch);
                     }
-                    let want = json!({ "worker": r.worker, "epoch": r.epoch });
+                    let want = place_value(&r.worker, r.epoch, r.attempt);
                     match t.peek(&place_key(&r.task)) {
                         Some(row) if row.value == want => None,
                         _ => Some(workers::StartRefusal::NotPlaced),
@@ -167,20 +188,39 @@
             .collect()
     }
 
-    /// Stops a running task.
-    pub fn stop(&self, task: &str, worker: &str) -> bool {
+    /// Stops attempts of tasks; for each whether its worker was reached.
+    pub fn stop(&self, reqs: &[api::StopReq]) -> Vec<bool> {
+        self.tick_all();
         let now = self.clock.now();
-        let Some(d) = self.domains.get(Self::domain_of(worker)) else { return false };
-        d.lock().unwrap().stop(task, worker, now)
+        let stop = |r: &api::StopReq| {
+            let d = self.domains.get(Self::domain_of(&r.worker))?;
+            Some(d.lock().unwrap().stop(&r.task, r.attempt, &r.worker, now))
+        };
+        reqs.iter().map(|r| stop(r).unwrap_or(false)).collect()
     }
 
-    /// The lagging report of a domain's ended tasks after `since`.
-    pub fn report(&self, domain: &str, since: u64) -> Option<workers::Report> {
+    /// Polls shards: each only under an epoch that no later one has superseded.
+    pub fn poll(&self, polls: &[workers::ShardPoll]) -> Vec<workers::ShardReport> {
+        self.tick_all();
         let now = self.clock.now();
-        let d = self.domains.get(domain)?;
-        let mut d = d.lock().unwrap();
-        d.tick(now);
-        Some(d.report(since, now, self.settings.usage_lag_ms))
+        let fresh: Vec<bool> = {
+            let t = self.table.lock().unwrap();
+            polls.iter().map(|p| t.epoch_latest(&lease_key(&p.shard), p.epoch)).collect()
+        };
+        polls
+            .iter()
+            .zip(fresh)
+            .map(|(p, fresh)| match self.domains.get(Self::domain_of(&p.shard)) {
+                Some(d) if fresh => d.lock().unwrap().poll(p, now, self.settings.usage_lag_ms),
+                _ => workers::ShardReport { stale: true, ..workers::ShardReport::default() },
+            })
+            .collect()
+    }
+
+    /// Room per rack of a failure domain.
+    pub fn rooms(&self, domain: &str) -> Option<Vec<workers::RackRoom>> {
+        self.tick_all();
+        Some(self.domains.get(domain)?.lock().unwrap().rooms())
     }
 
     /// The lagging instance list.
@@ -195,22 +235,14 @@
         self.instances.lock().unwrap().set(name, state, now)
     }
 
-    /// Adds faults to the plan; broken workers break at once.
+    /// Adds faults to the plan.
     pub fn add_faults(&self, faults: Vec<faults::Fault>) {
-        let now = self.clock.now();
-        for f in &faults {
-            if let faults::FaultKind::Broken { worker } = &f.kind {
-                if let Some(d) = self.domains.get(Self::domain_of(worker)) {
-                    d.lock().unwrap().set_broken(worker, true);
-                }
-            }
-        }
-        self.plan.lock().unwrap().add(faults, now);
+        self.plan.lock().unwrap().add(faults, self.clock.now());
     }
 
-    /// What the plan does to a call on `target` now.
-    pub fn effect(&self, target: faults::Target) -> faults::Effect {
-        self.plan.lock().unwrap().effect(target, self.clock.now())
+    /// What the plan does to a call on `target` by a process of failure domain `caller` now.
+    pub fn effect(&self, target: faults::Target, caller: &str) -> faults::Effect {
+        self.plan.lock().unwrap().effect(target, caller, self.clock.now())
     }
 
     /// Counters and oracle figures.
@@ -230,6 +262,7 @@
         for d in self.domains.values() {
             let d = d.lock().unwrap();
             s.started += d.started;
+            s.lapsed += d.lapsed;
             s.running += d.running().count() as u64;
             s.overcommitted.extend(d.overcommitted.iter().cloned());
         }
--- a/src/platform/server.rs
+++ b/src/platform/server.rs
@@ -1,11 +1,15 @@
 //! The HTTP API of the platform stand-in; every call passes through the fault plan.
 
 use crate::admin;
-use crate::platform::api::{ErrorBody, GetReq, PutAnswer, ScanReq, StartBatch, StopReq};
+use crate::platform::api::{
+    ErrorBody, FeedReq, GetReq, PollBatch, PutAnswer, ScanReq, StartBatch, StopBatch,
+};
+use crate::platform::client::CALLER;
 use crate::platform::faults::{Fault, Target};
 use crate::platform::instances::InstanceState;
 use crate::platform::table::{Throttled, Txn};
 use crate::platform::Platform;
+use serde::de::DeserializeOwned;
 use std::sync::Arc;
 use tide::{Request, Response};
 
@@ -24,10 +28,20 @@
     error(429, "throttled", Some(t.retry_ms))
 }
 
+/// Failure domain of the caller, from its header; empty for operators and tests.
+fn caller(req: &Request<State>) -> String {
+    req.header(CALLER).map_or_else(String::new, |h| h.as_str().to_string())
+}
+
 /// Runs `f` under the fault plan of `target`: an outage answers 503 without effect, a delay
 /// waits first, a lost answer applies `f` and then answers 503 as if the reply never came.
-async fn guarded(p: &Platform, target: Target, f: impl FnOnce() -> Response) -> tide::Result {
-    let e = p.effect(target);
+async fn guarded(
+    p: &Platform,
+    target: Target,
+    caller: &str,
+    f: impl FnOnce() -> Response,
+) -> tide::Result {
+    let e = p.effect(target, caller);
     if e.outage {
         return Ok(error(503, "unavailable", Some(1000)));
     }
@@ -41,97 +55,100 @@
     Ok(res)
 }
 
-async fn txn(mut req: Request<State>) -> tide::Result {
-    let t: Txn = req.body_json().await?;
+/// A POST whose JSON body is a `B`: `f` answers it under the fault plan of `target`.
+async fn post<B: DeserializeOwned>(
+    mut req: Request<State>,
+    target: Target,
+    f: impl FnOnce(&Platform, B) -> Response,
+) -> tide::Result {
+    let from = caller(&req);
+    let body: B = req.body_json().await?;
     let p = req.state().clone();
-    guarded(&p, Target::Table, || match p.txn(&t) {
-        Ok(out) => admin::json(200, &out),
-        Err(t) => throttled(t),
-    })
-    .await
+    guarded(&p, target, &from, || f(&p, body)).await
 }
 
-async fn get(mut req: Request<State>) -> tide::Result {
-    let g: GetReq = req.body_json().await?;
+/// A GET: `f` answers it under the fault plan of `target`.
+async fn fetch(
+    req: Request<State>,
+    target: Target,
+    f: impl FnOnce(&Platform) -> Response,
+) -> tide::Result {
+    let from = caller(&req);
     let p = req.state().clone();
-    guarded(&p, Target::Table, || p.get(&g.keys).map_or_else(throttled, |r| admin::json(200, &r)))
-        .await
+    guarded(&p, target, &from, || f(&p)).await
 }
 
-async fn scan(mut req: Request<State>) -> tide::Result {
-    let s: ScanReq = req.body_json().await?;
-    let p = req.state().clone();
-    guarded(&p, Target::Table, || {
-        p.scan(&s.prefix).map_or_else(throttled, |r| admin::json(200, &r))
-    })
-    .await
+fn table<T: serde::Serialize>(out: Result<T, Throttled>) -> Response {
+    out.map_or_else(throttled, |r| admin::json(200, &r))
 }
 
-async fn leases(mut req: Request<State>) -> tide::Result {
-    let s: ScanReq = req.body_json().await?;
-    let p = req.state().clone();
-    guarded(&p, Target::Table, || {
-        p.leases(&s.prefix).map_or_else(throttled, |r| admin::json(200, &r))
-    })
-    .await
+async fn txn(req: Request<State>) -> tide::Result {
+    post(req, Target::Table, |p, t: Txn| table(p.txn(&t))).await
+}
+
+async fn get(req: Request<State>) -> tide::Result {
+    post(req, Target::Table, |p, g: GetReq| table(p.get(&g.keys))).await
+}
+
+async fn scan(req: Request<State>) -> tide::Result {
+    post(req, Target::Table, |p, s: ScanReq| table(p.scan(&s.prefix))).await
+}
+
+async fn feed(req: Request<State>) -> tide::Result {
+    post(req, Target::Table, |p, f: FeedReq| table(p.feed(&f.prefix, f.since))).await
+}
+
+async fn leases(req: Request<State>) -> tide::Result {
+    post(req, Target::Table, |p, s: ScanReq| table(p.leases(&s.prefix))).await
 }
 
 async fn put_object(mut req: Request<State>) -> tide::Result {
     let body = req.body_string().await?;
-    let p = req.state().clone();
     let name = req.param("name")?.to_string();
-    guarded(&p, Target::Store, || {
-        admin::json(200, &PutAnswer { version: p.put_object(&name, body) })
-    })
-    .await
+    let put = |p: &Platform| admin::json(200, &PutAnswer { version: p.put_object(&name, body) });
+    fetch(req, Target::Store, put).await
 }
 
 async fn get_object(req: Request<State>) -> tide::Result {
-    let p = req.state().clone();
     let name = req.param("name")?.to_string();
-    guarded(&p, Target::Store, || match p.get_object(&name) {
+    let get = |p: &Platform| match p.get_object(&name) {
         Some(o) => admin::json(200, &o),
         None => error(404, "not_found", None),
-    })
-    .await
+    };
+    fetch(req, Target::Store, get).await
 }
 
 async fn workers(req: Request<State>) -> tide::Result {
-    let p = req.state().clone();
-    guarded(&p, Target::Workers, || admin::json(200, &p.workers())).await
+    fetch(req, Target::Workers, |p| admin::json(200, &p.workers())).await
 }
 
-async fn start(mut req: Request<State>) -> tide::Result {
-    let b: StartBatch = req.body_json().await?;
-    let p = req.state().clone();
-    guarded(&p, Target::Workers, || admin::json(200, &p.start(&b.starts))).await
+async fn start(req: Request<State>) -> tide::Result {
+    post(req, Target::Workers, |p, b: StartBatch| admin::json(200, &p.start(&b.starts))).await
 }
 
-async fn stop(mut req: Request<State>) -> tide::Result {
-    let s: StopReq = req.body_json().await?;
-    let p = req.state().clone();
-    guarded(&p, Target::Workers, || admin::json(200, &p.stop(&s.task, &s.worker))).await
+async fn stop(req: Request<State>) -> tide::Result {
+    post(req, Target::Workers, |p, b: StopBatch| admin::json(200, &p.stop(&b.stops))).await
+}
+
+async fn poll(req: Request<State>) -> tide::Result {
+    post(req, Target::Workers, |p, b: PollBatch| admin::json(200, &p.poll(&b.polls))).await
 }
 
-async fn report(req: Request<State>) -> tide::Result {
+async fn rooms(req: Request<State>) -> tide::Result {
     #[derive(serde::Deserialize)]
     struct Q {
         domain: String,
-        #[serde(default)]
-        since: u64,
     }
     let q: Q = req.query()?;
-    let p = req.state().clone();
-    guarded(&p, Target::Workers, || match p.report(&q.domain, q.since) {
+    let rooms = |p: &Platform| match p.rooms(&q.domain) {
         Some(r) => admin::json(200, &r),
         None => error(404, "not_found", None),
-    })
-    .await
+    };
+    fetch(req, Target::Workers, rooms).await
 }
 
 async fn instances(req: Request<State>) -> tide::Result {
-    let p = req.state().clone();
-    guarded(&p, Target::Instances, || admin::json(200, &p.instances())).await
+    fetch(req, Target::Instances, |p| admin::json(200, &p.instances())).await
 }
 
 async fn set_instance(mut req: Request<State>) -> tide::Result {
@@ -157,12 +174,14 @@
     app.at("/table/txn").post(txn);
     app.at("/table/get").post(get);
     app.at("/table/scan").post(scan);
+    app.at("/table/feed").post(feed);
     app.at("/table/leases").post(leases);
     app.at("/objects/:name").post(put_object).get(get_object);
     app.at("/workers").get(workers);
     app.at("/workers/start").post(start);
     app.at("/workers/stop").post(stop);
-    app.at("/workers/report").get(report);
+    app.at("/workers/poll").post(poll);
+    app.at("/workers/rooms").get(rooms);
     app.at("/instances").get(instances);
     app.at("/instances/:name").post(set_instance);
     app.at("/faults").post(add_faults);
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -5,7 +5,7 @@
 use crate::kernel::clock::Millis;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A stored row. Versions start at 1 and grow by one with each write; 0 means "absent".
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -139,6 +139,25 @@
     },
 }
 
+/// What changed under a prefix since a revision.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Feed {
+    /// Ask from here next time.
+    pub revision: u64,
+    /// `rows` is everything under the prefix: the history asked for is no longer kept.
+    pub reset: bool,
+    /// Rows written since.
+    pub rows: BTreeMap<String, Row>,
+    /// Keys removed since.
+    pub gone: Vec<String>,
+}
+
+/// Removed keys remembered for feeds; older history answers with a reset.
+const HISTORY: usize = 20_000;
+
+/// Idempotency records kept; a retry comes within seconds, so the oldest may go.
+const IDEM_KEPT: usize = 200_000;
+
 /// How many transactions and reads were taken and refused.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Counts {
@@ -200,6 +219,12 @@
     rows: BTreeMap<String, Row>,
     leases: BTreeMap<String, Lease>,
     idem: BTreeMap<String, Outcome>,
+    idem_order: VecDeque<String>,
+    revision: u64,
+    changed: BTreeMap<u64, String>,
+    last: BTreeMap<String, u64>,
+    graves: BTreeSet<u64>,
+    floor: u64,
     budget: Budget,
     /// Counters since start.
     pub counts: Counts,
@@ -229,6 +254,12 @@
                 self.counts.rows_written += txn.ops.len() as u64;
                 if let Some(k) = &txn.idem {
                     self.idem.insert(k.clone(), out.clone());
+                    self.idem_order.push_back(k.clone());
+                    if self.idem_order.len() > IDEM_KEPT {
+                        if let Some(old) = self.idem_order.pop_front() {
+                            self.idem.remove(&old);
+                        }
+                    }
                 }
             }
             Outcome::Conflict { .. } => self.counts.conflicts += 1,
@@ -257,6 +288,34 @@
         self.leases.get(key).is_some_and(|l| l.epoch == epoch && l.expires > now)
     }
 
+    /// Whether no later epoch of the lease at `key` was given out, expired or not: what a worker
+    /// asks before it extends task leases, so that tasks outlive an outage of the table in which
+    /// nobody can renew and nobody can take over.
+    pub fn epoch_latest(&self, key: &str, epoch: u64) -> bool {
+        self.leases.get(key).is_some_and(|l| l.epoch == epoch)
+    }
+
+    /// Notes that `key` changed now, for feeds.
+    fn touch(&mut self, key: &str, removed: bool) {
+        self.revision += 1;
+        if let Some(old) = self.last.insert(key.to_string(), self.revision) {
+            self.changed.remove(&old);
+            self.graves.remove(&old);
+        }
+        self.changed.insert(self.revision, key.to_string());
+        if removed {
+            self.graves.insert(self.revision);
+        }
+        if self.graves.len() > HISTORY {
+            if let Some(old) = self.graves.pop_first() {
+                self.floor = old;
+                if let Some(k) = self.changed.remove(&old) {
+                    self.last.remove(&k);
+                }
+            }
+        }
+    }
+
     fn attempt(&mut self, txn: &Txn, now: Millis) -> Outcome {
         for (i, c) in txn.conds.iter().enumerate() {
             let ok = match c {
@@ -303,9 +362,12 @@
                     let version = self.rows.get(key).map_or(0, |r| r.version) + 1;
                     self.rows.insert(key.clone(), Row { version, value: value.clone() });
                     versions.insert(key.clone(), version);
+                    self.touch(key, false);
                 }
                 Op::Delete { key } => {
-                    self.rows.remove(key);
+                    if self.rows.remove(key).is_some() {
+                        self.touch(key, true);
+                    }
                     versions.insert(key.clone(), 0);
                 }
                 Op::Acquire { key, holder, ttl_ms } => {
@@ -360,6 +422,30 @@
             .collect())
     }
 
+    /// What changed under `prefix` since revision `since` (0: everything); one read of the
+    /// budget.
+    pub fn feed(&mut self, prefix: &str, since: u64, now: Millis) -> Result<Feed, Throttled> {
+        if since == 0 || since < self.floor {
+            let rows = self.scan(prefix, now)?;
+            return Ok(Feed { revision: self.revision, reset: true, rows, gone: vec![] });
+        }
+        self.budget.take(now, false)?;
+        self.counts.reads += 1;
+        let mut out = Feed { revision: self.revision.max(since), ..Feed::default() };
+        for key in self.changed.range(since + 1..).map(|(_, k)| k) {
+            if !key.starts_with(prefix) {
+                continue;
+            }
+            match self.rows.get(key) {
+                Some(r) => {
+                    out.rows.insert(key.clone(), r.clone());
+                }
+                None => out.gone.push(key.clone()),
+            }
+        }
+        Ok(out)
+    }
+
     /// Reads every unexpired lease whose key starts with `prefix`; one read of the budget.
     pub fn leases(
         &mut self,
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -1,12 +1,18 @@
 //! Workers of one failure domain in the platform stand-in: they start tasks under the shard's
-//! lease epoch, run them for their (mis-declared) time, fail them when broken, and report
-//! finished tasks with a lag.
+//! lease epoch, run them for their (mis-declared) time under a task lease that the shard's
+//! holder extends, and report ends with a lag, again and again until they are acknowledged.
 
 use crate::kernel::arena::{Arena, WorkerKey};
 use crate::kernel::clock::Millis;
 use crate::kernel::res::Resources;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Most ended tasks in one poll answer of a shard.
+pub const ENDED_PAGE: usize = 500;
+
+/// How long a broken worker takes to fail a task, ms.
+const BROKEN_MS: Millis = 10;
 
 /// What the platform says about one worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -26,6 +32,8 @@
 pub struct StartReq {
     /// Task id, `<job>.<n>`.
     pub task: String,
+    /// Number of this start of the task, from 1; a worker starts each at most once.
+    pub attempt: u32,
     /// Worker name.
     pub worker: String,
     /// Lease key of the shard whose holder placed it.
@@ -36,6 +44,13 @@
     pub demand: Resources,
     /// Declared run time in ms; 0 runs until stopped (services).
     pub run_ms: u64,
+    /// Share of the work already done and checkpointed, percent.
+    #[serde(default)]
+    pub saved: u8,
+    /// Task lease: the worker kills the task unless the holder extends it within this, ms; 0
+    /// for none.
+    #[serde(default)]
+    pub hold_ms: u64,
 }
 
 /// Why a worker would not start a task.
@@ -49,8 +64,12 @@
     NotPlaced,
     /// No such worker.
     UnknownWorker,
-    /// Already running here (a repeated start is answered, not run again).
+    /// This attempt is already running here (a repeated start is answered, not run again).
     AlreadyRunning,
+    /// This attempt, or a later one, has already ended here; its end will be reported.
+    AlreadyEnded,
+    /// The worker cannot be reached: nothing was started.
+    Unreachable,
 }
 
 /// The answer for one start.
@@ -62,34 +81,96 @@
     pub refused: Option<StartRefusal>,
 }
 
+/// How a task ended on a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum How {
+    /// It did its work.
+    Done,
+    /// It failed.
+    Failed,
+    /// It was stopped on request, after a checkpoint.
+    Stopped,
+    /// Nobody extended its task lease in time.
+    Lapsed,
+}
+
 /// One task that ended on a worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ended {
-    /// Sequence number within the domain.
+    /// Sequence number within the shard.
     pub seq: u64,
-    /// When it ended, platform ms.
+    /// When the report became due, platform ms (the lag counts from here).
     pub at: Millis,
     /// Task id.
     pub task: String,
+    /// Which start of it.
+    pub attempt: u32,
     /// Worker name.
     pub worker: String,
-    /// Whether it succeeded (false for a broken worker or a stop).
-    pub ok: bool,
+    /// How.
+    pub how: How,
+    /// Share of the work done and checkpointed, percent.
+    pub saved: u8,
+}
+
+/// What the holder of a shard asks of its workers each round.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShardPoll {
+    /// Shard name, `<domain>-r<rack>`.
+    pub shard: String,
+    /// Fencing epoch held.
+    pub epoch: u64,
+    /// Ends up to this sequence number are committed and may be forgotten.
+    pub acked: u64,
+    /// Extends every task lease of the shard to this long from now, ms.
+    pub hold_ms: u64,
+    /// Whether to list what runs now (after a takeover).
+    pub inventory: bool,
 }
 
-/// The lagging report of a domain's workers.
+/// The workers' answer for one shard.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Report {
-    /// Tasks that ended, oldest first.
+pub struct ShardReport {
+    /// The epoch was superseded: nothing was extended or acknowledged.
+    pub stale: bool,
+    /// Ended tasks not yet acknowledged, oldest first, at most [`ENDED_PAGE`].
     pub ended: Vec<Ended>,
-    /// The sequence number to ask from next time.
-    pub next: u64,
+    /// Workers that could not be reached, whose task leases were not extended.
+    pub cut: Vec<String>,
+    /// Tasks running now as (task, attempt, worker), if asked for.
+    pub running: Vec<(String, u32, String)>,
+}
+
+/// Room of one rack, from the workers' lagging usage.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RackRoom {
+    /// Shard name.
+    pub shard: String,
+    /// Room in the rack.
+    pub free: Resources,
+    /// Most room on one worker.
+    pub largest: Resources,
 }
 
 #[derive(Clone, Debug)]
 struct Running {
+    attempt: u32,
     demand: Resources,
+    start: Millis,
     end: Option<Millis>,
+    saved: u8,
+}
+
+impl Running {
+    /// Share of the work done by `now`, percent.
+    fn progress(&self, now: Millis) -> u8 {
+        let Some(end) = self.end else { return self.saved };
+        let total = end.saturating_sub(self.start).max(1);
+        let ran = now.saturating_sub(self.start).min(total);
+        let left = u64::from(100 - self.saved.min(100));
+        self.saved + (left * ran / total) as u8
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -98,6 +179,22 @@
     running: BTreeMap<String, Running>,
     used: Resources,
     broken: bool,
+    cut: bool,
+    hold: Option<Millis>,
+    seen: BTreeMap<String, u32>,
+    backlog: Vec<Ended>,
+}
+
+impl Worker {
+    fn extend(&mut self, until: Millis) {
+        self.hold = Some(self.hold.map_or(until, |h| h.max(until)));
+    }
+}
+
+#[derive(Debug, Default)]
+struct Reports {
+    seq: u64,
+    ended: VecDeque<Ended>,
 }
 
 /// The workers of one failure domain, with the oracle counters that tests read.
@@ -106,15 +203,21 @@
     arena: Arena<WorkerKey, Worker>,
     names: BTreeMap<String, WorkerKey>,
     ends: BTreeSet<(Millis, WorkerKey, String)>,
-    ended: Vec<Ended>,
+    reports: BTreeMap<String, Reports>,
     tasks: BTreeMap<String, WorkerKey>,
-    seq: u64,
     /// Tasks started.
     pub started: u64,
+    /// Tasks that lapsed because nobody extended their lease.
+    pub lapsed: u64,
     /// Workers that at some moment ran more than their capacity (must stay empty).
     pub overcommitted: BTreeSet<String>,
 }
 
+/// Name of the shard of a worker: one rack of one failure domain.
+pub fn shard_of(info: &WorkerInfo) -> String {
+    format!("{}-r{}", info.domain, info.rack)
+}
+
 impl Workers {
     /// Builds `racks` × `per_rack` workers of capacity `cap` in domain `domain`.
     pub fn new(domain: &str, racks: u32, per_rack: u32, cap: Resources) -> Self {
@@ -123,9 +226,17 @@
             for n in 0..per_rack {
                 let name = format!("{domain}-r{rack}-w{n}");
                 let info = WorkerInfo { name: name.clone(), domain: domain.to_string(), rack, cap };
-                let worker =
-                    Worker { info, running: BTreeMap::new(), used: Resources::ZERO, broken: false };
-                let key = w.arena.push(worker);
+                w.reports.entry(shard_of(&info)).or_default();
+                let key = w.arena.push(Worker {
+                    info,
+                    running: BTreeMap::new(),
+                    used: Resources::ZERO,
+                    broken: false,
+                    cut: false,
+                    hold: None,
+                    seen: BTreeMap::new(),
+                    backlog: Vec::new(),
+                });
                 w.names.insert(name, key);
             }
         }
@@ -137,36 +248,81 @@
         self.arena.iter().map(|(_, w)| w.info.clone()).collect()
     }
 
-    /// Marks a worker as one that fails everything it starts.
-    pub fn set_broken(&mut self, name: &str, broken: bool) -> bool {
-        let Some(&k) = self.names.get(name) else { return false };
-        self.arena.get_mut(k).broken = broken;
-        true
+    /// Sets which workers fail everything they start and which cannot be reached.
+    pub fn set_faults(&mut self, broken: &BTreeSet<String>, cut: &BTreeSet<String>) {
+        for (_, w) in self.arena.iter_mut() {
+            w.broken = broken.contains(&w.info.name);
+            let back = w.cut && !cut.contains(&w.info.name);
+            w.cut = cut.contains(&w.info.name);
+            if back {
+                let late = std::mem::take(&mut w.backlog);
+                let shard = shard_of(&w.info);
+                let r = self.reports.entry(shard).or_default();
+                late.into_iter().for_each(|e| r.push(e));
+            }
+        }
     }
 
-    /// Ends every task whose time has come.
+    /// Ends every task whose time has come and kills those whose task lease ran out.
     pub fn tick(&mut self, now: Millis) {
         while let Some((at, k, task)) = self.ends.first().cloned() {
             if at > now {
                 break;
             }
-            self.ends.pop_first();
-            self.finish(k, &task, at, true);
+            // A task whose lease ran out before its end was killed then, not done.
+            match self.arena.get(k).hold {
+                Some(h) if h < at => self.lapse(k, h),
+                _ => self.finish(k, &task, at, How::Done),
+            }
         }
+        let lapsed: Vec<(WorkerKey, Millis)> = self
+            .arena
+            .iter()
+            .filter(|(_, w)| !w.running.is_empty())
+            .filter_map(|(k, w)| Some((k, w.hold.filter(|&h| h <= now)?)))
+            .collect();
+        lapsed.into_iter().for_each(|(k, h)| self.lapse(k, h));
+    }
+
+    fn lapse(&mut self, k: WorkerKey, at: Millis) {
+        let tasks: Vec<String> = self.arena.get(k).running.keys().cloned().collect();
+        self.lapsed += tasks.len() as u64;
+        tasks.iter().for_each(|t| self.finish(k, t, at, How::Lapsed));
     }
 
-    fn finish(&mut self, k: WorkerKey, task: &str, at: Millis, ok: bool) {
+    fn finish(&mut self, k: WorkerKey, task: &str, at: Millis, how: How) {
         let w = self.arena.get_mut(k);
         let Some(run) = w.running.remove(task) else { return };
+        if let Some(end) = run.end {
+            self.ends.remove(&(end, k, task.to_string()));
+        }
         w.used = w.used.sub(&run.demand);
         self.tasks.remove(task);
-        let ok = ok && !w.broken;
-        let worker = w.info.name.clone();
-        self.seq += 1;
-        self.ended.push(Ended { seq: self.seq, at, task: task.to_string(), worker, ok });
+        let how = if w.broken && how == How::Done { How::Failed } else { how };
+        let saved = match how {
+            How::Done => 100,
+            How::Failed => 0,
+            How::Stopped => run.progress(at),
+            How::Lapsed => run.saved,
+        };
+        let ended = Ended {
+            seq: 0,
+            at,
+            task: task.to_string(),
+            attempt: run.attempt,
+            worker: w.info.name.clone(),
+            how,
+            saved,
+        };
+        if w.cut {
+            w.backlog.push(ended);
+        } else {
+            let shard = shard_of(&w.info);
+            self.reports.entry(shard).or_default().push(ended);
+        }
     }
 
-    /// Starts one task whose fence and placement `checked` says are valid.
+    /// Starts one task whose fence and placement the caller has checked.
     ///
     /// `factor_pct` scales the declared run time (declared times are far off).
     pub fn start(&mut self, req: &StartReq, now: Millis, factor_pct: u64) -> Option<StartRefusal> {
@@ -174,19 +330,38 @@
             return Some(StartRefusal::UnknownWorker);
         };
         let w = self.arena.get_mut(k);
-        if w.running.contains_key(&req.task) {
+        if w.cut {
+            return Some(StartRefusal::Unreachable);
+        }
+        if w.running.get(&req.task).is_some_and(|r| r.attempt >= req.attempt) {
             return Some(StartRefusal::AlreadyRunning);
         }
+        if w.seen.get(&req.task).is_some_and(|&a| a >= req.attempt) {
+            return Some(StartRefusal::AlreadyEnded);
+        }
+        let total = (req.run_ms * factor_pct / 100).max(1);
+        let left = total * u64::from(100 - req.saved.min(100)) / 100;
         let end = match (w.broken, req.run_ms) {
-            (true, _) => Some(now + 10),
+            (true, _) => Some(now + BROKEN_MS),
             (false, 0) => None,
-            (false, ms) => Some(now + (ms * factor_pct / 100).max(1)),
+            (false, _) => Some(now + left.max(1)),
         };
         w.used = w.used.add(&req.demand);
         if !w.used.fits(&w.info.cap) {
             self.overcommitted.insert(w.info.name.clone());
         }
-        w.running.insert(req.task.clone(), Running { demand: req.demand, end });
+        if req.hold_ms > 0 {
+            w.extend(now + req.hold_ms);
+        }
+        let run = Running {
+            attempt: req.attempt,
+            demand: req.demand,
+            start: now,
+            end,
+            saved: req.saved.min(100),
+        };
+        w.running.insert(req.task.clone(), run);
+        w.seen.insert(req.task.clone(), req.attempt);
         self.tasks.insert(req.task.clone(), k);
         if let Some(at) = end {
             self.ends.insert((at, k, req.task.clone()));
@@ -195,24 +370,83 @@
         None
     }
 
-    /// Stops a running task; it is reported as ended, not ok. Returns whether it ran.
-    pub fn stop(&mut self, task: &str, worker: &str, now: Millis) -> bool {
+    /// Stops attempt `attempt` of a task after a checkpoint; false when the worker cannot be
+    /// reached. The stop is always reported as [`How::Stopped`], also for an attempt that never
+    /// got here: a start of it that arrives later is refused.
+    pub fn stop(&mut self, task: &str, attempt: u32, worker: &str, now: Millis) -> bool {
         let Some(&k) = self.names.get(worker) else { return false };
-        let Some(run) = self.arena.get(k).running.get(task).cloned() else { return false };
-        if let Some(at) = run.end {
-            self.ends.remove(&(at, k, task.to_string()));
+        let w = self.arena.get_mut(k);
+        if w.cut {
+            return false;
+        }
+        if w.running.get(task).is_some_and(|r| r.attempt == attempt) {
+            self.finish(k, task, now, How::Stopped);
+        } else if w.seen.get(task).is_none_or(|&a| a < attempt) {
+            w.seen.insert(task.to_string(), attempt);
+            let never = Ended {
+                seq: 0,
+                at: now,
+                task: task.to_string(),
+                attempt,
+                worker: worker.to_string(),
+                how: How::Stopped,
+                saved: 0,
+            };
+            let shard = shard_of(&w.info);
+            self.reports.entry(shard).or_default().push(never);
         }
-        self.finish(k, task, now, false);
         true
     }
 
-    /// Ended tasks after `since` that are older than `lag` ms.
-    pub fn report(&self, since: u64, now: Millis, lag: Millis) -> Report {
-        let start = self.ended.partition_point(|e| e.seq <= since);
-        let ended: Vec<Ended> =
-            self.ended[start..].iter().take_while(|e| e.at + lag <= now).cloned().collect();
-        let next = ended.last().map_or(since, |e| e.seq);
-        Report { ended, next }
+    /// One shard's poll: extends task leases, forgets acknowledged ends, lists the others once
+    /// they are older than `lag`.
+    pub fn poll(&mut self, p: &ShardPoll, now: Millis, lag: Millis) -> ShardReport {
+        let mut out = ShardReport::default();
+        for (_, w) in self.arena.iter_mut().filter(|(_, w)| shard_of(&w.info) == p.shard) {
+            if w.cut {
+                out.cut.push(w.info.name.clone());
+                continue;
+            }
+            w.extend(now + p.hold_ms);
+            if p.inventory {
+                let here =
+                    w.running.iter().map(|(t, r)| (t.clone(), r.attempt, w.info.name.clone()));
+                out.running.extend(here);
+            }
+        }
+        let r = self.reports.entry(p.shard.clone()).or_default();
+        while r.ended.front().is_some_and(|e| e.seq <= p.acked) {
+            if let Some(e) = r.ended.pop_front() {
+                if let Some(&k) = self.names.get(&e.worker) {
+                    // The table no longer names this attempt, so no start of it can pass the
+                    // placement check: the worker need not remember it.
+                    let seen = &mut self.arena.get_mut(k).seen;
+                    if seen.get(&e.task) == Some(&e.attempt) {
+                        seen.remove(&e.task);
+                    }
+                }
+            }
+        }
+        let due = r.ended.iter().take_while(|e| e.at + lag <= now).take(ENDED_PAGE);
+        out.ended = due.cloned().collect();
+        out
+    }
+
+    /// Room per rack, from what runs now.
+    pub fn rooms(&self) -> Vec<RackRoom> {
+        let mut racks: BTreeMap<String, RackRoom> = BTreeMap::new();
+        for (_, w) in self.arena.iter().filter(|(_, w)| !w.cut) {
+            let free = w.info.cap.sub(&w.used);
+            let shard = shard_of(&w.info);
+            let r = racks.entry(shard.clone()).or_insert(RackRoom {
+                shard,
+                free: Resources::ZERO,
+                largest: Resources::ZERO,
+            });
+            r.free = r.free.add(&free);
+            r.largest = r.largest.max(free);
+        }
+        racks.into_values().collect()
     }
 
     /// Whether `task` runs on some worker of this domain now.
@@ -230,3 +464,11 @@
         self.arena.iter().map(|(_, w)| (w.info.name.clone(), w.running.len(), w.used)).collect()
     }
 }
+
+impl Reports {
+    fn push(&mut self, mut e: Ended) {
+        self.seq += 1;
+        e.seq = self.seq;
+        self.ended.push_back(e);
+    }
+}
--- a/src/runner/conn.rs
+++ b/src/runner/conn.rs
@@ -1,6 +1,6 @@
 //! One websocket connection of a runner: read frames, answer pings, hand requests to slots.
 
-use super::Runner;
+use super::{Runner, WriteState};
 use crate::kernel::stop::Stop;
 use crate::wire::{self, Frame};
 use async_std::channel;
@@ -28,25 +28,63 @@
     }
 
     async fn handle(self: Arc<Self>, frame: Frame, tx: channel::Sender<Frame>) {
+        self.clock.sleep(self.knobs.service_ms).await;
         let answer = match frame {
             Frame::Lookup { id, key } => {
-                self.clock.sleep(self.knobs.service_ms).await;
                 self.lookups.fetch_add(1, Ordering::Relaxed);
                 let value = wire::value_for(&key);
                 Frame::Answer { id, key, value }
             }
-            Frame::Write { id, write, body: _ } => {
-                self.clock.sleep(self.knobs.service_ms).await;
-                let runs = {
-                    let mut runs = self.runs.lock().unwrap();
-                    let n = runs.entry(write.clone()).or_default();
-                    *n += 1;
-                    *n
-                };
-                Frame::Done { id, write, runs }
-            }
+            Frame::Write { id, write, body: _ } => self.execute(id, write).await,
             _ => return,
         };
+        if !self.loses() {
+            let _ = tx.send(answer).await;
+        }
+    }
+
+    /// Executes a write and tells whoever asked about it meanwhile.
+    async fn execute(&self, id: u64, write: String) -> Frame {
+        let (runs, asked) = {
+            let mut writes = self.writes.lock().unwrap();
+            let (runs, asked) = match writes.remove(&write) {
+                Some(WriteState::Ran(n)) => (n + 1, Vec::new()),
+                Some(WriteState::Taken(asked)) => (1, asked),
+                Some(WriteState::Refused) | None => (1, Vec::new()),
+            };
+            writes.insert(write.clone(), WriteState::Ran(runs));
+            (runs, asked)
+        };
+        for (id, tx) in asked {
+            let _ = tx.send(Frame::Done { id, write: write.clone(), runs }).await;
+        }
+        Frame::Done { id, write, runs }
+    }
+
+    /// Decides whether a request is taken: a write's first frame decides for good, so that
+    /// whoever was told "busy" may send it elsewhere and it still runs at most once.
+    fn takes(&self, frame: &Frame, stopping: bool) -> bool {
+        let full = self.queued.load(Ordering::SeqCst) >= self.knobs.slots as usize * QUEUE_PER_SLOT;
+        let open = !stopping && !full;
+        let Frame::Write { write, .. } = frame else { return open };
+        let mut writes = self.writes.lock().unwrap();
+        let fate = || if open { WriteState::Taken(Vec::new()) } else { WriteState::Refused };
+        !matches!(writes.entry(write.clone()).or_insert_with(fate), WriteState::Refused)
+    }
+
+    /// Answers a query: the outcome, now or when it is known, or "busy", which then holds.
+    async fn answer_query(&self, id: u64, write: String, tx: &channel::Sender<Frame>) {
+        let answer = {
+            let mut writes = self.writes.lock().unwrap();
+            match writes.entry(write.clone()).or_insert(WriteState::Refused) {
+                WriteState::Ran(runs) => Frame::Done { id, write, runs: *runs },
+                WriteState::Refused => Frame::Busy { id, retry_ms: BUSY_RETRY_MS },
+                WriteState::Taken(asked) => {
+                    asked.push((id, tx.clone()));
+                    return;
+                }
+            }
+        };
         let _ = tx.send(answer).await;
     }
 
@@ -99,10 +137,17 @@
             let _ = sink.close(None).await;
         })
     };
+    let _ = tx.send(Frame::Hello { incarnation: r.incarnation }).await;
+    let mut told = false;
     let mine = Arc::new(AtomicUsize::new(0));
     let mut handlers = Vec::new();
     loop {
         let stopping = stop.fired();
+        if stopping && !told {
+            // Said at once, ahead of the lagging instance list, so that nothing new is sent here.
+            told = true;
+            let _ = tx.send(Frame::Leaving { incarnation: r.incarnation }).await;
+        }
         if stopping && mine.load(Ordering::SeqCst) == 0 {
             break;
         }
@@ -138,10 +183,9 @@
             Frame::Ping { nonce } => {
                 let _ = tx.send(Frame::Pong { nonce }).await;
             }
+            Frame::Query { id, write } => r.answer_query(id, write, &tx).await,
             Frame::Lookup { .. } | Frame::Write { .. } => {
-                let full =
-                    r.queued.load(Ordering::SeqCst) >= r.knobs.slots as usize * QUEUE_PER_SLOT;
-                if stopping || full {
+                if !r.takes(&frame, stopping) {
                     r.busy.fetch_add(1, Ordering::Relaxed);
                     if let Some(b) = busy(&frame) {
                         let _ = tx.send(b).await;
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -14,6 +14,9 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
+/// The admin listener closes at once on stop.
+const DRAIN: admin::Drain = admin::Drain { linger_ms: 0, drain_ms: 5_000 };
+
 /// Counters of a runner, served at `/stats`.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Stats {
@@ -29,6 +32,18 @@
     pub connections: usize,
 }
 
+/// What this life of the runner knows of one write id. The first frame that names the id
+/// decides: it is taken and run, or refused for good.
+#[derive(Debug)]
+enum WriteState {
+    /// Taken, not yet run; these queries wait for the outcome: (correlation id, connection).
+    Taken(Vec<(u64, async_std::channel::Sender<crate::wire::Frame>)>),
+    /// Executed this many times (once, unless something is broken).
+    Ran(u64),
+    /// Refused as busy: never run here.
+    Refused,
+}
+
 /// Shared state of one runner process.
 pub struct Runner {
     /// Its address and id.
@@ -37,7 +52,10 @@
     clock: Clock,
     slots: async_std::channel::Receiver<()>,
     slot_tx: async_std::channel::Sender<()>,
-    runs: Mutex<BTreeMap<String, u64>>,
+    writes: Mutex<BTreeMap<String, WriteState>>,
+    /// Which life of the runner this is.
+    pub incarnation: u64,
+    lose: AtomicU64,
     lookups: AtomicU64,
     busy: AtomicU64,
     open: AtomicUsize,
@@ -60,7 +78,9 @@
             clock,
             slots,
             slot_tx,
-            runs: Mutex::new(BTreeMap::new()),
+            writes: Mutex::new(BTreeMap::new()),
+            incarnation: rand::random::<u64>() >> 1,
+            lose: AtomicU64::new(0),
             lookups: AtomicU64::new(0),
             busy: AtomicU64::new(0),
             open: AtomicUsize::new(0),
@@ -73,7 +93,7 @@
 
     /// Counters now.
     pub fn stats(&self) -> Stats {
-        let runs = self.runs.lock().unwrap();
+        let runs = self.executions();
         Stats {
             lookups: self.lookups.load(Ordering::Relaxed),
             writes: runs.values().sum(),
@@ -83,6 +103,27 @@
         }
     }
 
+    /// How often each write id ran here.
+    pub fn executions(&self) -> BTreeMap<String, u64> {
+        let writes = self.writes.lock().unwrap();
+        let ran = |s: &WriteState| match s {
+            WriteState::Ran(n) => Some(*n),
+            WriteState::Taken(_) | WriteState::Refused => None,
+        };
+        writes.iter().filter_map(|(id, s)| Some((id.clone(), ran(s)?))).collect()
+    }
+
+    /// Fault injection: the answers to the next `n` requests are lost after they ran.
+    pub fn lose_answers(&self, n: u64) {
+        self.lose.store(n, Ordering::SeqCst);
+    }
+
+    /// Whether this answer is to be lost.
+    fn loses(&self) -> bool {
+        let take = |n: u64| n.checked_sub(1);
+        self.lose.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take).is_ok()
+    }
+
     /// Fault injection: every connection open now goes silent for good (reads nothing, answers
     /// nothing, stays open), as when a middlebox loses track of it; new connections work.
     pub fn silence(&self) {
@@ -103,9 +144,9 @@
     /// Serves websocket connections and the admin HTTP API until `stop`, then lets requests in
     /// flight finish before returning.
     pub async fn serve(self: Arc<Self>, stop: Stop) -> eyre::Result<()> {
-        let listener = TcpListener::bind(self.addr.listen).await?;
+        let listener = crate::http::listen(self.addr.listen)?;
         let (admin_addr, admin) =
-            admin::bind(self.admin_app(), self.addr.admin, stop.clone(), self.clock.clone(), 5000)
+            admin::bind(self.admin_app(), self.addr.admin, stop.clone(), self.clock.clone(), DRAIN)
                 .await?;
         log::info!("runner {} listening on {} admin {admin_addr}", self.addr.id, self.addr.listen);
         let accept = self.clone().accept(listener, stop.clone());
@@ -156,6 +197,14 @@
             r.state().silence();
             Ok(admin::json(200, &"silenced"))
         });
+        app.at("/writes").get(|r: tide::Request<Arc<Self>>| async move {
+            Ok(admin::json(200, &r.state().executions()))
+        });
+        app.at("/faults/lose/:n").post(|r: tide::Request<Arc<Self>>| async move {
+            let Ok(n) = r.param("n")?.parse() else { return Ok(admin::json(400, &"not a number")) };
+            r.state().lose_answers(n);
+            Ok(admin::json(200, &n))
+        });
         app.at("/metrics").get(|_| async { Ok(admin::render()) });
         app
     }
--- a/src/smoke.rs
+++ b/src/smoke.rs
@@ -1,8 +1,9 @@
 //! The smoke and load driver: drives a running cell with lookups, writes and jobs of every
 //! class for a while, then reports outcomes and the three promise counters.
 
-use crate::entry::route::{Answer, WriteDone};
+use crate::entry::route::Answer;
 use crate::entry::rows::{JobRow, JobState, TaskState};
+use crate::entry::writes::WriteDone;
 use crate::kernel::res::Resources;
 use crate::options::Cell;
 use crate::platform::api::Stats;
@@ -11,7 +12,7 @@
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 /// How long the driver waits after the load for batch work to end, s.
@@ -85,8 +86,13 @@
     }
 }
 
+fn client() -> &'static surf::Client {
+    static CLIENT: OnceLock<surf::Client> = OnceLock::new();
+    CLIENT.get_or_init(crate::http::client)
+}
+
 async fn get_json<T: serde::de::DeserializeOwned>(url: String) -> Option<T> {
-    let mut res = surf::get(url).await.ok()?;
+    let mut res = client().get(url).await.ok()?;
     res.status().is_success().then_some(())?;
     res.body_json().await.ok()
 }
@@ -95,7 +101,7 @@
     url: String,
     body: &impl Serialize,
 ) -> Result<T, u16> {
-    let req = surf::post(url).body_json(body).map_err(|_| 0u16)?;
+    let req = client().post(url).body_json(body).map_err(|_| 0u16)?;
     let mut res = req.await.map_err(|_| 0u16)?;
     let status: u16 = res.status().into();
     if status == 200 {
@@ -289,7 +295,7 @@
     }
     for j in &rows {
         for t in &j.tasks {
-            report.tasks_placed += u64::from(t.tries > 0);
+            report.tasks_placed += u64::from(t.attempt > 0);
             match t.state {
                 TaskState::Finished => report.tasks_finished += 1,
                 TaskState::Refused => report.tasks_refused += 1,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,7 +5,7 @@
 //! [`FrameError`], never a panic or a guess.
 
 use serde::{Deserialize, Serialize};
-use std::hash::{Hash, Hasher};
+use xxhash_rust::xxh3;
 
 /// Version of the frame format; a frame of another version is refused.
 pub const VERSION: u16 = 1;
@@ -29,6 +29,14 @@
         /// Its payload.
         body: String,
     },
+    /// Ask what became of a write sent earlier: answered with [`Frame::Done`] once it has run,
+    /// or with [`Frame::Busy`], and then it is never executed by this life of the runner.
+    Query {
+        /// Correlation id.
+        id: u64,
+        /// The write id.
+        write: String,
+    },
     /// The whole answer to lookup `id`.
     Answer {
         /// Correlation id.
@@ -47,7 +55,19 @@
         /// Executions so far.
         runs: u64,
     },
-    /// Not taken (full, or shutting down); nothing was executed; try elsewhere after `retry_ms`.
+    /// First frame of a connection: which life of the runner this is. A runner that restarted
+    /// has forgotten which writes it ran.
+    Hello {
+        /// Random number drawn at the runner's start.
+        incarnation: u64,
+    },
+    /// The runner shuts down: send it nothing new on any connection.
+    Leaving {
+        /// The runner's incarnation.
+        incarnation: u64,
+    },
+    /// Not taken (full, or shutting down): nothing was executed, and a write refused so is never
+    /// executed by this life of the runner. Try elsewhere, or again after `retry_ms`.
     Busy {
         /// Correlation id.
         id: u64,
@@ -74,10 +94,16 @@
     Lookup,
     /// [`Frame::Write`].
     Write,
+    /// [`Frame::Query`].
+    Query,
     /// [`Frame::Answer`].
     Answer,
     /// [`Frame::Done`].
     Done,
+    /// [`Frame::Hello`].
+    Hello,
+    /// [`Frame::Leaving`].
+    Leaving,
     /// [`Frame::Busy`].
     Busy,
     /// [`Frame::Ping`].
@@ -140,10 +166,13 @@
             Frame::Write { id, write, body } => {
                 w(WireKind::Write, id, Some(write), Some(body), None)
             }
+            Frame::Query { id, write } => w(WireKind::Query, id, Some(write), None, None),
             Frame::Answer { id, key, value } => {
                 w(WireKind::Answer, id, Some(key), Some(value), None)
             }
             Frame::Done { id, write, runs } => w(WireKind::Done, id, Some(write), None, Some(runs)),
+            Frame::Hello { incarnation } => w(WireKind::Hello, incarnation, None, None, None),
+            Frame::Leaving { incarnation } => w(WireKind::Leaving, incarnation, None, None, None),
             Frame::Busy { id, retry_ms } => w(WireKind::Busy, id, None, None, Some(retry_ms)),
             Frame::Ping { nonce } => w(WireKind::Ping, nonce, None, None, None),
             Frame::Pong { nonce } => w(WireKind::Pong, nonce, None, None, None),
@@ -167,10 +196,13 @@
             WireKind::Write => {
                 Self::Write { id, write: need(w.key, "key")?, body: need(w.body, "body")? }
             }
+            WireKind::Query => Self::Query { id, write: need(w.key, "key")? },
             WireKind::Answer => {
                 Self::Answer { id, key: need(w.key, "key")?, value: need(w.body, "body")? }
             }
             WireKind::Done => Self::Done { id, write: need(w.key, "key")?, runs: count(w.n, "n")? },
+            WireKind::Hello => Self::Hello { incarnation: id },
+            WireKind::Leaving => Self::Leaving { incarnation: id },
             WireKind::Busy => Self::Busy { id, retry_ms: count(w.n, "n")? },
             WireKind::Ping => Self::Ping { nonce: id },
             WireKind::Pong => Self::Pong { nonce: id },
@@ -195,7 +227,5 @@
 /// The value that every runner holds for `key`: the smoke driver checks each answer against it,
 /// so a crossed or partial answer is caught.
 pub fn value_for(key: &str) -> String {
-    let mut h = std::collections::hash_map::DefaultHasher::new();
-    key.hash(&mut h);
-    format!("{key}={:016x}", h.finish())
+    format!("{key}={:016x}", xxh3::xxh3_64(key.as_bytes()))
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code)]
 
+pub mod procs;
+
 use currantgw::entry::Entry;
 use currantgw::kernel::clock::Clock;
 use currantgw::kernel::res::Resources;
@@ -16,10 +18,26 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A loopback address with a port that was free a moment ago.
+/// First port handed out: below the range from which the system takes ports of outgoing
+/// connections, one of which could otherwise sit on a port before its listener is bound.
+const FIRST_PORT: u16 = 10_000;
+
+/// Ports handed out, per test process; test processes start at different places.
+const PORTS: u16 = 20_000;
+
+static NEXT_PORT: std::sync::atomic::AtomicU16 = std::sync::atomic::AtomicU16::new(0);
+
+/// A free loopback address that no other test of this process has been given.
 pub fn free_addr() -> SocketAddr {
-    let l = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    l.local_addr().unwrap()
+    let start = (std::process::id() as u16).wrapping_mul(101) % PORTS;
+    for _ in 0..PORTS {
+        let n = NEXT_PORT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let addr = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + (start + n % PORTS) % PORTS));
+        if std::net::TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
+    panic!("no free port");
 }
 
 /// Settings of a cell with one domain `a` of `racks` racks × 4 workers of 16 cores / 64 GiB.
@@ -51,6 +69,10 @@
             ping_ms: 100,
             idle_ms: 400,
             instances_ms: 100,
+            hold_ms: 3000,
+            linger_ms: 50,
+            ledger_ms: 20,
+            ..Timing::default()
         },
         entries: (0..entries)
             .map(|i| EntryAddr {
@@ -101,7 +123,7 @@
             cell.platform.listen,
             s,
             clock.clone(),
-            100,
+            currantgw::admin::Drain { linger_ms: 0, drain_ms: 100 },
         )
         .await
         .unwrap();
@@ -124,10 +146,10 @@
     /// Starts entry `id` of the settings.
     pub async fn add_entry(&mut self, id: &str) -> usize {
         let (t, s) = stop::pair();
-        let entry = Entry::new(&self.cell, id, Clock::real(), &s).await.unwrap();
+        let entry = Entry::new(&self.cell, id, Clock::real(), s).unwrap();
         self.triggers.push(t);
         let run = entry.clone();
-        self.tasks.push(async_std::task::spawn(async move { run.run(s).await.unwrap() }));
+        self.tasks.push(async_std::task::spawn(async move { run.run().await.unwrap() }));
         self.entries.push(entry);
         self.entries.len() - 1
     }
@@ -144,11 +166,11 @@
             for e in &self.entries {
                 held += e.members.lock().await.held.len();
             }
-            let shards = self.entries[0].shards.len();
+            let shards: u32 = self.cell.platform.domains.iter().map(|d| d.racks).sum();
             let linked = self.entries.iter().all(|e| {
                 e.pool.dump()["links"].as_object().unwrap().values().all(|l| l["connected"] == true)
             });
-            if held >= shards && linked {
+            if held >= shards as usize && linked {
                 return;
             }
             async_std::task::sleep(Duration::from_millis(50)).await;
@@ -167,23 +189,43 @@
     }
 }
 
+/// One HTTP client for every test of the process.
+pub fn client() -> &'static surf::Client {
+    static CLIENT: std::sync::OnceLock<surf::Client> = std::sync::OnceLock::new();
+    CLIENT.get_or_init(currantgw::http::client)
+}
+
 /// POSTs JSON and returns status and body.
 pub async fn post(url: &str, body: &serde_json::Value) -> (u16, serde_json::Value) {
-    let mut res = surf::post(url).body_json(body).unwrap().await.unwrap();
+    let mut res = client().post(url).body_json(body).unwrap().await.unwrap();
     let status: u16 = res.status().into();
     (status, res.body_json().await.unwrap_or(serde_json::Value::Null))
 }
 
 /// POSTs raw text and returns status and body.
 pub async fn post_raw(url: &str, body: &str) -> (u16, serde_json::Value) {
-    let mut res = surf::post(url).body_string(body.to_string()).await.unwrap();
+    let mut res = client().post(url).body_string(body.to_string()).await.unwrap();
     let status: u16 = res.status().into();
     (status, res.body_json().await.unwrap_or(serde_json::Value::Null))
 }
 
+/// GETs JSON from a process that may not answer.
+pub async fn try_get(url: &str) -> Option<serde_json::Value> {
+    let got = client().get(url).recv_json();
+    async_std::future::timeout(Duration::from_secs(2), got).await.ok()?.ok()
+}
+
+/// A job of `tasks` tasks of one core and 1 GiB each.
+pub fn job(entry: &str, tasks: u32, run_ms: u64, key: &str) -> serde_json::Value {
+    serde_json::json!({
+        "entry": entry, "tasks": tasks, "demand": { "cpu": 1000, "mem": 1024 },
+        "run_ms": run_ms, "key": key,
+    })
+}
+
 /// GETs JSON.
 pub async fn get(url: &str) -> (u16, serde_json::Value) {
-    let mut res = surf::get(url).await.unwrap();
+    let mut res = client().get(url).await.unwrap();
     let status: u16 = res.status().into();
     (status, res.body_json().await.unwrap_or(serde_json::Value::Null))
 }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -28,8 +28,7 @@
 #[async_std::test]
 async fn table_outage_keeps_lookups_and_refuses_submissions_at_once() {
     let c = ready_cell(1, 2, 1).await;
-    let outage =
-        Fault { target: Target::Table, kind: FaultKind::Outage, from_ms: None, for_ms: 1500 };
+    let outage = Fault::now(Target::Table, FaultKind::Outage, 1500);
     c.platform.add_faults(vec![outage]);
     for i in 0..20 {
         let (status, _) = get(&format!("{}/lookup?key=k{i}", c.url(0))).await;
@@ -62,8 +61,7 @@
 #[async_std::test]
 async fn lost_answers_on_submission_make_one_job() {
     let c = ready_cell(1, 1, 1).await;
-    let lose =
-        Fault { target: Target::Table, kind: FaultKind::LoseAnswer, from_ms: None, for_ms: 150 };
+    let lose = Fault::now(Target::Table, FaultKind::LoseAnswer, 150);
     c.platform.add_faults(vec![lose]);
     let (status, body) =
         post(&format!("{}/jobs", c.url(0)), &job("cronometria/splits", 3, 50, "lost-1")).await;
@@ -123,12 +121,7 @@
 #[async_std::test]
 async fn broken_worker_is_avoided_and_tasks_move() {
     let c = ready_cell(1, 1, 1).await;
-    let broken = Fault {
-        target: Target::Workers,
-        kind: FaultKind::Broken { worker: "a-r0-w0".into() },
-        from_ms: None,
-        for_ms: 0,
-    };
+    let broken = Fault::now(Target::Workers, FaultKind::Broken { worker: "a-r0-w0".into() }, 0);
     c.platform.add_faults(vec![broken]);
     let keys: Vec<String> = (0..12).map(|i| format!("broken-{i}")).collect();
     for k in &keys {
@@ -155,7 +148,7 @@
     c.runners[0].silence();
     let pool = &c.entries[0].pool;
     let dropped = eventually(100, || async {
-        pool.counts.silent_drops.load(std::sync::atomic::Ordering::Relaxed) > 0
+        pool.counts.silent.load(std::sync::atomic::Ordering::Relaxed) > 0
     })
     .await;
     assert!(dropped, "the silent connection was not dropped");
--- a/tests/fencing.rs
+++ b/tests/fencing.rs
@@ -6,7 +6,7 @@
 use currantgw::options::{DomainSpec, PlatformSettings};
 use currantgw::platform::table::{Cond, Op, Outcome, Txn};
 use currantgw::platform::workers::{StartRefusal, StartReq};
-use currantgw::platform::Platform;
+use currantgw::platform::{place_value, Platform};
 use serde_json::json;
 
 fn platform(clock: &Clock) -> Platform {
@@ -38,10 +38,7 @@
 fn place(p: &Platform, who: &str, epoch: u64, worker: &str) -> Outcome {
     let txn = Txn {
         conds: vec![Cond::Lease { key: "shard/a-r0".into(), holder: who.into(), epoch }],
-        ops: vec![Op::Put {
-            key: "place/j1.0".into(),
-            value: json!({ "worker": worker, "epoch": epoch }),
-        }],
+        ops: vec![Op::Put { key: "place/j1.0".into(), value: place_value(worker, epoch, 1) }],
         idem: None,
     };
     p.txn(&txn).unwrap()
@@ -50,11 +47,14 @@
 fn start(worker: &str, epoch: u64) -> StartReq {
     StartReq {
         task: "j1.0".into(),
+        attempt: 1,
         worker: worker.into(),
         lease: "shard/a-r0".into(),
         epoch,
         demand: Resources { cpu: 1000, mem: 1024, acc: 0 },
         run_ms: 10_000,
+        saved: 0,
+        hold_ms: 0,
     }
 }
 
