Scheduler under lost workers, full racks, quotas, failing jobs and gangs: failure tests, and what they found

Found: (1) a gang with two members on a worker that fails everything failed for good within a second: its retries went back to the same worker at once, and blame counted jobs, of which there was one. (2) the fault plan had no job that can never run: kind "poison" added. (3) a plan of only poison faults was not applied (strikes_workers listed kinds by hand; it matches all of them now).

Ruled out: worker avoidance by count of failures alone (a wave of poison jobs would take the rack down: poison_jobs_do_not_take_the_workers_down).

--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -202,6 +202,7 @@
         submitted: a.clock.now(),
         started: None,
         moves: 0,
+        retry: 0,
         spec,
     };
     let note = match never {
--- a/src/entry/rows.rs
+++ b/src/entry/rows.rs
@@ -151,6 +151,9 @@
     /// How often the job moved to another shard for want of room.
     #[serde(default)]
     pub moves: u32,
+    /// No task is placed before this, Unix ms: the wait after a failure.
+    #[serde(default)]
+    pub retry: Millis,
 }
 
 impl JobRow {
--- a/src/entry/sched/commit.rs
+++ b/src/entry/sched/commit.rs
@@ -11,7 +11,7 @@
 use crate::platform::table::{Cond, Op, Outcome, Txn};
 use crate::platform::{lease_key, place_key};
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// At most one worker in this many of a shard is avoided at once: a wave of jobs that fail
 /// everywhere must not leave the shard without workers.
@@ -184,31 +184,24 @@
         if self.counts.rounds.is_multiple_of(REREAD_ROUNDS) {
             plan.blocked.iter().for_each(|t| drop(self.quotas.remove(t)));
         }
-        for (k, job, failed) in plan.blame {
-            self.blame(k, &job, failed, plan.now);
+        for (k, task, failed) in plan.blame {
+            self.blame(k, &task, failed, plan.now);
         }
         self.counts.add(&plan.counts);
     }
 
-    /// Remembers that a task of `job` failed or succeeded on worker `k`. A worker that fails
-    /// everything it starts is noticed by several jobs failing on it that failed nowhere else;
-    /// it is avoided for a while so that their tasks go elsewhere. A job that fails on two
-    /// workers is itself to blame, and no worker is.
-    fn blame(&mut self, k: WorkerKey, job: &str, failed: bool, now: u64) {
+    /// Remembers that `task` failed or succeeded on worker `k`. A worker that fails everything
+    /// it starts is noticed by tasks failing on it whose jobs failed nowhere else; it is avoided
+    /// for a while so that they go elsewhere. A job that fails on two workers is itself to blame,
+    /// and no worker is.
+    fn blame(&mut self, k: WorkerKey, task: &str, failed: bool, now: u64) {
         if !failed {
-            self.workers.get_mut(k).blame.clear();
+            let w = self.workers.get_mut(k);
+            (w.blame, w.avoid) = (BTreeSet::new(), 0);
             return;
         }
-        let elsewhere: Vec<WorkerKey> = self
-            .workers
-            .iter()
-            .filter(|(o, w)| *o != k && w.blame.contains(job))
-            .map(|(o, _)| o)
-            .collect();
-        if !elsewhere.is_empty() {
-            for o in elsewhere {
-                self.workers.get_mut(o).blame.remove(job);
-            }
+        let Some((job, _)) = rows::task_parts(task) else { return };
+        if self.acquit(k, &format!("{job}.")) {
             return;
         }
         let shard = crate::platform::workers::shard_of(&self.workers.get(k).info);
@@ -216,12 +209,27 @@
         let avoided = peers.iter().filter(|&&p| self.workers.get(p).avoid > now).count();
         let may = avoided < peers.len().div_ceil(AVOID_ONE_IN);
         let w = self.workers.get_mut(k);
-        w.blame.insert(job.to_string());
+        w.blame.insert(task.to_string());
         if w.blame.len() >= AVOID_AFTER && may && w.avoid <= now {
             w.avoid = now + AVOID_MS;
-            w.blame.clear();
             log::warn!("worker {} avoided for {AVOID_MS} ms", w.info.name);
             metrics::counter!("entry_workers_avoided").increment(1);
         }
     }
+
+    /// Takes the tasks of a job (by their prefix) off every worker's blame if some other worker
+    /// than `k` bears it too; whether one did.
+    fn acquit(&mut self, k: WorkerKey, prefix: &str) -> bool {
+        let bears = |w: &super::WorkerView| w.blame.iter().any(|t| t.starts_with(prefix));
+        if !self.workers.iter().any(|(o, w)| o != k && bears(w)) {
+            return false;
+        }
+        for (_, w) in self.workers.iter_mut().filter(|(_, w)| bears(w)) {
+            w.blame.retain(|t| !t.starts_with(prefix));
+            if w.blame.len() < AVOID_AFTER {
+                w.avoid = 0;
+            }
+        }
+        true
+    }
 }
--- a/src/entry/sched/mod.rs
+++ b/src/entry/sched/mod.rs
@@ -29,7 +29,7 @@
 /// Failures of a task before it fails for good (services never do).
 pub const MAX_FAILS: u32 = 3;
 
-/// Jobs that failed on a worker, without having failed elsewhere, after which it is avoided.
+/// Tasks that failed on a worker, of jobs that failed nowhere else, after which it is avoided.
 pub const AVOID_AFTER: usize = 2;
 
 /// How long a failing worker is avoided, ms.
@@ -47,7 +47,7 @@
     pub commit: CommitRow,
     /// Version of the commitment row.
     pub version: u64,
-    /// Jobs that failed here and, so far, nowhere else.
+    /// Tasks that failed here, of jobs that so far failed nowhere else.
     pub blame: BTreeSet<String>,
     /// Avoided until this local time.
     pub avoid: Millis,
--- a/src/entry/sched/plan.rs
+++ b/src/entry/sched/plan.rs
@@ -22,6 +22,13 @@
 /// Idle quota parts are given back every this many rounds.
 const GIVE_BACK_ROUNDS: u64 = 16;
 
+/// Wait before a failed task is placed again, ms; doubles with each failure, so that a cause
+/// that passes has time to, and tasks that fail at once do not flood the table.
+const RETRY_MS: Millis = 100;
+
+/// The wait doubles at most this often.
+const MAX_DOUBLINGS: u32 = 6;
+
 /// Clock drift and delay allowed for before a silent worker's task leases count as run out:
 /// a twentieth of the lease, plus this many ms.
 const LAPSE_MARGIN_MS: Millis = 1_000;
@@ -51,7 +58,7 @@
     pub acked: BTreeMap<String, u64>,
     /// Shards reconciled with what their workers run.
     pub reconciled: BTreeSet<String>,
-    /// Workers and the job whose task failed (true) or succeeded (false) on them.
+    /// Workers and the tasks that failed (true) or succeeded (false) on them.
     pub blame: Vec<(WorkerKey, String, bool)>,
     /// Teams whose jobs waited for quota: their rows are read anew.
     pub blocked: BTreeSet<String>,
@@ -162,7 +169,7 @@
         let placed = t.state == TaskState::Placed;
         self.release(name, epoch, k, &e.task);
         if e.how == How::Done || e.how == How::Failed {
-            self.plan.blame.push((k, id.to_string(), e.how == How::Failed));
+            self.plan.blame.push((k, e.task.clone(), e.how == How::Failed));
         }
         if placed {
             self.end_task(name, epoch, id, n, e.how, e.saved);
@@ -183,6 +190,10 @@
             How::Failed if t.fails >= MAX_FAILS && !service => TaskState::Failed,
             How::Failed | How::Stopped | How::Lapsed => TaskState::Pending,
         };
+        if how == How::Failed {
+            let doublings = row.tasks[n].fails.min(MAX_DOUBLINGS);
+            row.retry = now + (RETRY_MS << doublings);
+        }
         settle(row, now);
         match how {
             How::Done => self.plan.counts.finished += 1,
@@ -389,6 +400,9 @@
             self.fail_gang(name, epoch, id);
             return;
         }
+        if row.retry > self.plan.now {
+            return;
+        }
         let Some(entry) = self.cx.cat.entries.get(&row.spec.entry) else { return };
         let (demand, class) = (row.spec.demand, row.class);
         let waiting: Vec<usize> = pending(row);
--- a/src/platform/faults.rs
+++ b/src/platform/faults.rs
@@ -41,6 +41,11 @@
         /// Worker name.
         worker: String,
     },
+    /// The named job's tasks fail wherever they start (target `workers`).
+    Poison {
+        /// Job id.
+        job: String,
+    },
 }
 
 /// One fault, active from `from_ms` for `for_ms` (platform ms; `for_ms` 0 means for good).
@@ -74,6 +79,8 @@
     Broken,
     /// [`FaultKind::Cut`]; needs `worker`.
     Cut,
+    /// [`FaultKind::Poison`]; needs `job`.
+    Poison,
 }
 
 /// A fault as written in a plan: flat, unknown fields refused.
@@ -87,6 +94,8 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     worker: Option<String>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
+    job: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     from_ms: Option<Millis>,
     #[serde(default)]
     for_ms: Millis,
@@ -121,6 +130,9 @@
             WireKind::LoseAnswer => FaultKind::LoseAnswer,
             WireKind::Broken => FaultKind::Broken { worker: worker? },
             WireKind::Cut => FaultKind::Cut { worker: worker? },
+            WireKind::Poison => FaultKind::Poison {
+                job: w.job.ok_or(FaultError::Missing { kind: w.kind, field: "job" })?,
+            },
         };
         Ok(Self { target: w.target, kind, from_ms: w.from_ms, for_ms: w.for_ms, from: w.from })
     }
@@ -128,15 +140,29 @@
 
 impl From<Fault> for WireFault {
     fn from(f: Fault) -> Self {
-        let (kind, ms, worker) = match f.kind {
-            FaultKind::Outage => (WireKind::Outage, None, None),
-            FaultKind::Delay { ms } => (WireKind::Delay, Some(ms), None),
-            FaultKind::LoseAnswer => (WireKind::LoseAnswer, None, None),
-            FaultKind::Broken { worker } => (WireKind::Broken, None, Some(worker)),
-            FaultKind::Cut { worker } => (WireKind::Cut, None, Some(worker)),
+        let Fault { target, kind, from_ms, for_ms, from } = f;
+        let (mut ms, mut worker, mut job) = (None, None, None);
+        let kind = match kind {
+            FaultKind::Outage => WireKind::Outage,
+            FaultKind::Delay { ms: delay } => {
+                ms = Some(delay);
+                WireKind::Delay
+            }
+            FaultKind::LoseAnswer => WireKind::LoseAnswer,
+            FaultKind::Broken { worker: name } => {
+                worker = Some(name);
+                WireKind::Broken
+            }
+            FaultKind::Cut { worker: name } => {
+                worker = Some(name);
+                WireKind::Cut
+            }
+            FaultKind::Poison { job: id } => {
+                job = Some(id);
+                WireKind::Poison
+            }
         };
-        let Fault { target, from_ms, for_ms, from, .. } = f;
-        Self { target, kind, ms, worker, from_ms, for_ms, from }
+        Self { target, kind, ms, worker, job, from_ms, for_ms, from }
     }
 }
 
@@ -158,6 +184,17 @@
     pub lose: bool,
 }
 
+/// Workers and jobs that faults strike by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Struck {
+    /// Workers that fail everything they start.
+    pub broken: BTreeSet<String>,
+    /// Workers that cannot be reached.
+    pub cut: BTreeSet<String>,
+    /// Jobs whose tasks fail wherever they start.
+    pub poison: BTreeSet<String>,
+}
+
 /// The faults in force.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Plan {
@@ -184,28 +221,32 @@
                 FaultKind::Outage => e.outage = true,
                 FaultKind::Delay { ms } => e.delay = e.delay.max(ms),
                 FaultKind::LoseAnswer => e.lose = true,
-                FaultKind::Broken { .. } | FaultKind::Cut { .. } => {}
+                FaultKind::Broken { .. } | FaultKind::Cut { .. } | FaultKind::Poison { .. } => {}
             }
         }
         e
     }
 
-    /// Workers broken and workers cut off at `now`.
-    pub fn workers(&self, now: Millis) -> (BTreeSet<String>, BTreeSet<String>) {
-        let (mut broken, mut cut) = (BTreeSet::new(), BTreeSet::new());
+    /// What strikes single workers and jobs at `now`.
+    pub fn struck(&self, now: Millis) -> Struck {
+        let mut s = Struck::default();
         for f in self.faults.iter().filter(|f| Self::active(f, now)) {
             match &f.kind {
-                FaultKind::Broken { worker } => broken.insert(worker.clone()),
-                FaultKind::Cut { worker } => cut.insert(worker.clone()),
+                FaultKind::Broken { worker } => s.broken.insert(worker.clone()),
+                FaultKind::Cut { worker } => s.cut.insert(worker.clone()),
+                FaultKind::Poison { job } => s.poison.insert(job.clone()),
                 FaultKind::Outage | FaultKind::Delay { .. } | FaultKind::LoseAnswer => continue,
             };
         }
-        (broken, cut)
+        s
     }
 
     /// Whether some fault strikes single workers, now or ever.
     pub fn strikes_workers(&self) -> bool {
-        let single = |f: &Fault| matches!(f.kind, FaultKind::Broken { .. } | FaultKind::Cut { .. });
+        let single = |f: &Fault| match f.kind {
+            FaultKind::Broken { .. } | FaultKind::Cut { .. } | FaultKind::Poison { .. } => true,
+            FaultKind::Outage | FaultKind::Delay { .. } | FaultKind::LoseAnswer => false,
+        };
         self.faults.iter().any(single)
     }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -117,6 +117,11 @@
         self.store.lock().unwrap().get(name)
     }
 
+    /// Bodies of the objects whose names start with `prefix`.
+    pub fn objects(&self, prefix: &str) -> Vec<String> {
+        self.store.lock().unwrap().bodies(prefix)
+    }
+
     /// Every worker of every domain.
     pub fn workers(&self) -> Vec<workers::WorkerInfo> {
         self.domains.values().flat_map(|d| d.lock().unwrap().list()).collect()
@@ -130,13 +135,13 @@
         let now = self.clock.now();
         let faults = {
             let plan = self.plan.lock().unwrap();
-            plan.strikes_workers().then(|| plan.workers(now))
+            plan.strikes_workers().then(|| plan.struck(now))
         };
         for d in self.domains.values() {
             let mut d = d.lock().unwrap();
             d.tick(now);
-            if let Some((broken, cut)) = &faults {
-                d.set_faults(broken, cut);
+            if let Some(struck) = &faults {
+                d.set_faults(struck);
             }
         }
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -37,6 +37,12 @@
         self.objects.get(name).cloned()
     }
 
+    /// Bodies of the objects whose names start with `prefix`, in the order of their names.
+    pub fn bodies(&self, prefix: &str) -> Vec<String> {
+        let named = self.objects.range(prefix.to_string()..);
+        named.take_while(|(n, _)| n.starts_with(prefix)).map(|(_, o)| o.body.clone()).collect()
+    }
+
     /// Number of objects and bytes held.
     pub fn size(&self) -> (usize, usize) {
         (self.objects.len(), self.objects.values().map(|o| o.body.len()).sum())
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -5,6 +5,7 @@
 use crate::kernel::arena::{Arena, WorkerKey};
 use crate::kernel::clock::Millis;
 use crate::kernel::res::Resources;
+use crate::platform::faults::Struck;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -205,6 +206,7 @@
     ends: BTreeSet<(Millis, WorkerKey, String)>,
     reports: BTreeMap<String, Reports>,
     tasks: BTreeMap<String, WorkerKey>,
+    poison: BTreeSet<String>,
     /// Tasks started.
     pub started: u64,
     /// Tasks that lapsed because nobody extended their lease.
@@ -248,12 +250,13 @@
         self.arena.iter().map(|(_, w)| w.info.clone()).collect()
     }
 
-    /// Sets which workers fail everything they start and which cannot be reached.
-    pub fn set_faults(&mut self, broken: &BTreeSet<String>, cut: &BTreeSet<String>) {
+    /// Sets which workers and jobs faults strike.
+    pub fn set_faults(&mut self, struck: &Struck) {
+        self.poison.clone_from(&struck.poison);
         for (_, w) in self.arena.iter_mut() {
-            w.broken = broken.contains(&w.info.name);
-            let back = w.cut && !cut.contains(&w.info.name);
-            w.cut = cut.contains(&w.info.name);
+            w.broken = struck.broken.contains(&w.info.name);
+            let back = w.cut && !struck.cut.contains(&w.info.name);
+            w.cut = struck.cut.contains(&w.info.name);
             if back {
                 let late = std::mem::take(&mut w.backlog);
                 let shard = shard_of(&w.info);
@@ -298,7 +301,11 @@
         }
         w.used = w.used.sub(&run.demand);
         self.tasks.remove(task);
-        let how = if w.broken && how == How::Done { How::Failed } else { how };
+        let poisoned = self.poison.iter().any(|j| task.starts_with(j));
+        let how = match how {
+            How::Done if w.broken || poisoned => How::Failed,
+            other => other,
+        };
         let saved = match how {
             How::Done => 100,
             How::Failed => 0,
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -3,17 +3,10 @@
 
 mod common;
 
-use common::{catalogue, eventually, get, post, TestCell};
+use common::{catalogue, eventually, get, job, post, TestCell};
 use currantgw::platform::faults::{Fault, FaultKind, Target};
 use currantgw::platform::instances::InstanceState;
 
-fn job(entry: &str, tasks: u32, run_ms: u64, key: &str) -> serde_json::Value {
-    serde_json::json!({
-        "entry": entry, "tasks": tasks, "demand": { "cpu": 1000, "mem": 1024 },
-        "run_ms": run_ms, "key": key,
-    })
-}
-
 async fn ready_cell(entries: usize, runners: usize, racks: u32) -> TestCell {
     let c = TestCell::start(common::cell(entries, runners, racks)).await;
     c.ready().await;
