--- a/src/cli.rs
+++ b/src/cli.rs
@@ -125,6 +125,12 @@
     /// concurrent lookup loops (default 8)
     #[argh(option, default = "8")]
     pub lookers: u32,
+    /// concurrent write loops (default 2)
+    #[argh(option, default = "2")]
+    pub writers: u32,
+    /// catalogue edits per minute (default 12)
+    #[argh(option, default = "12")]
+    pub edits: u32,
     /// jobs submitted per second (default 10)
     #[argh(option, default = "10")]
     pub jobs: u32,
@@ -241,6 +247,8 @@
             let knobs = crate::smoke::Knobs {
                 seconds: c.seconds,
                 lookers: c.lookers,
+                writers: c.writers,
+                edits: c.edits,
                 jobs: c.jobs,
                 faults,
             };
--- /dev/null
+++ b/tests/fuzz.rs
@@ -0,0 +1,133 @@
+//! Fuzzing with proptest of everything that reads bytes from outside: frames, catalogue edits,
+//! fault plans, settings, and the table's transactions. Bad input is a typed error, never a
+//! panic, and good input survives the way there and back.
+
+use currantgw::entry::catalogue::{Catalogue, Edit};
+use currantgw::options;
+use currantgw::platform::faults::Fault;
+use currantgw::platform::table::{Cond, Op, Outcome, Table, Txn};
+use currantgw::wire::{self, Frame, FrameError, WireFrame, WireKind};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+fn frame() -> impl Strategy<Value = Frame> {
+    let text = "[ -~]{0,40}";
+    prop_oneof![
+        (any::<u64>(), text).prop_map(|(id, key)| Frame::Lookup { id, key }),
+        (any::<u64>(), text, text).prop_map(|(id, write, body)| Frame::Write { id, write, body }),
+        (any::<u64>(), text).prop_map(|(id, write)| Frame::Query { id, write }),
+        (any::<u64>(), text, text).prop_map(|(id, key, value)| Frame::Answer { id, key, value }),
+        (any::<u64>(), text, any::<u64>()).prop_map(|(id, write, runs)| Frame::Done {
+            id,
+            write,
+            runs
+        }),
+        (any::<u64>(), any::<u64>()).prop_map(|(id, retry_ms)| Frame::Busy { id, retry_ms }),
+        any::<u64>().prop_map(|incarnation| Frame::Hello { incarnation }),
+        any::<u64>().prop_map(|incarnation| Frame::Leaving { incarnation }),
+        any::<u64>().prop_map(|nonce| Frame::Ping { nonce }),
+        any::<u64>().prop_map(|nonce| Frame::Pong { nonce }),
+    ]
+}
+
+/// An edit as JSON with one thing in it replaced by noise.
+fn bent_edit() -> impl Strategy<Value = String> {
+    let whole = include_str!("../examples/catalogue.json");
+    (0..whole.len(), 0..60usize, "[ -~]{0,12}").prop_map(move |(at, len, noise)| {
+        let end = (at + len).min(whole.len());
+        format!("{{\"base\":0,{}{noise}{}", &whole[1..at.max(1)], &whole[end.max(1)..])
+    })
+}
+
+/// A transaction over few keys, so that conditions meet rows.
+fn txn() -> impl Strategy<Value = Txn> {
+    let key = || (0u8..4).prop_map(|k| format!("k{k}"));
+    let cond = (key(), 0u64..4).prop_map(|(key, version)| Cond::Version { key, version });
+    let op = prop_oneof![
+        (key(), any::<u8>()).prop_map(|(key, v)| Op::Put { key, value: v.into() }),
+        key().prop_map(|key| Op::Delete { key }),
+    ];
+    let (conds, ops) = (prop::collection::vec(cond, 0..3), prop::collection::vec(op, 0..4));
+    (conds, ops).prop_map(|(conds, ops)| Txn { conds, ops, idem: None })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 4_000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn frames_survive_the_wire(f in frame()) {
+        prop_assert_eq!(wire::decode(&wire::encode(f.clone())), Ok(f));
+    }
+
+    #[test]
+    fn noise_is_no_frame_and_no_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = wire::decode(&bytes);
+    }
+
+    /// A frame cut short or with a byte changed decodes to an error or to some frame, and a
+    /// frame of another version is refused whatever it holds.
+    #[test]
+    fn damaged_frames_are_typed_errors(f in frame(), at in any::<prop::sample::Index>(), b in any::<u8>()) {
+        let whole = wire::encode(f);
+        let cut = at.index(whole.len());
+        prop_assert!(matches!(wire::decode(&whole[..cut]), Err(FrameError::Decode(_))));
+        let mut bent = whole.clone();
+        bent[cut] = b;
+        let _ = wire::decode(&bent);
+    }
+
+    #[test]
+    fn other_versions_and_missing_fields_are_refused(v in 2u16.., id in any::<u64>()) {
+        let bare = |v, kind| WireFrame { v, kind, id, key: None, body: None, n: None };
+        prop_assert_eq!(Frame::try_from(bare(v, WireKind::Ping)), Err(FrameError::Version(v)));
+        let kind = WireKind::Lookup;
+        let missing = FrameError::Missing { kind, field: "key" };
+        prop_assert_eq!(Frame::try_from(bare(1, kind)), Err(missing));
+    }
+
+    /// A bent edit is refused by the parser or by the check, or is a sound edit.
+    #[test]
+    fn bent_edits_never_pass_the_check_unsound(text in bent_edit()) {
+        if let Ok(edit) = serde_json::from_str::<Edit>(&text) {
+            if edit.check().is_ok() {
+                prop_assert!(edit.entries.iter().all(|e| e.limits.cpu > 0 && e.limits.fits(&e.quota)));
+                let mut cat = Catalogue::default();
+                prop_assert!(cat.apply(1, &edit));
+                prop_assert!(!cat.apply(1, &edit), "a version is applied once");
+            }
+        }
+    }
+
+    #[test]
+    fn noise_is_no_plan_and_no_settings(text in "[ -~]{0,120}") {
+        let _ = serde_json::from_str::<Vec<Fault>>(&text);
+        prop_assert!(options::parse(&text).is_err());
+    }
+
+    /// A feed followed from any revision shows what a scan shows, whatever transactions came
+    /// between, refused ones included.
+    #[test]
+    fn feeds_tell_what_scans_tell(txns in prop::collection::vec(txn(), 1..30), every in 1usize..6) {
+        let mut t = Table::new(1_000_000, 1_000_000);
+        let mut seen: BTreeMap<String, serde_json::Value> = BTreeMap::new();
+        let mut since = 0;
+        for (i, txn) in txns.iter().enumerate() {
+            let before = t.scan("k", 0).unwrap();
+            if let Outcome::Conflict { .. } = t.apply(txn, 0).unwrap() {
+                prop_assert_eq!(&t.scan("k", 0).unwrap(), &before, "a refused one changes nothing");
+            }
+            if i % every == 0 {
+                let feed = t.feed("k", since, 0).unwrap();
+                since = feed.revision;
+                if feed.reset {
+                    seen.clear();
+                }
+                seen.extend(feed.rows.into_iter().map(|(k, r)| (k, r.value)));
+                feed.gone.iter().for_each(|k| drop(seen.remove(k)));
+                let now = t.scan("k", 0).unwrap();
+                let now: BTreeMap<_, _> = now.into_iter().map(|(k, r)| (k, r.value)).collect();
+                prop_assert_eq!(&seen, &now);
+            }
+        }
+    }
+}
