Commitments are the sum of placement rows: no commitment row a worker

What changed: the placement row carries the demand; a shard's commitments are read by one scan at the takeover and then kept by its holder, whose lease fences every write of them. A cancellation marks the placement row withdrawn (epoch 0) instead of removing it, so that the room stays committed until the end is seen.

Ruled out: keeping the rows with sums only (their version guarded nothing that the lease does not guard: only the holder writes them).

--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -7,9 +7,9 @@
 use crate::kernel::res::{Class, Resources};
 use crate::platform::api::StopReq;
 use crate::platform::client::{Client, PlatformError};
-use crate::platform::place_key;
 use crate::platform::table::{Cond, Op, Outcome, Txn};
 use crate::platform::workers::RackRoom;
+use crate::platform::{place_key, PlaceRow};
 use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3;
 
@@ -266,7 +266,9 @@
             let task = row.task_id(n);
             let t = &mut row.tasks[n];
             if let (TaskState::Placed, Some(worker)) = (t.state, t.worker.clone()) {
-                ops.push(Op::Delete { key: place_key(&task) });
+                let (attempt, demand) = (t.attempt, row.spec.demand);
+                let withdrawn = PlaceRow { worker: worker.clone(), epoch: 0, attempt, demand };
+                ops.push(Op::Put { key: place_key(&row.shard, &task), value: withdrawn.value() });
                 stops.push(StopReq { task, attempt: t.attempt, worker });
             }
             if !t.state.ended() {
--- a/src/entry/rows.rs
+++ b/src/entry/rows.rs
@@ -9,8 +9,7 @@
 //! | `catlog/<version>` | the edit that made `version` | catalogue edits |
 //! | `job/<id>` | [`JobRow`] | submission, the shard holder, cancellation |
 //! | `pend/<domain>/<shard>/<id>` | `{}`: the job wants the shard holder's attention (tasks waiting, or a cancellation to carry out) | submission, cancellation, the holder |
-//! | `commit/<worker>` | [`CommitRow`]: what is committed on a worker | the shard holder |
-//! | `place/<task>` | `{worker, epoch, attempt}`: checked by the worker before a start | the holder |
+//! | `place/<shard>/<task>` | `PlaceRow`: what is committed on a worker, checked by it before a start | the holder, cancellation |
 //! | `quota/<domain>/<team>` | [`QuotaRow`]: the team's quota granted to shards | shard holders |
 //! | `done/<domain>/<shard>/<ms>/<id>` | `{}`: the job ended then; swept to a report later | the holder |
 //! | `write/<id>` | [`WriteRow`]: which runner a write was sent to, and its outcome | entries |
@@ -191,35 +190,6 @@
     }
 }
 
-/// What is committed on one worker: the sum, and each task's share.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CommitRow {
-    /// Sum of the tasks' declared resources.
-    pub used: Resources,
-    /// Task id to its declared resources.
-    pub tasks: BTreeMap<String, Resources>,
-}
-
-impl CommitRow {
-    /// Adds a task.
-    pub fn add(&mut self, task: &str, r: Resources) {
-        if self.tasks.insert(task.to_string(), r).is_none() {
-            self.used = self.used.add(&r);
-        }
-    }
-
-    /// Removes a task; false when it was not there.
-    pub fn remove(&mut self, task: &str) -> bool {
-        match self.tasks.remove(task) {
-            Some(r) => {
-                self.used = self.used.sub(&r);
-                true
-            }
-            None => false,
-        }
-    }
-}
-
 /// A team's quota in one failure domain, granted in parts to its shards so that each holder can
 /// place against its own part without asking the others.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -266,11 +236,6 @@
     format!("pend/{domain}/{shard}/{id}")
 }
 
-/// Key of a worker's commitment row.
-pub fn commit_key(worker: &str) -> String {
-    format!("commit/{worker}")
-}
-
 /// Key of a team's quota row in a failure domain.
 pub fn quota_key(domain: &str, team: &str) -> String {
     format!("quota/{domain}/{team}")
--- a/src/entry/sched/commit.rs
+++ b/src/entry/sched/commit.rs
@@ -52,7 +52,8 @@
             }
             Ok(Outcome::Conflict { key, .. }) => {
                 self.counts.conflicts += 1;
-                metrics::counter!("entry_commit_conflicts").increment(1);
+                let table = key.split('/').next().unwrap_or_default().to_string();
+                metrics::counter!("entry_commit_conflicts", "row" => table).increment(1);
                 Ok(self.conflict(cx, &key))
             }
             Err(e) => {
@@ -82,17 +83,13 @@
             let version = self.jobs.get(id).map_or(0, |c| c.version);
             put(rows::job_key(id), version, rows::encode(row));
         }
-        for (&k, row) in &plan.commits {
-            let w = self.workers.get(k);
-            put(rows::commit_key(&w.info.name), w.version, rows::encode(row));
-        }
         for (team, row) in &plan.quotas {
             let version = self.quotas.get(team).map_or(0, |c| c.version);
             put(rows::quota_key(cx.domain, team), version, rows::encode(row));
         }
-        ops.extend(plan.places.iter().map(|(task, value)| match value {
-            Some(v) => Op::Put { key: place_key(task), value: v.clone() },
-            None => Op::Delete { key: place_key(task) },
+        ops.extend(plan.places.iter().map(|((shard, task), place)| match place {
+            Some(p) => Op::Put { key: place_key(shard, task), value: p.value() },
+            None => Op::Delete { key: place_key(shard, task) },
         }));
         ops.extend(plan.marks.iter().map(|((shard, id), set)| {
             let key = rows::pend_key(cx.domain, shard, id);
@@ -120,10 +117,6 @@
         if let Some(team) = key.strip_prefix(&format!("quota/{}/", cx.domain)) {
             self.quotas.remove(team);
         }
-        if let Some(&k) = key.strip_prefix("commit/").and_then(|w| self.names.get(w)) {
-            let shard = crate::platform::workers::shard_of(&self.workers.get(k).info);
-            self.unload(&shard);
-        }
         Verdict::Again
     }
 
@@ -131,9 +124,7 @@
     fn take_in(&mut self, cx: &Ctx<'_>, plan: Plan, versions: &BTreeMap<String, u64>) {
         let version = |key: String, old: u64| versions.get(&key).copied().unwrap_or(old + 1);
         for (k, row) in plan.commits {
-            let w = self.workers.get_mut(k);
-            w.version = version(rows::commit_key(&w.info.name), w.version);
-            w.commit = row;
+            self.workers.get_mut(k).commit = row;
         }
         for (id, row) in plan.jobs {
             let old = self.jobs.get(&id).map_or(0, |c| c.version);
--- a/src/entry/sched/load.rs
+++ b/src/entry/sched/load.rs
@@ -1,10 +1,11 @@
 //! Reading: the workers' polls, the marks of jobs that want attention, and the rows of a shard
 //! newly taken.
 
-use super::{Cached, Ctx, Sched};
-use crate::entry::rows::{self, CommitRow, JobRow};
+use super::{Cached, Commit, Ctx, Sched};
+use crate::entry::rows::{self, JobRow};
 use crate::platform::client::PlatformError;
 use crate::platform::workers::ShardPoll;
+use crate::platform::{place_prefix, PlaceRow};
 use std::collections::{BTreeMap, BTreeSet};
 
 impl Sched {
@@ -103,34 +104,29 @@
         Ok(())
     }
 
-    /// Reads the commitment rows of shards not yet loaded under their epoch.
+    /// Reads the placement rows of shards not yet loaded under their epoch: one scan a shard.
     pub(super) async fn load(
         &mut self,
         cx: &Ctx<'_>,
         live: &BTreeMap<String, u64>,
     ) -> Result<(), PlatformError> {
-        let fresh: Vec<(String, u64)> = live
-            .iter()
-            .filter(|(n, _)| self.shards.get(*n).is_some_and(|s| s.loaded.is_none()))
-            .map(|(n, e)| (n.clone(), *e))
-            .collect();
-        if fresh.is_empty() {
-            return Ok(());
-        }
-        let workers: Vec<_> =
-            fresh.iter().flat_map(|(n, _)| self.shards[n].workers.clone()).collect();
-        let key = |s: &Self, k| rows::commit_key(&s.workers.get(k).info.name);
-        let keys = workers.iter().map(|&k| key(self, k)).collect();
-        let got = cx.platform.get(keys).await?;
-        for k in workers {
-            let row = got.get(&key(self, k));
-            let w = self.workers.get_mut(k);
-            w.version = row.map_or(0, |r| r.version);
-            w.commit = row.and_then(|r| rows::decode::<CommitRow>(&r.value)).unwrap_or_default();
-        }
-        for (name, epoch) in fresh {
-            if let Some(s) = self.shards.get_mut(&name) {
-                s.loaded = Some(epoch);
+        for (name, &epoch) in live {
+            if self.shards.get(name).is_none_or(|s| s.loaded.is_some()) {
+                continue;
+            }
+            let prefix = place_prefix(name);
+            let rows = cx.platform.scan(&prefix).await?;
+            let Some(s) = self.shards.get_mut(name) else { continue };
+            for &k in &s.workers {
+                self.workers.get_mut(k).commit = Commit::default();
+            }
+            s.loaded = Some(epoch);
+            for (key, r) in rows {
+                let Some(task) = key.strip_prefix(&prefix) else { continue };
+                let Some(place) = rows::decode::<PlaceRow>(&r.value) else { continue };
+                if let Some(&k) = self.names.get(&place.worker) {
+                    self.workers.get_mut(k).commit.add(task, place.demand);
+                }
             }
         }
         Ok(())
--- a/src/entry/sched/mod.rs
+++ b/src/entry/sched/mod.rs
@@ -16,7 +16,7 @@
 pub mod sweep;
 
 use crate::entry::catalogue::Catalogue;
-use crate::entry::rows::{CommitRow, JobRow, QuotaRow};
+use crate::entry::rows::{JobRow, QuotaRow};
 use crate::kernel::arena::{Arena, WorkerKey};
 use crate::kernel::clock::{Clock, Millis};
 use crate::kernel::res::Resources;
@@ -38,15 +38,39 @@
 /// Tries of one round's commit before the round gives up until the next.
 const COMMIT_TRIES: u32 = 4;
 
+/// What is committed on one worker. Only the shard's holder changes it, under its lease, so it
+/// needs no row of its own: it is the sum of the worker's placement rows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Commit {
+    /// Sum of the tasks' declared resources.
+    pub used: Resources,
+    /// Task id to its declared resources.
+    pub tasks: BTreeMap<String, Resources>,
+}
+
+impl Commit {
+    /// Adds a task.
+    pub fn add(&mut self, task: &str, r: Resources) {
+        if self.tasks.insert(task.to_string(), r).is_none() {
+            self.used = self.used.add(&r);
+        }
+    }
+
+    /// Removes a task, if it is there.
+    pub fn remove(&mut self, task: &str) {
+        if let Some(r) = self.tasks.remove(task) {
+            self.used = self.used.sub(&r);
+        }
+    }
+}
+
 /// A worker as the scheduler sees it: what the platform says it has, what is committed on it.
 #[derive(Clone, Debug, Serialize)]
 pub struct WorkerView {
     /// Description.
     pub info: WorkerInfo,
     /// Commitments, as last read or written.
-    pub commit: CommitRow,
-    /// Version of the commitment row.
-    pub version: u64,
+    pub commit: Commit,
     /// Tasks that failed here, of jobs that so far failed nowhere else.
     pub blame: BTreeSet<String>,
     /// Avoided until this local time.
@@ -190,8 +214,7 @@
         for info in all.iter().filter(|w| w.domain == domain) {
             let view = WorkerView {
                 info: info.clone(),
-                commit: CommitRow::default(),
-                version: 0,
+                commit: Commit::default(),
                 blame: BTreeSet::new(),
                 avoid: 0,
                 heard: 0,
--- a/src/entry/sched/plan.rs
+++ b/src/entry/sched/plan.rs
@@ -2,15 +2,15 @@
 //! write, the starts and the stops. Nothing of the scheduler's state changes until the plan is
 //! committed, so a plan that meets a conflict is simply dropped.
 
-use super::{Counts, Ctx, Sched, Shard, MAX_FAILS};
-use crate::entry::rows::{self, CommitRow, JobRow, JobState, QuotaRow, TaskState};
+use super::{Commit, Counts, Ctx, Sched, Shard, MAX_FAILS};
+use crate::entry::rows::{self, JobRow, JobState, QuotaRow, TaskState};
 use crate::kernel::arena::WorkerKey;
 use crate::kernel::clock::Millis;
 use crate::kernel::registry::{self, Candidate};
 use crate::kernel::res::{Class, Resources};
 use crate::platform::api::StopReq;
-use crate::platform::lease_key;
 use crate::platform::workers::{Ended, How, StartReq};
+use crate::platform::{lease_key, PlaceRow};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Most tasks placed in one round, so that its transaction stays small.
@@ -49,14 +49,14 @@
 pub struct Plan {
     /// Shards it touches, with the epoch that fences the commit.
     pub leases: BTreeMap<String, u64>,
-    /// New commitment rows.
-    pub commits: BTreeMap<WorkerKey, CommitRow>,
+    /// What is committed then on the workers it touches.
+    pub commits: BTreeMap<WorkerKey, Commit>,
     /// New job rows.
     pub jobs: BTreeMap<String, JobRow>,
     /// New quota rows, by team.
     pub quotas: BTreeMap<String, QuotaRow>,
-    /// Placement rows: written when some, withdrawn when none.
-    pub places: BTreeMap<String, Option<serde_json::Value>>,
+    /// Placement rows by (shard, task): written when some, removed when none.
+    pub places: BTreeMap<(String, String), Option<PlaceRow>>,
     /// Marks to set (true) or remove, by (shard, job).
     pub marks: BTreeMap<(String, String), bool>,
     /// Jobs that ended in this round, by (shard, job).
@@ -82,7 +82,7 @@
 impl Plan {
     /// Whether there is anything to write.
     pub fn writes(&self) -> bool {
-        !self.commits.is_empty()
+        !self.places.is_empty()
             || !self.jobs.is_empty()
             || !self.quotas.is_empty()
             || !self.marks.is_empty()
@@ -139,11 +139,11 @@
     }
 
     /// What is committed on a worker as the plan has it.
-    pub fn commit(&self, k: WorkerKey) -> &CommitRow {
+    pub fn commit(&self, k: WorkerKey) -> &Commit {
         self.plan.commits.get(&k).unwrap_or(&self.s.workers.get(k).commit)
     }
 
-    fn commit_mut(&mut self, k: WorkerKey) -> &mut CommitRow {
+    fn commit_mut(&mut self, k: WorkerKey) -> &mut Commit {
         let s = self.s;
         self.plan.commits.entry(k).or_insert_with(|| s.workers.get(k).commit.clone())
     }
@@ -152,7 +152,7 @@
     fn release(&mut self, shard: &str, epoch: u64, k: WorkerKey, task: &str) {
         if self.commit(k).tasks.contains_key(task) {
             self.commit_mut(k).remove(task);
-            self.plan.places.insert(task.to_string(), None);
+            self.plan.places.insert((shard.to_string(), task.to_string()), None);
             self.plan.leases.insert(shard.to_string(), epoch);
         }
     }
@@ -328,8 +328,9 @@
             by: 0,
             hold_ms,
         };
-        let value = crate::platform::place_value(worker, epoch, t.attempt);
-        self.plan.places.insert(task, Some(value));
+        let (worker, attempt, demand) = (worker.to_string(), t.attempt, row.spec.demand);
+        let place = PlaceRow { worker, epoch, attempt, demand };
+        self.plan.places.insert((name.to_string(), task), Some(place));
         self.plan.starts.push((name.to_string(), req));
     }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,26 +11,52 @@
 pub mod workers;
 
 use crate::kernel::clock::Clock;
+use crate::kernel::res::Resources;
 use crate::options::PlatformSettings;
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
+/// Prefix of shard leases.
+pub const LEASE_PREFIX: &str = "shard/";
+
 /// Lease key of a shard, as placements and workers name it.
 pub fn lease_key(shard: &str) -> String {
-    format!("shard/{shard}")
+    format!("{LEASE_PREFIX}{shard}")
+}
+
+/// Prefix of the placement rows of a shard.
+pub fn place_prefix(shard: &str) -> String {
+    format!("place/{shard}/")
 }
 
 /// Row key of a task's placement, which workers check before they start it.
-pub fn place_key(task: &str) -> String {
-    format!("place/{task}")
+pub fn place_key(shard: &str, task: &str) -> String {
+    format!("{}{task}", place_prefix(shard))
 }
 
-/// Value of a placement row: what a start must match.
-pub fn place_value(worker: &str, epoch: u64, attempt: u32) -> serde_json::Value {
-    json!({ "worker": worker, "epoch": epoch, "attempt": attempt })
+/// A placement row: what is committed on a worker, and what a start must match.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlaceRow {
+    /// Worker.
+    pub worker: String,
+    /// Fencing epoch of the placement; 0 once withdrawn: the room stays committed until the
+    /// shard's holder has seen the end, and no start matches.
+    pub epoch: u64,
+    /// Which start of the task.
+    pub attempt: u32,
+    /// Resources committed.
+    pub demand: Resources,
+}
+
+impl PlaceRow {
+    /// The row's JSON value.
+    pub fn value(&self) -> serde_json::Value {
+        json!(self)
+    }
 }
 
 /// The platform stand-in: every interface, each under its own lock.
@@ -159,8 +185,11 @@
                     if !t.epoch_valid(&r.lease, r.epoch, now) {
                         return Some(workers::StartRefusal::StaleEpoch);
                     }
-                    let want = place_value(&r.worker, r.epoch, r.attempt);
-                    match t.peek(&place_key(&r.task)) {
+                    let (worker, demand) = (r.worker.clone(), r.demand);
+                    let want =
+                        PlaceRow { worker, epoch: r.epoch, attempt: r.attempt, demand }.value();
+                    let shard = r.lease.strip_prefix(LEASE_PREFIX).unwrap_or(&r.lease);
+                    match t.peek(&place_key(shard, &r.task)) {
                         Some(row) if row.value == want => None,
                         _ => Some(workers::StartRefusal::NotPlaced),
                     }
