--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -8,7 +8,7 @@
 use crate::platform::api::StopReq;
 use crate::platform::client::{Client, PlatformError};
 use crate::platform::table::{Cond, Op, Outcome, Txn};
-use crate::platform::workers::RackRoom;
+use crate::platform::tasks::RackRoom;
 use crate::platform::{place_key, PlaceRow};
 use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3;
--- a/src/entry/sched/commit.rs
+++ b/src/entry/sched/commit.rs
@@ -201,7 +201,7 @@
     }
 
     fn accuse(&mut self, k: WorkerKey, task: &str, now: u64) {
-        let shard = crate::platform::workers::shard_of(&self.workers.get(k).info);
+        let shard = crate::platform::tasks::shard_of(&self.workers.get(k).info);
         let peers = self.shards.get(&shard).map_or(&[][..], |s| &s.workers);
         let avoided = peers.iter().filter(|&&p| self.workers.get(p).avoid > now).count();
         let may = avoided < peers.len().div_ceil(AVOID_ONE_IN);
--- a/src/entry/sched/load.rs
+++ b/src/entry/sched/load.rs
@@ -4,7 +4,7 @@
 use super::{Cached, Commit, Ctx, Sched};
 use crate::entry::rows::{self, JobRow};
 use crate::platform::client::PlatformError;
-use crate::platform::workers::ShardPoll;
+use crate::platform::tasks::ShardPoll;
 use crate::platform::{place_prefix, PlaceRow};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/src/entry/sched/mod.rs
+++ b/src/entry/sched/mod.rs
@@ -1,17 +1,19 @@
 //! The scheduler of one entry instance.
 //!
 //! Each round polls the workers of the shards held (which extends task leases and brings ends),
-//! plans on cached rows ([`plan`]), commits everything that changed in all shards in one fenced
+//! plans on cached rows ([`plan`], with [`ends`], [`serve`] and what these call), commits everything that changed in all shards in one fenced
 //! transaction ([`commit`]: the table's writes are the scarcest resource), then sends the starts
 //! and stops ([`orders`]). A shard newly taken is loaded and reconciled with what its workers
 //! say they run ([`load`]).
 
 mod commit;
+mod ends;
 mod load;
 mod orders;
 mod plan;
 mod preempt;
 mod quota;
+mod serve;
 mod spill;
 pub mod sweep;
 
@@ -22,7 +24,7 @@
 use crate::kernel::res::Resources;
 use crate::platform::api::StopReq;
 use crate::platform::client::{Client, PlatformError};
-use crate::platform::workers::{shard_of, Ended, RackRoom, StartReq, WorkerInfo};
+use crate::platform::tasks::{shard_of, Ended, RackRoom, StartReq, WorkerInfo};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/src/entry/sched/orders.rs
+++ b/src/entry/sched/orders.rs
@@ -3,7 +3,7 @@
 
 use super::{Ctx, Sched};
 use crate::platform::client::PlatformError;
-use crate::platform::workers::{StartRefusal, StartReq, StartResult};
+use crate::platform::tasks::{StartRefusal, StartReq, StartResult};
 use std::collections::BTreeSet;
 
 impl Sched {
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -11,9 +11,7 @@
 use crate::platform::instances::InstanceState;
 use crate::platform::store::Object;
 use crate::platform::table::{Feed, Outcome, Txn};
-use crate::platform::workers::{
-    RackRoom, ShardPoll, ShardReport, StartReq, StartResult, WorkerInfo,
-};
+use crate::platform::tasks::{RackRoom, ShardPoll, ShardReport, StartReq, StartResult, WorkerInfo};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use std::collections::BTreeMap;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,6 +8,7 @@
 pub mod server;
 pub mod store;
 pub mod table;
+pub mod tasks;
 pub mod workers;
 
 use crate::kernel::clock::Clock;
@@ -149,7 +150,7 @@
     }
 
     /// Every worker of every domain.
-    pub fn workers(&self) -> Vec<workers::WorkerInfo> {
+    pub fn workers(&self) -> Vec<tasks::WorkerInfo> {
         self.domains.values().flat_map(|d| d.lock().unwrap().list()).collect()
     }
 
@@ -175,15 +176,15 @@
     /// Starts tasks, each only if its shard's lease epoch is current and the table holds its
     /// placement on that worker under that epoch and attempt: a placer that lost its lease while
     /// paused, or a task refused or cancelled, is not started.
-    pub fn start(&self, reqs: &[workers::StartReq]) -> Vec<workers::StartResult> {
+    pub fn start(&self, reqs: &[tasks::StartReq]) -> Vec<tasks::StartResult> {
         self.tick_all();
         let now = self.clock.now();
-        let fenced: Vec<Option<workers::StartRefusal>> = {
+        let fenced: Vec<Option<tasks::StartRefusal>> = {
             let t = self.table.lock().unwrap();
             reqs.iter()
                 .map(|r| {
                     if !t.epoch_valid(&r.lease, r.epoch, now) {
-                        return Some(workers::StartRefusal::StaleEpoch);
+                        return Some(tasks::StartRefusal::StaleEpoch);
                     }
                     let (worker, demand) = (r.worker.clone(), r.demand);
                     let want =
@@ -191,7 +192,7 @@
                     let shard = r.lease.strip_prefix(LEASE_PREFIX).unwrap_or(&r.lease);
                     match t.peek(&place_key(shard, &r.task)) {
                         Some(row) if row.value == want => None,
-                        _ => Some(workers::StartRefusal::NotPlaced),
+                        _ => Some(tasks::StartRefusal::NotPlaced),
                     }
                 })
                 .collect()
@@ -202,7 +203,7 @@
             .map(|(r, refused)| {
                 let refused = refused.or_else(|| {
                     let Some(d) = self.domains.get(Self::domain_of(&r.worker)) else {
-                        return Some(workers::StartRefusal::UnknownWorker);
+                        return Some(tasks::StartRefusal::UnknownWorker);
                     };
                     // The oracle: a task started while it already runs anywhere in the cell is
                     // a double run. A repeated start on the same worker is refused, not counted.
@@ -217,7 +218,7 @@
                     *self.refused.lock().unwrap().entry(format!("{why:?}")).or_default() += 1;
                     metrics::counter!("platform_starts_refused").increment(1);
                 }
-                workers::StartResult { task: r.task.clone(), refused }
+                tasks::StartResult { task: r.task.clone(), refused }
             })
             .collect()
     }
@@ -234,7 +235,7 @@
     }
 
     /// Polls shards: each only under an epoch that no later one has superseded.
-    pub fn poll(&self, polls: &[workers::ShardPoll]) -> Vec<workers::ShardReport> {
+    pub fn poll(&self, polls: &[tasks::ShardPoll]) -> Vec<tasks::ShardReport> {
         self.tick_all();
         let now = self.clock.now();
         let fresh: Vec<bool> = {
@@ -246,13 +247,13 @@
             .zip(fresh)
             .map(|(p, fresh)| match self.domains.get(Self::domain_of(&p.shard)) {
                 Some(d) if fresh => d.lock().unwrap().poll(p, now, self.settings.usage_lag_ms),
-                _ => workers::ShardReport { stale: true, ..workers::ShardReport::default() },
+                _ => tasks::ShardReport { stale: true, ..tasks::ShardReport::default() },
             })
             .collect()
     }
 
     /// Room per rack of a failure domain.
-    pub fn rooms(&self, domain: &str) -> Option<Vec<workers::RackRoom>> {
+    pub fn rooms(&self, domain: &str) -> Option<Vec<tasks::RackRoom>> {
         self.tick_all();
         Some(self.domains.get(domain)?.lock().unwrap().rooms())
     }
--- a/tests/fencing.rs
+++ b/tests/fencing.rs
@@ -6,7 +6,7 @@
 use currantgw::options::{DomainSpec, PlatformSettings};
 use currantgw::platform::api::StopReq;
 use currantgw::platform::table::{Cond, Op, Outcome, Txn};
-use currantgw::platform::workers::{How, ShardPoll, StartRefusal, StartReq};
+use currantgw::platform::tasks::{How, ShardPoll, StartRefusal, StartReq};
 use currantgw::platform::{place_key, PlaceRow, Platform};
 use serde_json::json;
 
