--- a/src/entry/loops.rs
+++ b/src/entry/loops.rs
@@ -9,10 +9,16 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
-/// A round comes this many times more rarely while nothing waits, runs or is under way: most of
-/// an idle instance's calls are polls. Urgent work waits that much longer for its first round,
-/// well inside letter 1's 8.7 s.
-const IDLE_FACTOR: u64 = 3;
+/// Rounds come this many times more rarely by pace: most of an instance's calls are polls, and
+/// with nothing waiting they only have to notice ends and new work. Urgent work that arrives at an
+/// idle instance waits that much longer for its first round, well inside letter 1's 8.7 s.
+const fn round_factor(pace: sched::Pace) -> u64 {
+    match pace {
+        sched::Pace::Busy => 1,
+        sched::Pace::Running => 2,
+        sched::Pace::Idle => 3,
+    }
+}
 
 /// The room of the domain's racks is read at every this many heartbeats; it only advises.
 const ROOMS_EVERY: u64 = 3;
@@ -96,8 +102,7 @@
                     log::debug!("sweep failed: {e}");
                 }
             }
-            let factor = if s.idle() { IDLE_FACTOR } else { 1 };
-            if !self.nap(self.timing.round_ms * factor).await {
+            if !self.nap(self.timing.round_ms * round_factor(s.pace())).await {
                 return;
             }
         }
--- a/src/entry/sched/mod.rs
+++ b/src/entry/sched/mod.rs
@@ -202,6 +202,17 @@
     nonce: u64,
 }
 
+/// How busy a scheduler is, which decides how soon its next round comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Pace {
+    /// Nothing waits, runs or is under way.
+    Idle,
+    /// Tasks run; their ends are all there is to notice.
+    Running,
+    /// Jobs wait, or orders and ends are under way.
+    Busy,
+}
+
 /// What a round found out about leases.
 #[derive(Debug, Default)]
 pub struct RoundResult {
@@ -297,16 +308,20 @@
         Ok(result)
     }
 
-    /// Whether nothing waits, runs or is under way in the shards loaded.
-    pub fn idle(&self) -> bool {
-        let quiet = |(name, s): (&String, &Shard)| {
-            let under_way =
-                !(s.unstarted.is_empty() && s.stopping.is_empty() && s.ended.is_empty());
-            let runs = s.workers.iter().any(|&k| !self.workers.get(k).commit.tasks.is_empty());
+    /// How busy the shards loaded are.
+    pub fn pace(&self) -> Pace {
+        let pace = |(name, s): (&String, &Shard)| {
             let waits = self.marks.get(name).is_some_and(|m| !m.is_empty());
-            !(under_way || runs || waits)
+            if waits || !(s.unstarted.is_empty() && s.stopping.is_empty() && s.ended.is_empty()) {
+                Pace::Busy
+            } else if s.workers.iter().any(|&k| !self.workers.get(k).commit.tasks.is_empty()) {
+                Pace::Running
+            } else {
+                Pace::Idle
+            }
         };
-        self.shards.iter().filter(|(_, s)| s.loaded.is_some()).all(quiet)
+        let loaded = self.shards.iter().filter(|(_, s)| s.loaded.is_some());
+        loaded.map(pace).max().unwrap_or(Pace::Idle)
     }
 
     /// Drops rows of jobs that no longer wait or run in a held shard.
