Command line in one function a command, and under test

Cause: reading as a newcomer: cli::run was one match of 90 lines that mixed starting daemons, HTTP and files, and the commands an operator types had no test.

Ruled out: nothing; behaviour is the same but for messages: a file that cannot be read or parsed is now named.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,10 +2,11 @@
 
 use crate::kernel::clock::Clock;
 use crate::kernel::stop;
-use crate::options;
+use crate::options::{self, Cell};
 use argh::FromArgs;
+use eyre::WrapErr;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 /// currantgw: cluster scheduler and request gateway for unlike workloads on one shared cell.
@@ -174,90 +175,95 @@
 /// Runs the command line.
 pub async fn run(args: Args) -> eyre::Result<()> {
     let cell = options::load(args.settings.as_deref())?;
-    let http = crate::http::client();
     match args.cmd {
-        Cmd::Platform(_) => {
-            let (clock, stop, _signals) = daemon("platform", "platform", args.log).await?;
-            let names: Vec<String> = cell.runners.iter().map(|r| r.id.clone()).collect();
-            let p = Arc::new(crate::platform::Platform::new(
-                cell.platform.clone(),
-                &names,
-                clock.clone(),
-            ));
-            let (addr, serve) = crate::admin::bind(
-                crate::platform::server::app(p),
-                cell.platform.listen,
-                stop,
-                clock,
-                crate::admin::Drain { linger_ms: 0, drain_ms: 1000 },
-            )
-            .await?;
-            log::info!("platform listening on {addr}");
-            serve.await?;
-        }
-        Cmd::Entry(c) => {
-            let (clock, stop, _signals) = daemon("entry", &c.id, args.log).await?;
-            crate::entry::Entry::new(&cell, &c.id, clock, stop)?.run().await?;
-        }
-        Cmd::Runner(c) => {
-            let (clock, stop, _signals) = daemon("runner", &c.id, args.log).await?;
-            let addr = cell
-                .runner_addr(&c.id)
-                .ok_or_else(|| eyre::eyre!("no runner {} in the settings", c.id))?;
-            let r = crate::runner::Runner::new(addr.clone(), cell.runner.clone(), clock);
-            r.serve(stop).await?;
-        }
-        Cmd::Catalogue(c) => {
-            let url = format!("http://{}/catalogue", c.entry);
-            let out = match (c.action.as_str(), c.file) {
-                ("get", _) => body(http.get(url)).await?,
-                ("apply", Some(f)) => {
-                    let text = std::fs::read_to_string(&f)?;
-                    let mut edit: serde_json::Value = serde_json::from_str(&text)?;
-                    let current: crate::entry::catalogue::Catalogue =
-                        serde_json::from_str(&body(http.get(&url)).await?)?;
-                    edit["base"] = current.version.into();
-                    body(http.post(url).body_json(&edit).map_err(|e| eyre::eyre!("{e}"))?).await?
-                }
-                _ => eyre::bail!("catalogue takes `get` or `apply FILE`"),
-            };
-            println!("{out}");
-        }
+        Cmd::Platform(_) => run_platform(&cell, args.log).await,
+        Cmd::Entry(c) => run_entry(&cell, &c.id, args.log).await,
+        Cmd::Runner(c) => run_runner(&cell, &c.id, args.log).await,
+        Cmd::Catalogue(c) => catalogue(c).await,
         Cmd::Submit(c) => {
-            let text = std::fs::read_to_string(&c.file)?;
-            let spec: serde_json::Value = serde_json::from_str(&text)?;
-            let url = format!("http://{}/jobs", c.entry);
-            println!(
-                "{}",
-                body(http.post(url).body_json(&spec).map_err(|e| eyre::eyre!("{e}"))?).await?
-            );
+            let spec: serde_json::Value = read_json(&c.file)?;
+            print(post(&format!("http://{}/jobs", c.entry), &spec).await)
         }
-        Cmd::Lookup(c) => {
-            let url = format!("http://{}/lookup?key={}", c.entry, c.key);
-            println!("{}", body(http.get(url)).await?);
-        }
-        Cmd::Dump(c) => {
-            println!("{}", body(http.get(format!("http://{}/debug/state", c.addr))).await?)
-        }
-        Cmd::Smoke(c) => {
-            let faults = match &c.faults {
-                Some(f) => serde_json::from_str(&std::fs::read_to_string(f)?)?,
-                None => Vec::new(),
-            };
-            let knobs = crate::smoke::Knobs {
-                seconds: c.seconds,
-                lookers: c.lookers,
-                writers: c.writers,
-                edits: c.edits,
-                jobs: c.jobs,
-                faults,
-            };
-            let report = crate::smoke::run(&cell, &knobs).await?;
-            println!("{}", serde_json::to_string_pretty(&report)?);
-            if !report.promises_kept() {
-                eyre::bail!("a promise was broken: see the report");
-            }
+        Cmd::Lookup(c) => print(get(&format!("http://{}/lookup?key={}", c.entry, c.key)).await),
+        Cmd::Dump(c) => print(get(&format!("http://{}/debug/state", c.addr)).await),
+        Cmd::Smoke(c) => smoke(&cell, c).await,
+    }
+}
+
+fn read_json<T: serde::de::DeserializeOwned>(path: &Path) -> eyre::Result<T> {
+    let text = std::fs::read_to_string(path)
+        .wrap_err_with(|| format!("cannot read {}", path.display()))?;
+    serde_json::from_str(&text).wrap_err_with(|| format!("{} is not valid", path.display()))
+}
+
+fn print(body: eyre::Result<String>) -> eyre::Result<()> {
+    println!("{}", body?);
+    Ok(())
+}
+
+async fn get(url: &str) -> eyre::Result<String> {
+    body(crate::http::client().get(url)).await
+}
+
+async fn post(url: &str, json: &serde_json::Value) -> eyre::Result<String> {
+    let req = crate::http::client().post(url).body_json(json).map_err(|e| eyre::eyre!("{e}"))?;
+    body(req).await
+}
+
+async fn run_platform(cell: &Cell, level: log::LevelFilter) -> eyre::Result<()> {
+    let (clock, stop, _signals) = daemon("platform", "platform", level).await?;
+    let names: Vec<String> = cell.runners.iter().map(|r| r.id.clone()).collect();
+    let platform =
+        Arc::new(crate::platform::Platform::new(cell.platform.clone(), &names, clock.clone()));
+    let app = crate::platform::server::app(platform);
+    let drain = crate::admin::Drain { linger_ms: 0, drain_ms: 1000 };
+    let (addr, serve) = crate::admin::bind(app, cell.platform.listen, stop, clock, drain).await?;
+    log::info!("platform listening on {addr}");
+    serve.await?;
+    Ok(())
+}
+
+async fn run_entry(cell: &Cell, id: &str, level: log::LevelFilter) -> eyre::Result<()> {
+    let (clock, stop, _signals) = daemon("entry", id, level).await?;
+    crate::entry::Entry::new(cell, id, clock, stop)?.run().await
+}
+
+async fn run_runner(cell: &Cell, id: &str, level: log::LevelFilter) -> eyre::Result<()> {
+    let (clock, stop, _signals) = daemon("runner", id, level).await?;
+    let addr = cell.runner_addr(id).ok_or_else(|| eyre::eyre!("no runner {id} in the settings"))?;
+    crate::runner::Runner::new(addr.clone(), cell.runner.clone(), clock).serve(stop).await
+}
+
+/// Prints the catalogue, or applies an edit against the version in force.
+async fn catalogue(c: CatalogueCmd) -> eyre::Result<()> {
+    let url = format!("http://{}/catalogue", c.entry);
+    match (c.action.as_str(), c.file) {
+        ("get", None) => print(get(&url).await),
+        ("apply", Some(file)) => {
+            let mut edit: serde_json::Value = read_json(&file)?;
+            let current: crate::entry::catalogue::Catalogue =
+                serde_json::from_str(&get(&url).await?)?;
+            edit["base"] = current.version.into();
+            print(post(&url, &edit).await)
         }
+        _ => eyre::bail!("catalogue takes `get` or `apply FILE`"),
+    }
+}
+
+async fn smoke(cell: &Cell, c: SmokeCmd) -> eyre::Result<()> {
+    let faults = c.faults.as_deref().map(read_json).transpose()?.unwrap_or_default();
+    let knobs = crate::smoke::Knobs {
+        seconds: c.seconds,
+        lookers: c.lookers,
+        writers: c.writers,
+        edits: c.edits,
+        jobs: c.jobs,
+        faults,
+    };
+    let report = crate::smoke::run(cell, &knobs).await?;
+    println!("{}", serde_json::to_string_pretty(&report)?);
+    if !report.promises_kept() {
+        eyre::bail!("a promise was broken: see the report");
     }
     Ok(())
 }
--- a/src/entry/sched/commit.rs
+++ b/src/entry/sched/commit.rs
@@ -9,7 +9,8 @@
 use crate::kernel::arena::WorkerKey;
 use crate::platform::client::PlatformError;
 use crate::platform::table::{Cond, Op, Outcome, Txn};
-use crate::platform::{lease_key, place_key};
+use crate::platform::tasks::shard_of;
+use crate::platform::{lease_key, place_key, LEASE_PREFIX};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -108,7 +109,7 @@
 
     /// Drops from the caches what a conflict at `key` showed to be stale.
     fn conflict(&mut self, cx: &Ctx<'_>, key: &str) -> Verdict {
-        if let Some(shard) = key.strip_prefix("shard/") {
+        if let Some(shard) = key.strip_prefix(LEASE_PREFIX) {
             return Verdict::Lost(shard.to_string());
         }
         if let Some(id) = key.strip_prefix("job/") {
@@ -201,7 +202,7 @@
     }
 
     fn accuse(&mut self, k: WorkerKey, task: &str, now: u64) {
-        let shard = crate::platform::tasks::shard_of(&self.workers.get(k).info);
+        let shard = shard_of(&self.workers.get(k).info);
         let peers = self.shards.get(&shard).map_or(&[][..], |s| &s.workers);
         let avoided = peers.iter().filter(|&&p| self.workers.get(p).avoid > now).count();
         let may = avoided < peers.len().div_ceil(AVOID_ONE_IN);
--- a/src/entry/sched/orders.rs
+++ b/src/entry/sched/orders.rs
@@ -4,6 +4,7 @@
 use super::{Ctx, Sched};
 use crate::platform::client::PlatformError;
 use crate::platform::tasks::{StartRefusal, StartReq, StartResult};
+use crate::platform::LEASE_PREFIX;
 use std::collections::BTreeSet;
 
 impl Sched {
@@ -54,7 +55,7 @@
     }
 
     fn take_answer(&mut self, req: &StartReq, a: &StartResult, lost: &mut BTreeSet<String>) {
-        let shard = req.lease.strip_prefix("shard/").unwrap_or(&req.lease).to_string();
+        let shard = req.lease.strip_prefix(LEASE_PREFIX).unwrap_or(&req.lease).to_string();
         match a.refused {
             None | Some(StartRefusal::AlreadyRunning) => self.counts.started += 1,
             // Its end will be reported.
--- a/tests/common/procs.rs
+++ b/tests/common/procs.rs
@@ -41,6 +41,25 @@
         self.children.push((name.to_string(), child));
     }
 
+    /// Runs one command of the command line to its end: whether it succeeded, and what it printed.
+    pub async fn command(&self, args: &[&str]) -> (bool, String) {
+        let out = async_std::task::spawn_blocking({
+            let mut cmd = Command::new(env!("CARGO_BIN_EXE_currantgw"));
+            cmd.arg("--settings").arg(self.dir.join("cell.json")).args(args);
+            move || cmd.output().unwrap()
+        })
+        .await;
+        let text = if out.status.success() { out.stdout } else { out.stderr };
+        (out.status.success(), String::from_utf8_lossy(&text).into_owned())
+    }
+
+    /// Writes a file next to the settings and returns its path.
+    pub fn file(&self, name: &str, text: &str) -> String {
+        let path = self.dir.join(name);
+        std::fs::write(&path, text).unwrap();
+        path.to_string_lossy().into_owned()
+    }
+
     /// Sends a signal (as `kill` names it) to the process `name`.
     pub fn signal(&self, name: &str, signal: &str) {
         let (_, child) = self.children.iter().rev().find(|(n, _)| n == name).unwrap();
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -33,6 +33,36 @@
     assert_eq!(status, 200, "{body}");
 }
 
+/// The command line drives a cell: edits, submissions, lookups and dumps succeed, and what is
+/// refused or cannot be read fails with a message that says why.
+#[async_std::test]
+async fn command_line_drives_a_cell() {
+    let p = Procs::start(common::cell(1, 1, 1)).await;
+    let at = p.cell.entries[0].listen.to_string();
+    let entry = ["--entry", at.as_str()];
+    let edit = p.file("edit.json", include_str!("../examples/catalogue.json"));
+    let (ok, out) = p.command(&["catalogue", entry[0], entry[1], "apply", &edit]).await;
+    assert!(ok && out.contains("\"version\":1"), "{out}");
+    let (ok, out) = p.command(&["catalogue", entry[0], entry[1], "get"]).await;
+    assert!(ok && out.contains("cronometria/splits"), "{out}");
+    let good = p.file("job.json", &job("cronometria/splits", 1, 20, "cli").to_string());
+    let (ok, out) = p.command(&["submit", entry[0], entry[1], &good]).await;
+    assert!(ok && out.contains(&currantgw::entry::jobs::job_id("cli")), "{out}");
+    assert!(finished(&job_url(&p, 0, "cli")).await);
+    let (ok, out) = p.command(&["lookup", entry[0], entry[1], "medic-7"]).await;
+    assert!(ok && out.contains(&currantgw::wire::value_for("medic-7")), "{out}");
+    let (ok, out) = p.command(&["dump", &at]).await;
+    assert!(ok && out.contains("\"role\":\"entry\""), "{out}");
+    let huge = p.file("huge.json", &job("cronometria/splits", 0, 20, "none").to_string());
+    let (ok, out) = p.command(&["submit", entry[0], entry[1], &huge]).await;
+    assert!(!ok && out.contains("tasks: must be 1 to 10000"), "{out}");
+    let broken = p.file("broken.json", "{\"entry\":");
+    let (ok, out) = p.command(&["submit", entry[0], entry[1], &broken]).await;
+    assert!(!ok && out.contains("broken.json is not valid"), "{out}");
+    let (ok, out) = p.command(&["entry", "--id", "nobody"]).await;
+    assert!(!ok && out.contains("no entry nobody in the settings"), "{out}");
+}
+
 /// Symptom: tasks of an accepted job stay "placed" for good and never run.
 /// Sequence: entries commit placements while no start order gets through; one entry is killed (SIGKILL); the interface comes back; another entry takes over.
 /// Cause: a takeover that trusts the placement rows. It must compare them with what the workers
