One read of one row, key prefixes in one place, starts as part of the workers in the fault plan

Reading one row and decoding it stood seven times (catalogue three, jobs two, ledger, api); prefixes of marks, members, quotas and jobs were spelled again where they are stripped; start orders were a special case in the platform's server on top of the fault plan; usable returned an epoch nobody reads; every write request built the write path anew.

What changed: rows::read and prefix functions next to the keys; Target::covers says that a fault on the workers strikes start orders; usable is a bool; the entry holds its write path.

Behaviour is the same but for two corners: faults on workers and on starts at the same time now both apply (the second was ignored), and a catalogue version row that cannot be decoded now makes an edit conflict instead of being overwritten.

--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -8,7 +8,7 @@
 use crate::entry::ledger::LedgerError;
 use crate::entry::route::RouteError;
 use crate::entry::rows::{self, JobRow, JobSpec, JobState};
-use crate::entry::writes::{WriteError, Writes};
+use crate::entry::writes::WriteError;
 use crate::entry::Entry;
 use crate::platform::client::PlatformError;
 use serde::{Deserialize, Serialize};
@@ -171,13 +171,9 @@
 async fn job(req: Request<State>) -> tide::Result {
     let e = req.state().clone();
     let id = req.param("id")?.to_string();
-    Ok(match e.platform.get(vec![rows::job_key(&id)]).await {
-        Ok(got) => {
-            match got.get(&rows::job_key(&id)).and_then(|r| rows::decode::<JobRow>(&r.value)) {
-                Some(row) => admin::json(200, &row),
-                None => fail(404, "not_found", format!("no job {id}"), None),
-            }
-        }
+    Ok(match rows::read::<JobRow>(&e.platform, rows::job_key(&id)).await {
+        Ok(Some((row, _))) => admin::json(200, &row),
+        Ok(None) => fail(404, "not_found", format!("no job {id}"), None),
         Err(p) => platform(&p),
     })
 }
@@ -250,13 +246,7 @@
         let detail = "id must be 1 to 128 bytes without a slash";
         return Ok(fail(400, "invalid", detail, None));
     }
-    let writes = Writes {
-        pool: e.pool.clone(),
-        ledger: e.ledger.clone(),
-        clock: e.clock.clone(),
-        write_ms: e.timing.write_ms,
-    };
-    Ok(match writes.run(&w.id, &w.body).await {
+    Ok(match e.writes.run(&w.id, &w.body).await {
         Ok(done) => admin::json(200, &done),
         Err(WriteError::Ledger(LedgerError::Platform(p))) => platform(&p),
         Err(err @ WriteError::Ledger(_)) => fail(503, "busy", err, Some(RETRY_MS)),
--- a/src/entry/catalogue.rs
+++ b/src/entry/catalogue.rs
@@ -137,15 +137,17 @@
     }
 }
 
+/// The catalogue's version in the table, and the version of the row that holds it; 0 when absent.
+async fn version(table: &Client) -> Result<(u64, u64), PlatformError> {
+    let row = rows::read::<CatVersion>(table, rows::CATVER.into()).await?;
+    Ok(row.map_or((0, 0), |(v, row)| (v.version, row)))
+}
+
 /// Commits `edit` as the next version. Two operators at once: one wins, the other gets
 /// [`EditError::Conflict`] with the version now in force.
 pub async fn commit(table: &Client, edit: &Edit) -> Result<u64, EditError> {
     edit.check()?;
-    let rows = table.get(vec![rows::CATVER.to_string()]).await?;
-    let (row_version, current) = rows
-        .get(rows::CATVER)
-        .map(|r| (r.version, rows::decode::<CatVersion>(&r.value).unwrap_or_default().version))
-        .unwrap_or((0, 0));
+    let (current, row_version) = version(table).await?;
     if current != edit.base {
         return Err(EditError::Conflict { base: edit.base, current });
     }
@@ -169,11 +171,7 @@
         Outcome::Committed { .. } => Ok(next),
         Outcome::Conflict { .. } => {
             // Lost the race between our read and our write: say which version won.
-            let now = table.get(vec![rows::CATVER.into()]).await?;
-            let current = now
-                .get(rows::CATVER)
-                .and_then(|r| rows::decode::<CatVersion>(&r.value))
-                .map_or(0, |v| v.version);
+            let (current, _) = version(table).await?;
             Err(EditError::Conflict { base: edit.base, current })
         }
     }
@@ -182,11 +180,7 @@
 /// Brings `cat` up to the version in the table: the log rows since its version, or the whole
 /// catalogue when too far behind. Returns whether anything changed.
 pub async fn catch_up(table: &Client, cat: &mut Catalogue) -> Result<bool, PlatformError> {
-    let rows = table.get(vec![rows::CATVER.into()]).await?;
-    let latest = rows
-        .get(rows::CATVER)
-        .and_then(|r| rows::decode::<CatVersion>(&r.value))
-        .map_or(0, |v| v.version);
+    let (latest, _) = version(table).await?;
     if latest <= cat.version {
         return Ok(false);
     }
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -231,11 +231,8 @@
 
 /// The job that an earlier submission of the same key made, if it is this job.
 async fn known_job(table: &Client, row: JobRow) -> Result<JobRow, SubmitError> {
-    let key = rows::job_key(&row.id);
-    let got = table.get(vec![key.clone()]).await?;
-    let old: Option<JobRow> = got.get(&key).and_then(|r| rows::decode(&r.value));
-    match old {
-        Some(o) if o.spec == row.spec => Ok(o),
+    match rows::read::<JobRow>(table, rows::job_key(&row.id)).await? {
+        Some((o, _)) if o.spec == row.spec => Ok(o),
         _ => Err(SubmitError::KeyReused(row.spec.key)),
     }
 }
@@ -250,11 +247,7 @@
     id: &str,
 ) -> Result<(JobRow, Vec<StopReq>), CancelError> {
     for _ in 0..TRIES {
-        let got = table.get(vec![rows::job_key(id)]).await?;
-        let Some(r) = got.get(&rows::job_key(id)) else {
-            return Err(CancelError::NotFound(id.into()));
-        };
-        let Some(mut row) = rows::decode::<JobRow>(&r.value) else {
+        let Some((mut row, version)) = rows::read::<JobRow>(table, rows::job_key(id)).await? else {
             return Err(CancelError::NotFound(id.into()));
         };
         if row.ended() {
@@ -288,9 +281,9 @@
         });
         ops.push(Op::Put { key: rows::job_key(id), value: rows::encode(&row) });
         let txn = Txn {
-            conds: vec![Cond::Version { key: rows::job_key(id), version: r.version }],
+            conds: vec![Cond::Version { key: rows::job_key(id), version }],
             ops,
-            idem: Some(format!("cancel/{id}/{}", r.version)),
+            idem: Some(format!("cancel/{id}/{version}")),
         };
         if let Outcome::Committed { .. } = apply(table, clock, &txn).await? {
             return Ok((row, stops));
--- a/src/entry/ledger.rs
+++ b/src/entry/ledger.rs
@@ -173,10 +173,7 @@
     }
 
     async fn read(&self, id: &str) -> Reply {
-        let key = rows::write_key(id);
-        let got = self.table.get(vec![key.clone()]).await?;
-        let row =
-            got.get(&key).and_then(|r| Some((rows::decode::<WriteRow>(&r.value)?, r.version)));
+        let row = rows::read::<WriteRow>(&self.table, rows::write_key(id)).await?;
         row.map(|(row, v)| Claimed::Other(Box::new(row), v)).ok_or(LedgerError::Stopping)
     }
 }
--- a/src/entry/loops.rs
+++ b/src/entry/loops.rs
@@ -65,7 +65,7 @@
                 let beaten = m.beat(&self.platform, now).await;
                 // Every instance commits write records; the more there are, the rarer each.
                 let gap = self.timing.ledger_ms * m.members.len().max(1) as u64;
-                self.ledger.gap.store(gap, Ordering::Relaxed);
+                self.writes.ledger.gap.store(gap, Ordering::Relaxed);
                 beaten
             };
             if let Err(e) = beaten {
@@ -114,7 +114,7 @@
         let now = self.clock.now();
         let held: BTreeMap<String, u64> =
             m.held.iter().map(|(s, h)| (s.clone(), h.epoch)).collect();
-        let usable = |s: &&String| m.usable(s, now, self.timing.heartbeat_ms).is_some();
+        let usable = |s: &&String| m.usable(s, now, self.timing.heartbeat_ms);
         let usable = held.keys().filter(usable).cloned().collect();
         (held, usable)
     }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -48,9 +48,9 @@
     /// Whether `shard`'s lease may still be used at local time `now`: it was renewed less than
     /// a lease period ago, less a margin for clock drift and the renewal in flight. Past that
     /// the holder stops placing by itself, before the table's fence would stop it.
-    pub fn usable(&self, shard: &str, now: Millis, margin: u64) -> Option<u64> {
-        let h = self.held.get(shard)?;
-        (now < h.renewed + self.lease_ms.saturating_sub(margin)).then_some(h.epoch)
+    pub fn usable(&self, shard: &str, now: Millis, margin: u64) -> bool {
+        let until = |h: &Held| h.renewed + self.lease_ms.saturating_sub(margin);
+        self.held.get(shard).is_some_and(|h| now < until(h))
     }
 
     /// One heartbeat at local time `now`: renew membership and held leases, read members,
@@ -89,7 +89,7 @@
                 }
             }
         }
-        let prefix = format!("member/{}/", self.domain);
+        let prefix = rows::member_prefix(&self.domain);
         let live = table.leases(&prefix).await?;
         self.members =
             live.keys().filter_map(|k| k.strip_prefix(&prefix)).map(String::from).collect();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -48,8 +48,8 @@
     view: Mutex<serde_json::Value>,
     /// Runner connections.
     pub pool: Arc<route::Pool>,
-    /// Write records.
-    pub ledger: Arc<ledger::Ledger>,
+    /// The write path, with its ledger.
+    pub writes: writes::Writes,
     /// Fires when the process is told to stop.
     stop: Stop,
 }
@@ -86,6 +86,12 @@
             &addr.domain,
             timing.ledger_ms,
         );
+        let writes = writes::Writes {
+            pool: pool.clone(),
+            ledger,
+            clock: clock.clone(),
+            write_ms: timing.write_ms,
+        };
         Ok(Arc::new(Self {
             addr,
             timing,
@@ -96,8 +102,8 @@
             inventory: Mutex::default(),
             rooms: Mutex::default(),
             view: Mutex::default(),
+            writes,
             pool,
-            ledger,
             stop,
         }))
     }
@@ -123,7 +129,7 @@
         let (mut halt, halted) = stop::pair();
         let backs = [
             task::spawn(self.pool.clone().run(halted.clone())),
-            task::spawn(self.ledger.clone().run(halted)),
+            task::spawn(self.writes.ledger.clone().run(halted)),
         ];
         let loops = [
             task::spawn(self.clone().heartbeat()),
--- a/src/entry/rows.rs
+++ b/src/entry/rows.rs
@@ -17,6 +17,7 @@
 
 use crate::kernel::clock::Millis;
 use crate::kernel::res::{Class, Resources};
+use crate::platform::client::{Client, PlatformError};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -231,19 +232,42 @@
     Some((job, n.parse().ok()?))
 }
 
+/// Reads one row and decodes it, with its version; none if it is absent or not a `T`. One read
+/// of the table's budget.
+pub async fn read<T: serde::de::DeserializeOwned>(
+    table: &Client,
+    key: String,
+) -> Result<Option<(T, u64)>, PlatformError> {
+    let got = table.get(vec![key.clone()]).await?;
+    Ok(got.get(&key).and_then(|r| Some((decode(&r.value)?, r.version))))
+}
+
+/// Prefix of job rows.
+pub const JOB_PREFIX: &str = "job/";
+
 /// Key of a job row.
 pub fn job_key(id: &str) -> String {
-    format!("job/{id}")
+    format!("{JOB_PREFIX}{id}")
+}
+
+/// Prefix of the marks of a failure domain.
+pub fn pend_prefix(domain: &str) -> String {
+    format!("pend/{domain}/")
 }
 
 /// Key of a pending marker.
 pub fn pend_key(domain: &str, shard: &str, id: &str) -> String {
-    format!("pend/{domain}/{shard}/{id}")
+    format!("{}{shard}/{id}", pend_prefix(domain))
+}
+
+/// Prefix of the quota rows of a failure domain.
+pub fn quota_prefix(domain: &str) -> String {
+    format!("quota/{domain}/")
 }
 
 /// Key of a team's quota row in a failure domain.
 pub fn quota_key(domain: &str, team: &str) -> String {
-    format!("quota/{domain}/{team}")
+    format!("{}{team}", quota_prefix(domain))
 }
 
 /// Prefix of the ended-job markers of a shard.
@@ -281,9 +305,14 @@
     format!("catlog/{version:012}")
 }
 
+/// Prefix of the membership leases of a failure domain.
+pub fn member_prefix(domain: &str) -> String {
+    format!("member/{domain}/")
+}
+
 /// Key of a membership lease.
 pub fn member_key(domain: &str, id: &str) -> String {
-    format!("member/{domain}/{id}")
+    format!("{}{id}", member_prefix(domain))
 }
 
 /// Key of the catalogue version row.
--- a/src/entry/sched/commit.rs
+++ b/src/entry/sched/commit.rs
@@ -112,10 +112,10 @@
         if let Some(shard) = key.strip_prefix(LEASE_PREFIX) {
             return Verdict::Lost(shard.to_string());
         }
-        if let Some(id) = key.strip_prefix("job/") {
+        if let Some(id) = key.strip_prefix(rows::JOB_PREFIX) {
             self.jobs.remove(id);
         }
-        if let Some(team) = key.strip_prefix(&format!("quota/{}/", cx.domain)) {
+        if let Some(team) = key.strip_prefix(&rows::quota_prefix(cx.domain)) {
             self.quotas.remove(team);
         }
         Verdict::Again
--- a/src/entry/sched/load.rs
+++ b/src/entry/sched/load.rs
@@ -79,7 +79,7 @@
 
     /// Brings the marks of the domain up to date from the table's feed: only changes travel.
     pub(super) async fn follow_marks(&mut self, cx: &Ctx<'_>) -> Result<(), PlatformError> {
-        let prefix = format!("pend/{}/", cx.domain);
+        let prefix = rows::pend_prefix(cx.domain);
         let feed = cx.platform.feed(&prefix, self.revision).await?;
         self.revision = feed.revision;
         if feed.reset {
--- a/src/platform/faults.rs
+++ b/src/platform/faults.rs
@@ -21,6 +21,13 @@
     Instances,
 }
 
+impl Target {
+    /// Whether a fault here strikes calls on `other`: start orders are calls on the workers.
+    fn covers(self, other: Self) -> bool {
+        self == other || (self == Self::Workers && other == Self::Starts)
+    }
+}
+
 /// What goes wrong.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FaultKind {
@@ -214,7 +221,7 @@
     pub fn effect(&self, target: Target, caller: &str, now: Millis) -> Effect {
         let mut e = Effect::default();
         let strikes = |f: &&Fault| {
-            f.target == target
+            f.target.covers(target)
                 && Self::active(f, now)
                 && f.from.as_ref().is_none_or(|from| from == caller)
         };
--- a/src/platform/server.rs
+++ b/src/platform/server.rs
@@ -5,7 +5,7 @@
     ErrorBody, FeedReq, GetReq, PollBatch, PutAnswer, ScanReq, StartBatch, StopBatch,
 };
 use crate::platform::client::CALLER;
-use crate::platform::faults::{Effect, Fault, Target};
+use crate::platform::faults::{Fault, Target};
 use crate::platform::instances::InstanceState;
 use crate::platform::table::{Throttled, Txn};
 use crate::platform::Platform;
@@ -123,9 +123,7 @@
 }
 
 async fn start(req: Request<State>) -> tide::Result {
-    let e = req.state().effect(Target::Workers, &caller(&req));
-    let target = if e == Effect::default() { Target::Starts } else { Target::Workers };
-    post(req, target, |p, b: StartBatch| admin::json(200, &p.start(&b.starts))).await
+    post(req, Target::Starts, |p, b: StartBatch| admin::json(200, &p.start(&b.starts))).await
 }
 
 async fn stop(req: Request<State>) -> tide::Result {
