A silence of the store is known at once to the whole process; links stay open through it

Questions to the advice service were lost with the links (56 "no advice" in the second after the store was back). An instance sent writes into the silence for a second, since only its own reads told of it, and unknown jobs were looked up until the read timed out. After the store was back the scheduler still counted as deaf until a read begun in the silence had timed out, though its commits went through.

Ruled out: the advice service (it answered), the balancer (an instance's own log shows the waits).

Change: `Pulse` notes every call of the process to the store. Submissions are held while it has owed an answer for 150 ms, refused from 600 ms; polls do not wait and writes are short tries in a silence. A link says that its side does not hear of the store and stays open. A caller in doubt is told when to come back. Unknown jobs are not looked up in a silence.

--- a/src/control/front.rs
+++ b/src/control/front.rs
@@ -1,9 +1,10 @@
 //! What callers see: submitting, cancelling and asking after jobs.
 
-use super::intake::{Intake, Written, STORE_SILENT_MS};
+use super::intake::{Intake, Written};
 use super::links::peer::Peer;
 use super::mirror::{Mirror, Table};
 use super::model::{Catalogue, Invalid, JobId, JobState, Queue};
+use super::pulse::Pulse;
 use super::rows::{self, JobRow};
 use crate::kernel::clock::Clock;
 use crate::platform::callers;
@@ -23,7 +24,9 @@
 /// Longest wait for the catalogue where a queue is not known, ms.
 const RENEW_MS: u64 = 1_000;
 
-/// When a caller may come back if the store serves nobody, s: a second try within its patience.
+/// When a caller may come back if the store serves nobody, s: a second try within its patience. A
+/// caller in doubt is told so too: asking again with the same id is safe, and one that comes back
+/// at once spends the few tries it has within the same outage.
 const RETRY_AFTER_S: &str = "1";
 
 /// As [`RETRY_AFTER_S`] if only this instance is cut off: at once, over a new connection, which
@@ -34,6 +37,8 @@
 pub struct Front {
     /// The instance's mirror.
     pub mirror: Arc<Mirror>,
+    /// Whether the store answers this process.
+    pub pulse: Arc<Pulse>,
     /// Writers of submissions.
     pub intake: Arc<Intake>,
     /// The link to the scheduler.
@@ -99,7 +104,7 @@
             Method::Delete => self.cancel(id, self.left(&req, began)).await,
             _ => refuse(405, "method not allowed"),
         };
-        let res = if self.isolated() && !self.peer.deaf() { elsewhere(res) } else { res };
+        let res = if self.turned_away() { elsewhere(res) } else { res };
         let ms = self.clock.mono() - began;
         let status: u16 = res.status().into();
         metrics::histogram!("control_answer_seconds", "method" => method.to_string())
@@ -172,7 +177,7 @@
             }
             Written::Known => answer(200, callers::state(JobState::Queued)),
             Written::NotStored => later(503, "not accepted: the store cannot be written"),
-            Written::Unknown => refuse(504, "it is not known whether the job was stored"),
+            Written::Unknown => later(504, "it is not known whether the job was stored"),
         }
     }
 
@@ -181,6 +186,10 @@
         if let Some(s) = self.mirror.job_state(id) {
             return Ok(Some(s));
         }
+        if self.pulse.silent() {
+            log::info!(job:% = id; "unknown job, and the store is silent");
+            return Err(later(503, "the store cannot be read"));
+        }
         match self.mirror.find_job(id).await {
             Ok(true) => Ok(Some(self.mirror.job_state(id).unwrap_or_default())),
             Ok(false) => Ok(None),
@@ -191,10 +200,15 @@
         }
     }
 
+    /// Whether the store is silent towards this instance alone, as far as is known: another one
+    /// may serve its callers.
+    fn turned_away(&self) -> bool {
+        self.pulse.silent() && !self.peer.deaf()
+    }
+
     /// Whether nothing new can be known here: neither the store nor the scheduler is heard of.
     fn isolated(&self) -> bool {
-        let silent = self.mirror.heard() + STORE_SILENT_MS < self.clock.mono();
-        silent && !self.peer.fresh()
+        self.pulse.silent() && !self.peer.fresh()
     }
 
     async fn state(&self, id: JobId) -> Response {
@@ -225,7 +239,7 @@
                 answer(200, callers::state(JobState::Cancelled))
             }
             Written::NotStored => later(503, "not cancelled: the store cannot be written"),
-            Written::Unknown => refuse(504, "it is not known whether the job was cancelled"),
+            Written::Unknown => later(504, "it is not known whether the job was cancelled"),
         }
     }
 }
--- a/src/control/intake.rs
+++ b/src/control/intake.rs
@@ -10,6 +10,7 @@
 use super::mirror::Mirror;
 use super::model::JobId;
 use super::ports::{Commit, CommitError, Key, Store, Txn};
+use super::pulse::{Pulse, HOLD_MS};
 use super::rows::{self, JobRow};
 use crate::kernel::clock::Clock;
 use async_std::channel::{self, Receiver, Sender};
@@ -33,10 +34,9 @@
 /// Requests that may wait for one writer: twenty groups, some 5 s at the store's slowest.
 const QUEUE: usize = 20 * GROUP;
 
-/// A store not heard of for this long is taken to turn this instance away, ms: writes go over
-/// the link, or are refused at once if there is none. An idle instance hears of it every 500 ms
-/// and a store's slowest answer.
-pub const STORE_SILENT_MS: u64 = 1_000;
+/// Time between two looks at whether a store that owes an answer has given one, ms: a few of its
+/// usual answers.
+const GLANCE_MS: u64 = 20;
 
 /// Number of parts of the jobs table.
 const PARTS: usize = 16;
@@ -99,6 +99,7 @@
     /// The intake, and its writers to be run.
     pub fn new(
         store: Arc<dyn Store>,
+        pulse: Arc<Pulse>,
         mirror: Arc<Mirror>,
         peer: Arc<Peer>,
         clock: Clock,
@@ -110,8 +111,8 @@
             let (tx, rx) = channel::bounded(QUEUE);
             parts.push(tx);
             let (store, mirror, peer) = (store.clone(), mirror.clone(), peer.clone());
-            let (writes, clock) = (writes.clone(), clock.clone());
-            writers.push(Writer { rx, store, mirror, peer, writes, clock });
+            let (writes, pulse, clock) = (writes.clone(), pulse.clone(), clock.clone());
+            writers.push(Writer { rx, store, pulse, mirror, peer, writes, clock });
         }
         (Self { parts, clock }, writers)
     }
@@ -148,6 +149,7 @@
 pub struct Writer {
     rx: Receiver<Request>,
     store: Arc<dyn Store>,
+    pulse: Arc<Pulse>,
     mirror: Arc<Mirror>,
     peer: Arc<Peer>,
     writes: Arc<Dependency>,
@@ -172,8 +174,11 @@
                 }
             }
             group = self.give_up(group);
-            if self.silent() {
+            if self.pulse.silent() {
                 group = self.without_store(group).await;
+            } else if self.pulse.stalled_ms() >= HOLD_MS {
+                self.clock.sleep(GLANCE_MS).await;
+                continue;
             }
             if !group.is_empty() {
                 group = self.attempt(group).await;
@@ -181,11 +186,6 @@
         }
     }
 
-    /// Whether the store has not been heard of lately.
-    fn silent(&self) -> bool {
-        self.mirror.heard() + STORE_SILENT_MS < self.clock.mono()
-    }
-
     /// The store is known to be away: over the link if there is one, else refused at once. A
     /// write sent into the silence could only end in doubt, and keeps its caller from coming back
     /// in time. The feeds go on asking; with their first answer writes go to the store again.
--- a/src/control/links/desk.rs
+++ b/src/control/links/desk.rs
@@ -2,11 +2,12 @@
 //! writes on behalf of instances that the store turns away.
 
 use super::{decode, pump, Frame, Relay, QUEUE, SILENT_MS};
-use crate::control::intake::{Intake, STORE_SILENT_MS};
+use crate::control::intake::Intake;
 use crate::control::mirror::Mirror;
 use crate::control::model::{JobId, JobState, StepId};
 use crate::control::office::Office;
 use crate::control::ports::{Advice, AdviceError, Advisor};
+use crate::control::pulse::Pulse;
 use crate::control::rows;
 use crate::kernel::clock::Clock;
 use async_std::channel::{self, Sender};
@@ -32,8 +33,12 @@
 /// Questions that may wait on one line; the service refuses more than 32.
 const LINE_DEPTH: usize = 30;
 
-/// A write for another instance is given up after this long, ms: within its caller's deadline.
-const RELAY_MS: u64 = 900;
+/// A write for another instance is given up after this long, ms: before that instance gives up
+/// waiting, so that it hears whether the write was sent at all.
+const RELAY_MS: u64 = 700;
+
+/// Time between two looks at whether the store still answers, ms; they cost no call.
+const DEAF_MS: u64 = 50;
 
 /// Wait after a link could not be accepted, ms.
 const RETRY_MS: u64 = 100;
@@ -166,6 +171,8 @@
     pub intake: Arc<Intake>,
     /// Tells who holds the office.
     pub office: Arc<Office>,
+    /// Whether the store answers this process.
+    pub pulse: Arc<Pulse>,
     /// The clock.
     pub clock: Clock,
 }
@@ -188,16 +195,28 @@
         }
     }
 
-    /// Resolves once the store has not been heard of for a while. Links are closed then: an
-    /// instance that stayed on one would hand its writes to somebody who cannot store them
-    /// either, and take a scheduler for alive that has been replaced behind a cut.
-    async fn deaf(&self) {
-        while self.mirror.heard() + STORE_SILENT_MS >= self.clock.mono() {
-            self.clock.sleep(RETRY_MS).await;
+    /// Tells the other side whenever this process loses or regains the store. An instance that
+    /// did not know would hand its writes to somebody who cannot store them either, and take a
+    /// scheduler for alive that has been replaced behind a cut. The link stays open: questions
+    /// to the advice service go on, and an instance that dialled anew would take the greeting of
+    /// each link for a sign that its writes are welcome, so that they ended in doubt.
+    async fn tell_silence(&self, tx: &Sender<Frame>) {
+        let mut was = false;
+        loop {
+            let silent = self.pulse.silent();
+            if silent != was {
+                let _ = tx.try_send(self.greeting());
+            }
+            was = silent;
+            self.clock.sleep(DEAF_MS).await;
         }
     }
 
-    fn holder(&self) -> Frame {
+    /// What an idle link says: who holds the office, or that the store is not heard of here.
+    fn greeting(&self) -> Frame {
+        if self.pulse.silent() {
+            return Frame::Deaf;
+        }
         match self.office.holder() {
             Some((row, version)) => Frame::Holder { row, version },
             None => Frame::Ping,
@@ -210,13 +229,13 @@
         let Ok(Ok(ws)) = self.clock.timeout(SILENT_MS, shake).await else { return };
         let key = self.desk.next.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = channel::bounded(QUEUE);
-        let _ = tx.try_send(self.holder());
+        let _ = tx.try_send(self.greeting());
         let line = Line { tx: Some(tx.clone()), ..Line::default() };
         self.desk.lines.lock().unwrap().insert(key, line);
         log::info!(peer:% = from, line = key; "instance linked");
         let (out, mut inc) = ws.split();
         {
-            let write = pump(out, rx, &self.clock, || self.holder());
+            let write = pump(out, rx, &self.clock, || self.greeting());
             let read = async {
                 let mut writes = FuturesUnordered::new();
                 loop {
@@ -238,12 +257,7 @@
                 }
             };
             let linked = futures::future::select(Box::pin(write), Box::pin(read));
-            let deaf = Box::pin(async {
-                self.deaf().await;
-                let _ = tx.try_send(Frame::Deaf);
-                self.clock.sleep(RETRY_MS).await;
-            });
-            futures::future::select(linked, deaf).await;
+            futures::future::select(linked, Box::pin(self.tell_silence(&tx))).await;
         }
         // Dropping the line fails its questions at once; the scheduler asks again elsewhere.
         self.desk.lines.lock().unwrap().remove(&key);
--- a/src/control/links/mod.rs
+++ b/src/control/links/mod.rs
@@ -56,7 +56,7 @@
     States { list: Vec<(JobId, u64, JobState)> },
     /// Who holds the office as far as the sender knows, and the version of that row.
     Holder { row: HolderRow, version: u64 },
-    /// The sender does not hear of the store either, and closes the link.
+    /// The sender does not hear of the store.
     Deaf,
     /// Sign of life.
     Ping,
--- a/src/control/links/peer.rs
+++ b/src/control/links/peer.rs
@@ -33,6 +33,7 @@
     calls: Mutex<BTreeMap<u64, oneshot::Sender<Written>>>,
     heard: AtomicU64,
     opened: AtomicU64,
+    dials: AtomicU64,
     deaf: AtomicBool,
     next: AtomicU64,
     advisor: Option<Arc<dyn Advisor>>,
@@ -54,6 +55,7 @@
             calls: Mutex::default(),
             heard: AtomicU64::new(0),
             opened: AtomicU64::new(0),
+            dials: AtomicU64::new(0),
             deaf: AtomicBool::new(false),
             next: AtomicU64::new(1),
             advisor,
@@ -63,8 +65,12 @@
         }
     }
 
-    /// Whether the scheduler was heard of lately over the link.
+    /// Whether the scheduler was heard of lately over the link, and hears of the store itself.
     pub fn fresh(&self) -> bool {
+        self.linked() && !self.deaf.load(Ordering::Relaxed)
+    }
+
+    fn linked(&self) -> bool {
         let heard = self.heard.load(Ordering::Relaxed);
         heard > 0 && heard + FRESH_MS > self.clock.mono()
     }
@@ -75,9 +81,14 @@
         self.fresh() && self.opened.load(Ordering::Relaxed) + ms < self.clock.mono()
     }
 
-    /// Whether the scheduler's instance said that it does not hear of the store either.
+    /// Whether the scheduler's instance says that it does not hear of the store either.
     pub fn deaf(&self) -> bool {
-        self.deaf.load(Ordering::Relaxed)
+        self.linked() && self.deaf.load(Ordering::Relaxed)
+    }
+
+    /// Links opened so far: a figure that runs away shows a scheduler that cannot be worked with.
+    pub fn dials(&self) -> u64 {
+        self.dials.load(Ordering::Relaxed)
     }
 
     fn send(&self, frame: Frame) -> bool {
@@ -118,6 +129,7 @@
             }
             *self.tx.lock().unwrap() = None;
             self.heard.store(0, Ordering::Relaxed);
+            self.deaf.store(false, Ordering::Relaxed);
             // Writes on the way get no answer: dropping them says so.
             self.calls.lock().unwrap().clear();
         }
@@ -147,6 +159,7 @@
         let (tx, rx) = channel::bounded(QUEUE);
         *self.tx.lock().unwrap() = Some(tx.clone());
         self.opened.store(self.clock.mono(), Ordering::Relaxed);
+        self.dials.fetch_add(1, Ordering::Relaxed);
         log::info!(scheduler:% = addr; "linked to the scheduler");
         let broke = {
             let write = pump(out, rx, &self.clock, || Frame::Ping);
@@ -206,10 +219,7 @@
                 self.deaf.store(false, Ordering::Relaxed);
                 self.office.hear(row, version);
             }
-            Frame::Deaf => {
-                self.deaf.store(true, Ordering::Relaxed);
-                self.heard.store(0, Ordering::Relaxed);
-            }
+            Frame::Deaf => self.deaf.store(true, Ordering::Relaxed),
             _ => {}
         }
     }
--- a/src/control/mirror.rs
+++ b/src/control/mirror.rs
@@ -7,6 +7,7 @@
 use super::health::Dependency;
 use super::model::{Catalogue, JobId, JobState};
 use super::ports::{Change, Key, ReadError, Row, RunnerEntry, Store};
+use super::pulse::Pulse;
 use super::rows::{self, JobKey, JobRow, ProgressRow};
 use crate::kernel::clock::Clock;
 use crate::platform::{catalogue, runners};
@@ -17,6 +18,10 @@
 /// A write is waited for this many times a read's answer: it waits for others of its part, too.
 const LAG_TIMES: u64 = 10;
 
+/// How long a write is waited for while the store is silent, ms: many times its usual answer, and
+/// a fraction of the takeover that a longer wait after its return would risk.
+const PROBE_MS: u64 = 300;
+
 /// Longest wait for a write, ms: leaves a caller's 3 s time for a second try.
 const MAX_TRY_MS: u64 = 1_600;
 
@@ -93,7 +98,6 @@
     at: BTreeMap<Table, u64>,
     /// When the last successful poll of a table began, local ms.
     checked: BTreeMap<Table, u64>,
-    heard: u64,
     /// How long the store's last answer without changes took beyond the wait asked for, ms.
     lag: u64,
     news: Option<Sender<News>>,
@@ -102,6 +106,8 @@
 /// The mirror of one instance.
 pub struct Mirror {
     store: Arc<dyn Store>,
+    /// Whether the store answers this process.
+    pulse: Arc<Pulse>,
     clock: Clock,
     reads: Dependency,
     /// Held by the caller of [`Self::renew`] whose call serves the others.
@@ -110,11 +116,11 @@
 }
 
 impl Mirror {
-    /// An empty mirror of `store`.
-    pub fn new(store: Arc<dyn Store>, clock: Clock) -> Self {
+    /// An empty mirror of `store`, whose calls `pulse` notes.
+    pub fn new(store: Arc<dyn Store>, pulse: Arc<Pulse>, clock: Clock) -> Self {
         let reads = Dependency::new("store, reads", clock.clone());
         let turn = async_std::sync::Mutex::new(());
-        Self { store, clock, reads, turn, state: Mutex::default() }
+        Self { store, pulse, clock, reads, turn, state: Mutex::default() }
     }
 
     /// The catalogue in force here.
@@ -122,16 +128,15 @@
         self.state.lock().unwrap().cat.clone()
     }
 
-    /// When the store was last heard of, local ms; 0 for never.
-    pub fn heard(&self) -> u64 {
-        self.state.lock().unwrap().heard
-    }
-
     /// Longest a write should be waited for, ms: between `least` and [`MAX_TRY_MS`], many times
     /// what the store takes to answer now. A fixed bound is either too long for an instance that
     /// has been cut off, or gives up on a slow store, which then carries the write out as well as
-    /// its repetition.
+    /// its repetition. Into a silence only short tries are sent: one that was on its way when the
+    /// store came back would hold up the next for as long as it is waited for.
     pub fn patience(&self, least: u64) -> u64 {
+        if self.pulse.silent() {
+            return PROBE_MS;
+        }
         let lag = self.state.lock().unwrap().lag;
         (lag * LAG_TIMES).clamp(least, MAX_TRY_MS.max(least))
     }
@@ -243,14 +248,15 @@
         let Some(after) = self.followed(table) else {
             return self.load(table).await;
         };
+        // While the store is silent a poll only finds out whether it is back.
+        let wait_ms = if self.pulse.silent() { 0 } else { wait_ms };
         let asked = self.clock.mono();
         match self.store.changes(table.name(), after, wait_ms).await {
             Ok(changes) => {
                 let n = changes.rows.len();
                 let mut st = self.state.lock().unwrap();
-                st.heard = self.clock.mono();
                 if n == 0 {
-                    st.lag = st.heard.saturating_sub(asked + wait_ms);
+                    st.lag = self.clock.mono().saturating_sub(asked + wait_ms);
                 }
                 for c in changes.rows {
                     match c {
@@ -295,7 +301,6 @@
         }
         let n = seen.len();
         let mut st = self.state.lock().unwrap();
-        st.heard = self.clock.mono();
         if table == Table::Registry {
             let ids = seen.iter().map(|r| r.key.key.clone()).collect();
             st.tell(News::Runners(ids));
@@ -314,7 +319,6 @@
         let end = rows::cancel_key(id).key + "~";
         let page = self.store.page(&key.table, &key.part, &key.key, Some(&end)).await?;
         let mut st = self.state.lock().unwrap();
-        st.heard = self.clock.mono();
         for row in page.rows {
             st.put(Table::Jobs, row);
         }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! `engine` decides without I/O; `leader` drives it; `office` elects who does; `mirror` keeps
 //! what the store says of jobs; `intake` writes submissions in groups; `front` answers callers;
-//! `links` connects the other instances with the scheduler's; `health` logs dependencies lost and
-//! regained.
+//! `links` connects the other instances with the scheduler's; `pulse` knows whether the store answers;
+//! `health` logs dependencies lost and regained.
 
 pub mod engine;
 pub mod front;
@@ -18,6 +18,7 @@
 pub mod office;
 pub mod place;
 pub mod ports;
+pub mod pulse;
 pub mod queue;
 pub mod rows;
 pub mod settings;
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -2,13 +2,14 @@
 
 use super::engine::Rules;
 use super::front::Front;
-use super::intake::{Intake, Writer, STORE_SILENT_MS};
+use super::intake::{Intake, Writer};
 use super::leader::{Leader, HOLD_MS, YIELD_MS};
 use super::links::desk::{Desk, Reception};
 use super::links::peer::Peer;
 use super::mirror::{Mirror, Table};
 use super::office::Office;
 use super::ports::{Advisor, Runners, Store};
+use super::pulse::{Pulse, Watched};
 use super::settings::NodeSettings;
 use crate::admin::{self, Drain};
 use crate::http::{self, Conns};
@@ -55,6 +56,7 @@
     settings: NodeSettings,
     clock: Clock,
     stop: Stop,
+    pulse: Arc<Pulse>,
     mirror: Arc<Mirror>,
     office: Arc<Office>,
     desk: Arc<Desk>,
@@ -68,23 +70,26 @@
 impl Parts {
     fn new(settings: NodeSettings, clock: Clock, stop: Stop) -> (Self, Vec<Writer>) {
         let conns = Conns::new(clock.clone());
-        let store: Arc<dyn Store> = Arc::new(RowStore::new(conns.clone(), settings.store));
+        let pulse = Arc::new(Pulse::new(clock.clone()));
+        let rows = Arc::new(RowStore::new(conns.clone(), settings.store));
+        let store: Arc<dyn Store> = Arc::new(Watched::new(rows, pulse.clone()));
         let advisor: Option<Arc<dyn Advisor>> = settings.advice.map(|addr| {
             let calls: Arc<dyn Advisor> = Arc::new(AdviceCalls::new(conns.clone(), addr));
             calls
         });
         let office = Office::new(store.clone(), clock.clone(), &settings.id, settings.links);
         let office = Arc::new(office);
-        let mirror = Arc::new(Mirror::new(store.clone(), clock.clone()));
+        let mirror = Arc::new(Mirror::new(store.clone(), pulse.clone(), clock.clone()));
         let peer = Peer::new(advisor.clone(), mirror.clone(), office.clone(), clock.clone());
         let peer = Arc::new(peer);
         let (intake, writers) =
-            Intake::new(store.clone(), mirror.clone(), peer.clone(), clock.clone());
+            Intake::new(store.clone(), pulse.clone(), mirror.clone(), peer.clone(), clock.clone());
         let parts = Self {
             desk: Arc::new(Desk::new(advisor, clock.clone())),
             runners: Arc::new(RunnerCalls::new(conns)),
             view: Arc::default(),
             intake: Arc::new(intake),
+            pulse,
             mirror,
             office,
             peer,
@@ -98,8 +103,7 @@
 
     /// Whether the balancer should send this instance new connections.
     fn ready(&self) -> bool {
-        let heard = self.mirror.heard();
-        let hears = heard > 0 && heard + STORE_SILENT_MS > self.clock.mono();
+        let hears = self.pulse.heard() > 0 && !self.pulse.silent();
         let lively = hears || self.peer.fresh();
         !self.stop.fired() && lively && self.mirror.catalogue().version > 0
     }
@@ -165,7 +169,8 @@
             "role": "control", "id": self.settings.id, "domain": self.settings.domain,
             "ready": self.ready(), "jobs": self.mirror.job_count(),
             "catalogue": { "version": cat.version, "queues": cat.queues.len() },
-            "store_heard_ms": self.clock.mono().saturating_sub(self.mirror.heard()),
+            "store_heard_ms": self.clock.mono().saturating_sub(self.pulse.heard()),
+            "link": { "fresh": self.peer.fresh(), "opened": self.peer.dials() },
             "scheduler": *self.view.lock().unwrap(),
         })
     }
@@ -207,6 +212,7 @@
     let s = &parts.settings;
     let front = Arc::new(Front {
         mirror: parts.mirror.clone(),
+        pulse: parts.pulse.clone(),
         intake: parts.intake.clone(),
         peer: parts.peer.clone(),
         clock: clock.clone(),
@@ -238,6 +244,7 @@
         mirror: parts.mirror.clone(),
         intake: parts.intake.clone(),
         office: parts.office.clone(),
+        pulse: parts.pulse.clone(),
         clock,
     };
     loops.push(task::spawn(async move { reception.serve(listener).await }));
--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -513,6 +513,12 @@
         surf::get(url).recv_string().await.expect("metrics are served")
     }
 
+    /// The state dump of an instance.
+    pub async fn dump(&self, n: usize) -> Value {
+        let url = format!("http://{}/debug/state", self.settings[n].metrics);
+        surf::get(url).recv_json().await.expect("a state dump is served")
+    }
+
     /// A call of a client.
     pub async fn call(&self, n: usize, method: &str, path: &str, body: &str) -> Answer {
         let method: tide::http::Method = method.parse().unwrap();
--- a/tests/control_path.rs
+++ b/tests/control_path.rs
@@ -9,8 +9,10 @@
 use async_std::task;
 use common::users::{self, Cell, Mood};
 use currantgw::control::mirror::{Mirror, Table};
+use currantgw::control::pulse::Pulse;
 use currantgw::kernel::clock::Clock;
 use serde_json::json;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const ID: &str = "00000000000000a1";
@@ -117,7 +119,8 @@
 #[async_std::test]
 async fn the_first_row_written_after_an_empty_read_is_seen() {
     let world = Cell::empty().await;
-    let mirror = Mirror::new(world.store_client(), Clock::real());
+    let pulse = Arc::new(Pulse::new(Clock::real()));
+    let mirror = Mirror::new(world.store_client(), pulse, Clock::real());
     mirror.poll(Table::Config, 0).await.unwrap();
     let config = json!({"version": 3, "routes": [users::route("plain", false)]});
     world.world.put("op", "config", &config);
@@ -168,6 +171,58 @@
     cell.end().await;
 }
 
+/// Symptom: in an outage of the store some submissions are answered 504 instead of 503, after half
+/// a second, and what the scheduler has asked the advice service is lost ten times a second.
+/// Sequence: the store falls silent for everybody. The scheduler's instance closed every link,
+/// the others dialled anew at once, and each greeting made the link look usable for a moment, so
+/// that writes were handed over it and their answers lost with it.
+/// Cause: a link's end, and not a message, told that the scheduler did not hear of the store.
+#[async_std::test]
+async fn while_the_store_is_silent_refusals_are_certain() {
+    let cell = Cell::start(3, 1, 100).await;
+    cell.submit(0, "plain", ID, 1).await;
+    cell.wait_state(1, "plain", ID, "completed").await;
+    cell.world.mood(Mood::Silent);
+    // A write on its way when the silence begins may end in doubt; later ones must not.
+    task::sleep(Duration::from_millis(1_500)).await;
+    for round in 0..12u32 {
+        for n in 0..3u32 {
+            let id = format!("000000000000{round:02}{n:02}");
+            let began = Instant::now();
+            let (status, _) = cell.submit(n as usize, "plain", &id, 1).await;
+            assert_eq!(status, 503, "round {round} at instance {n}");
+            assert!(began.elapsed() < Duration::from_millis(300), "{:?}", began.elapsed());
+        }
+        task::sleep(Duration::from_millis(37)).await;
+    }
+    for n in 0..3 {
+        let opened = cell.dump(n).await["link"]["opened"].as_u64();
+        assert!(opened.is_some_and(|n| n <= 3), "instance {n} opened {opened:?} links");
+    }
+    cell.world.mood(Mood::Well);
+    cell.wait("accepted again", || async {
+        cell.submit(1, "plain", "00000000000000a2", 1).await.0 == 200
+    })
+    .await;
+    cell.wait_state(2, "plain", "00000000000000a2", "completed").await;
+    assert_eq!(cell.world.count("jobs"), 2);
+    cell.end().await;
+}
+
+/// A job that is not known here cannot be looked up while the store is silent: its caller hears
+/// so at once instead of after a read's timeout, and is told when to come back.
+#[async_std::test]
+async fn an_unknown_job_is_not_looked_up_in_a_silence() {
+    let cell = Cell::start(2, 1, 100).await;
+    cell.world.mood(Mood::Silent);
+    task::sleep(Duration::from_millis(1_500)).await;
+    let began = Instant::now();
+    assert_eq!(cell.state(0, "plain", "00000000000000ee").await, "503");
+    assert!(began.elapsed() < Duration::from_millis(300), "{:?}", began.elapsed());
+    cell.world.mood(Mood::Well);
+    cell.end().await;
+}
+
 /// The feed's history is dropped: everything is read anew, nothing is lost.
 #[async_std::test]
 async fn a_store_that_forgets_its_history_is_read_anew() {
