--- /dev/null
+++ b/benches/planner.rs
@@ -0,0 +1,77 @@
+//! Plays loads of the heaviest days on the scheduler's engine in memory, with each way of choosing
+//! runners, and prints what callers got: `cargo bench --bench planner -- [SEEDS] [LOAD]
+//! [WAYS]`, where WAYS is how many of best fit, first fit and random to play.
+
+#[path = "../tests/common/control.rs"]
+mod control;
+#[path = "../tests/common/load.rs"]
+mod load;
+
+use currantgw::control::place::Placement;
+use load::{Load, Outcome};
+
+/// Height of the plot of room used, lines.
+const PLOT_LINES: usize = 8;
+
+fn loads() -> Vec<Load> {
+    let small = Load::small_runners(48);
+    let large = Load::large_runners(48);
+    vec![
+        small.clone(),
+        small.clone().heavy("small runners, bursts", 1.9),
+        small.clone().heavy("", 1.9).times("small runners, full", 1.25),
+        small.times("small runners, twice", 2.0),
+        large.clone(),
+        large.clone().heavy("large runners, bursts", 1.9),
+        large.clone().heavy("", 1.9).times("large runners, full", 1.25),
+        large.times("large runners, twice", 2.0),
+    ]
+}
+
+fn plot(used: &[f64]) {
+    for line in (1..=PLOT_LINES).rev() {
+        let level = line as f64 / PLOT_LINES as f64;
+        let row: String = used
+            .iter()
+            .map(|u| if *u >= level - 0.5 / PLOT_LINES as f64 { '#' } else { ' ' })
+            .collect();
+        println!("  {:>3} % |{row}", (level * 100.0) as u32);
+    }
+}
+
+fn show(load: &Load, how: Placement, all: &[Outcome]) {
+    let mean = |f: &dyn Fn(&Outcome) -> f64| all.iter().map(f).sum::<f64>() / all.len() as f64;
+    print!("{:<24} {how:<9?} worth {:.3}", load.name, mean(&|o| o.worth));
+    for name in ["gangs", "patient", "urgent"] {
+        let worth = mean(&|o| o.queues[name].worth);
+        let (p50, p95) = (
+            mean(&|o| o.queues[name].waits.0 as f64),
+            mean(&|o| (o.queues[name].waits.1 as f64).min(99_999.0)),
+        );
+        print!(" | {name} {worth:.3} {p50:.0}/{p95:.0} ms");
+    }
+    let busy = mean(&|o| o.used.iter().take(34).sum::<f64>() / 34.0);
+    println!(
+        " | used {busy:.2} | round {:.0}/{:.0} us, {:.0} us a start",
+        mean(&|o| o.round_us.0 as f64),
+        mean(&|o| o.round_us.1 as f64),
+        mean(&|o| o.placement_us as f64)
+    );
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).filter(|a| !a.starts_with("--")).collect();
+    let seeds: u64 = args.first().and_then(|a| a.parse().ok()).unwrap_or(3);
+    let only = args.get(1).cloned().unwrap_or_default();
+    let ways: usize = args.get(2).and_then(|a| a.parse().ok()).unwrap_or(3);
+    for load in loads().into_iter().filter(|l| l.name.contains(&only)) {
+        let all = [Placement::BestFit, Placement::FirstFit, Placement::Random];
+        for how in all.into_iter().take(ways) {
+            let all: Vec<Outcome> = (0..seeds).map(|s| load::play(&load, how, s)).collect();
+            show(&load, how, &all);
+            if how == Placement::BestFit {
+                plot(&all[0].used);
+            }
+        }
+    }
+}
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -21,6 +21,7 @@
 pub use runs::{Run, Stage};
 
 use super::model::{Attempt, Catalogue, JobId, StepId, TaskId};
+use super::place::Placement;
 use super::ports::{Hold, Order, RunnerCall, Start};
 use crate::arena_key;
 use crate::kernel::arena::Arena;
@@ -50,6 +51,8 @@
     pub yield_ms: u64,
     /// Ended jobs are kept this long, ms.
     pub keep_ms: u64,
+    /// How runners are chosen.
+    pub placement: Placement,
 }
 
 /// Something to do for the scheduler.
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -23,15 +23,30 @@
 /// bursts of the calm day's lookups, some 4 % of the room.
 const URGENT_SHARE: u64 = 40;
 
-/// Gangs for which room is kept back while they wait: one holds back what it needs, more would
-/// leave a cell at 80 % half empty.
-const GANGS_AHEAD: usize = 2;
+/// Gangs in time for which room is kept back while they wait, as long as the cell keeps up. At 65 %
+/// load with bursts 12 let gangs earn 0.92 to 0.94 of their worth, 2 only 0.91; more add nothing
+/// (`benches/planner.rs`, means of four seeds a trade).
+const GANGS_AHEAD: usize = 12;
+
+/// ... and in a cell that does not keep up, or for gangs that are late: at 130 % load 12 left a fifth
+/// of the room empty, and lookups earned 0.44 of their worth instead of 0.69.
+const GANGS_AHEAD_FULL: usize = 2;
+
+/// A cell does not keep up while what waits asks for more than this share of its processors, per
+/// cent: a burst of gangs at 80 % load passes under it, 130 % load is over it after 2 s.
+const FULL_BACKLOG: u64 = 40;
+
+/// Share of the room taken on a runner that a waiting gang counts on, per cent: its tasks end one
+/// by one, and a gang that counts on all of it waits for the last.
+const ROOM_TO_COME: u64 = 25;
 
 /// Room spoken for by more urgent steps of the same round.
 #[derive(Default)]
 struct Claims {
     by_runner: BTreeMap<RunnerKey, Resources>,
     gangs: usize,
+    /// The cell does not keep up with what waits.
+    full: bool,
 }
 
 impl Claims {
@@ -73,7 +88,7 @@
         let mut order: Vec<(Rank, StepId)> =
             self.open.iter().filter_map(|&id| Some((self.rank(id, now)?, id))).collect();
         order.sort_unstable();
-        let mut claims = Claims::default();
+        let mut claims = Claims { full: self.falls_behind(&order), ..Claims::default() };
         for (rank, id) in order {
             let Some(job) = self.jobs.get(&id.job) else { continue };
             let (row, waits) = (job.row.clone(), job.step(id).is_some_and(|s| s.waits()));
@@ -105,6 +120,18 @@
         Some(queue::rank(&claim, now.wall))
     }
 
+    /// Whether more waits than the cell can take in soon.
+    fn falls_behind(&self, order: &[(Rank, StepId)]) -> bool {
+        let asked = |&(_, id): &(Rank, StepId)| {
+            let demand = self.jobs.get(&id.job).map_or(Resources::ZERO, |j| j.spec(id).demand());
+            demand.cpu * self.waiting(id) as u64
+        };
+        let asked: u64 = order.iter().map(asked).sum();
+        let listed = self.runners.iter().filter(|(_, r)| r.listed && !r.over);
+        let room: u64 = listed.map(|(_, r)| r.room().cpu).sum();
+        asked * 100 > room * FULL_BACKLOG
+    }
+
     fn waiting(&self, id: StepId) -> usize {
         self.step(id).map_or(0, |s| s.tasks.iter().filter(|t| t.waits()).count())
     }
@@ -168,7 +195,13 @@
 
     fn demand(&self, v: &View<'_>) -> Ask {
         let rack = self.racks.get(&v.step.rack).copied();
-        Ask { need: v.step.demand(), rack, one_rack: v.step.one_rack }
+        Ask {
+            need: v.step.demand(),
+            rack,
+            one_rack: v.step.one_rack,
+            how: self.rules.placement,
+            seed: v.id.job.0 ^ self.counts.rounds,
+        }
     }
 
     fn place_tasks(&mut self, v: &View<'_>, rank: Rank, claims: &Claims, now: Now) {
@@ -234,7 +267,8 @@
                 return self.place_booked(v, now);
             }
         }
-        if rank.patient && claims.gangs < GANGS_AHEAD {
+        let ahead = if rank.late || claims.full { GANGS_AHEAD_FULL } else { GANGS_AHEAD };
+        if rank.patient && claims.gangs < ahead {
             claims.gangs += 1;
             self.claim(&known, &need, count, claims);
         }
@@ -283,9 +317,10 @@
             if missing == 0 {
                 return;
             }
-            let room = self.runners.get(p.key).room();
-            let slots = room.cpu.checked_div(need.cpu).unwrap_or(missing);
-            missing = missing.saturating_sub(slots.max(1));
+            let whole = Place { free: self.runners.get(p.key).room(), ..p.clone() };
+            let now = place::capacity(std::slice::from_ref(p), need);
+            let later = place::capacity(&[whole], need).saturating_sub(now);
+            missing = missing.saturating_sub((now + later * ROOM_TO_COME / 100).max(1));
             claims.take(p.key, &p.free);
         }
     }
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -111,7 +111,12 @@
     /// Stands by for the office, and serves whenever it is taken.
     async fn schedule(self: Arc<Self>) {
         let hold_ms = HOLD_MS.min(self.settings.hold_max_ms);
-        let rules = Rules { hold_ms, yield_ms: YIELD_MS, keep_ms: self.settings.keep_ms };
+        let rules = Rules {
+            hold_ms,
+            yield_ms: YIELD_MS,
+            keep_ms: self.settings.keep_ms,
+            placement: self.settings.placement,
+        };
         let leader = Leader {
             store: self.store.clone(),
             runners: self.runners.clone(),
--- a/src/control/place.rs
+++ b/src/control/place.rs
@@ -3,10 +3,25 @@
 //! Tasks are packed best fit: a runner left with the least processor room after the choice. The
 //! load this answers is a cell at 80 % with gangs of some eight 4.5-core tasks on 16-core
 //! runners, of which only some may run a step: spreading small tasks evenly would leave no runner
-//! with room for a large one.
+//! with room for a large one. First fit and random placing are there to be compared with.
 
 use crate::kernel::res::Resources;
+use serde::Deserialize;
 use std::collections::BTreeSet;
+use xxhash_rust::xxh3;
+
+/// How a runner is chosen among those that fit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Placement {
+    /// The one that is left with the least processor room.
+    #[default]
+    BestFit,
+    /// The first known.
+    FirstFit,
+    /// Any.
+    Random,
+}
 
 /// A runner that may take tasks of the step.
 #[derive(Clone, Debug)]
@@ -32,6 +47,22 @@
     pub rack: Option<u32>,
     /// All on one rack if that is possible.
     pub one_rack: bool,
+    /// How to choose.
+    pub how: Placement,
+    /// Draws the choice of random placing.
+    pub seed: u64,
+}
+
+/// Where a place stands among those that fit, by the way of choosing alone; lower is better.
+fn order(ask: &Ask, index: usize, left: &Resources) -> (u64, u64) {
+    match ask.how {
+        Placement::BestFit => (left.cpu, left.mem),
+        Placement::FirstFit => (0, 0),
+        Placement::Random => {
+            let drawn = [ask.seed, index as u64, left.cpu].map(u64::to_le_bytes).concat();
+            (xxh3::xxh3_64(&drawn), 0)
+        }
+    }
 }
 
 /// How many more tasks fit.
@@ -54,11 +85,11 @@
     avoid: &BTreeSet<K>,
     failed: bool,
 ) -> Option<K> {
-    let fits = |p: &&mut Place<K>| slots(p, &ask.need) > 0;
-    let best = places.iter_mut().filter(fits).min_by_key(|p| {
+    let fits = |(_, p): &(usize, &mut Place<K>)| slots(p, &ask.need) > 0;
+    let (_, best) = places.iter_mut().enumerate().filter(fits).min_by_key(|(index, p)| {
         let far = ask.rack.is_some_and(|r| r != p.rack);
         let left = p.free.sub(&ask.need);
-        (avoid.contains(&p.key), failed && !p.proven, far, left.cpu, left.mem, p.key)
+        (avoid.contains(&p.key), failed && !p.proven, far, order(ask, *index, &left), p.key)
     })?;
     best.free = best.free.sub(&ask.need);
     best.limit -= 1;
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of one instance of the control plane (JSON), checked before it starts.
 
+use super::place::Placement;
 use crate::options::SettingsError;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -31,6 +32,9 @@
     pub grace_ms: u64,
     /// How long ended jobs are answered for, ms.
     pub keep_ms: u64,
+    /// How runners are chosen: `best-fit`, or `first-fit` or `random` to compare with.
+    #[serde(default)]
+    pub placement: Placement,
 }
 
 impl NodeSettings {
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -7,8 +7,9 @@
 
 use currantgw::control::engine::{Action, Batch, Engine, Now, Outcome, Rules, RunnerKey};
 use currantgw::control::model::{
-    Approval, Attempt, Catalogue, EndKind, JobId, JobSpec, JobState, Queue, Step, TaskId,
+    Approval, Attempt, Catalogue, EndKind, JobId, JobSpec, JobState, Queue, Step, StepId, TaskId,
 };
+use currantgw::control::place::Placement;
 use currantgw::control::ports::{
     Active, Advice, End, Hold, Order, Refusal, Report, RunnerEntry, Start, Ticket,
 };
@@ -32,7 +33,8 @@
 const STOP_MS: u64 = 100;
 
 /// Limits used by the tests.
-pub const RULES: Rules = Rules { hold_ms: 8_000, yield_ms: 10_000, keep_ms: 120_000 };
+pub const RULES: Rules =
+    Rules { hold_ms: 8_000, yield_ms: 10_000, keep_ms: 120_000, placement: Placement::BestFit };
 
 /// What one run does on a fake runner.
 #[derive(Clone, Debug)]
@@ -80,7 +82,8 @@
         now + self.offset
     }
 
-    fn used(&self) -> Resources {
+    /// Room taken by what runs.
+    pub fn used(&self) -> Resources {
         self.running.values().fold(Resources::ZERO, |sum, r| sum.add(&r.need))
     }
 
@@ -113,6 +116,7 @@
     Started(RunnerKey, TaskId, Attempt, Result<u64, Refusal>),
     Stopped(RunnerKey, TaskId, Attempt, Result<u64, Refusal>),
     Looked(RunnerKey, Result<Report, Refusal>),
+    Advised(StepId, Vec<String>, Advice),
     Apply { term: u64, batch: Batch, answered: bool },
     Committed(Batch, Outcome),
 }
@@ -135,8 +139,21 @@
     pub writes: BTreeMap<JobId, u32>,
     /// Questions about runners: how many were named in each.
     pub asked: Vec<usize>,
-    /// What the approval service approves, by position of the runner.
-    pub approves: fn(usize) -> bool,
+    /// What the approval service approves, by step and position of the runner.
+    pub approves: fn(StepId, usize) -> bool,
+    /// When each line to the approval service is free again, ms; none for answers at once.
+    pub lines: Vec<f64>,
+    /// Real work of a job's tasks, per cent of their estimate, where they differ.
+    pub truth: BTreeMap<JobId, u64>,
+    /// Share of runs that fail by their own fault.
+    pub own_faults: f64,
+    /// When a job's end was stored, ms, and its state.
+    pub ended: BTreeMap<JobId, (u64, JobState)>,
+    /// When a task of a job first started, ms.
+    pub began: BTreeMap<JobId, u64>,
+    /// Time spent in planning rounds, one entry a round.
+    pub planning: Vec<std::time::Duration>,
+    room: Resources,
     cat: Arc<Catalogue>,
     jobs: BTreeMap<JobId, Arc<JobRow>>,
     cancelled: BTreeSet<JobId>,
@@ -175,17 +192,24 @@
     /// A cell of `n` runners of 16 cores, with queues `urgent`, `patient` and `asked` (whose
     /// policy approves runners).
     pub fn new(n: usize, seed: u64) -> Self {
+        let room = Resources { cpu: 16_000, mem: 64_000, acc: 0 };
         let ask = Approval { base_ms: 10.0, each_ms: 1.0, valid_ms: 2_000 };
         let queues = [
             queue("urgent", 0, 2, None),
             queue("patient", 2, 3, None),
             queue("asked", 1, 3, Some(ask)),
         ];
+        Self::with(RULES, n, room, queues.into(), seed)
+    }
+
+    /// A cell of `n` runners of `room`, with the given queues, under `rules`.
+    pub fn with(rules: Rules, n: usize, room: Resources, queues: Vec<Queue>, seed: u64) -> Self {
         let queues = queues.into_iter().map(|q| (q.name.clone(), q)).collect();
         let cat = Arc::new(Catalogue { version: 1, queues });
         let now = 1_000;
         let mut cell = Self {
-            engine: Engine::new(RULES, 1, Now { mono: now, wall: now }),
+            engine: Engine::new(rules, 1, Now { mono: now, wall: now }),
+            room,
             runners: Vec::new(),
             faults: Faults::default(),
             now,
@@ -193,7 +217,13 @@
             starts: BTreeMap::new(),
             writes: BTreeMap::new(),
             asked: Vec::new(),
-            approves: |_| true,
+            approves: |_, _| true,
+            lines: Vec::new(),
+            truth: BTreeMap::new(),
+            own_faults: 0.0,
+            ended: BTreeMap::new(),
+            began: BTreeMap::new(),
+            planning: Vec::new(),
             cat,
             jobs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
@@ -218,7 +248,7 @@
         let i = self.runners.len();
         self.runners.push(FakeRunner {
             id: format!("r{i}"),
-            room: Resources { cpu: 16_000, mem: 64_000, acc: 0 },
+            room: self.room,
             up: true,
             cut_until: 0,
             hangs: false,
@@ -340,7 +370,9 @@
                 }
             }
             self.engine.tick(self.clocks());
+            let began = std::time::Instant::now();
             self.engine.plan(self.clocks());
+            self.planning.push(began.elapsed());
             self.commit();
             for act in self.engine.take_actions() {
                 self.send(act);
@@ -370,16 +402,19 @@
     fn send(&mut self, act: Action) {
         let term = self.office;
         match &act {
-            Action::Ask { step, ids, .. } => {
+            Action::Ask { step, ids, cost_ms } => {
                 self.asked.push(ids.len());
-                let ok = |id: &&String| (self.approves)(id[1..].parse().unwrap());
+                let ok = |id: &&String| (self.approves)(*step, id[1..].parse().unwrap());
                 let approved = ids
                     .iter()
                     .filter(ok)
                     .map(|id| Ticket { id: id.clone(), ticket: "t".into() })
                     .collect();
                 let advice = Advice { approved, valid_ms: 2_000 };
-                let (step, ids) = (*step, ids.clone());
+                let (step, ids, cost) = (*step, ids.clone(), *cost_ms);
+                if let Some(delay) = self.on_a_line(cost) {
+                    return self.at(delay, Event::Advised(step, ids, advice));
+                }
                 self.engine.advised(step, &ids, Ok(advice), self.clocks());
             }
             Action::Hold { .. } => self.at(WAY_MS, Event::Arrive { term, act, answered: true }),
@@ -388,6 +423,14 @@
         }
     }
 
+    /// Time until the line that is free first has answered a question, ms.
+    fn on_a_line(&mut self, cost: f64) -> Option<u64> {
+        let now = self.now as f64;
+        let line = self.lines.iter_mut().min_by(|a, b| a.total_cmp(b))?;
+        *line = line.max(now) + cost;
+        Some((*line - now) as u64 + 2 * WAY_MS)
+    }
+
     fn order(&mut self, after: u64, act: Action) {
         let term = self.office;
         if self.rng.gen_bool(self.faults.late) {
@@ -430,6 +473,7 @@
             Event::Started(k, id, attempt, res) => self.engine.started(k, id, attempt, res, now),
             Event::Stopped(k, id, attempt, res) => self.engine.stopped(k, id, attempt, res, now),
             Event::Looked(k, res) => self.engine.looked(k, res, now),
+            Event::Advised(step, ids, a) => self.engine.advised(step, &ids, Ok(a), now),
             Event::Committed(batch, out) => self.engine.committed(&batch, &out, now),
         }
     }
@@ -448,6 +492,9 @@
         for w in &batch.writes {
             self.store.insert(w.job, (self.version, w.value.clone()));
             *self.writes.entry(w.job).or_default() += 1;
+            if w.state.ended() {
+                self.ended.entry(w.job).or_insert((self.now, w.state));
+            }
         }
         Outcome::Done(self.version)
     }
@@ -498,9 +545,12 @@
     fn start(&mut self, i: usize, s: &Start) -> Result<u64, Refusal> {
         let now = self.now;
         let need = self.need(s.task);
-        let poison = self.fails.contains(&s.task.step.job);
+        let poison = self.fails.contains(&s.task.step.job)
+            || (self.own_faults > 0.0 && self.rng.gen_bool(self.own_faults));
         let step = &self.jobs[&s.task.step.job].spec.steps[s.task.step.step as usize];
-        let (work, copies) = (step.estimate, step.copies);
+        let truth = self.truth.get(&s.task.step.job).copied().unwrap_or(100);
+        let (work, copies) = (step.estimate * truth / 100, step.copies);
+        self.began.entry(s.task.step.job).or_insert(now);
         let r = &mut self.runners[i];
         if s.fence < r.fence {
             return Err(Refusal::Fenced);
--- /dev/null
+++ b/tests/common/load.rs
@@ -0,0 +1,392 @@
+//! Loads as callers bring them, drawn from a seed, and what the cell's scheduler makes of them:
+//! worth earned, waits by queue, room used, time to plan.
+//!
+//! A load has the shape of a trade's days: three queues (wide gangs that few runners may run,
+//! patient tasks, urgent lookups), real work apart from its estimate, some runs that fail by their
+//! own fault, and bursts. Worth: all of it within the objective, a fifth up to three times the
+//! objective, nothing after that.
+
+#![allow(dead_code)]
+
+use super::control::{queue, Cell, RULES};
+use currantgw::control::engine::Rules;
+use currantgw::control::model::{Approval, JobId, JobState, Queue, Step, StepId};
+use currantgw::control::place::Placement;
+use currantgw::kernel::res::Resources;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+
+/// A distribution: mean, spread and largest value.
+#[derive(Clone, Copy, Debug)]
+struct Draw(f64, f64, f64);
+
+impl Draw {
+    /// Log-normal with the given mean, cut off at the largest value.
+    fn draw(self, rng: &mut StdRng) -> f64 {
+        let Self(mean, spread, max) = self;
+        let sigma = (1.0 + spread * spread).ln().sqrt();
+        let z: f64 = (0..12).map(|_| rng.gen::<f64>()).sum::<f64>() - 6.0;
+        (mean * (sigma * z - sigma * sigma / 2.0).exp()).min(max)
+    }
+}
+
+/// Jobs of one queue.
+#[derive(Clone, Copy, Debug)]
+struct Kind {
+    name: &'static str,
+    priority: u32,
+    per_s: f64,
+    steps: f64,
+    width: Draw,
+    cpu: Draw,
+    mem: Draw,
+    work_ms: Draw,
+    /// Share of the jobs that are gangs.
+    gangs: f64,
+    slack: f64,
+    latency_ms: u64,
+    /// Approval service: time of a question, and more for each runner, ms.
+    asks: (f64, f64),
+    worth: f64,
+}
+
+/// Times by which the load of a queue grows for some seconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Burst {
+    /// Position of the queue.
+    pub kind: usize,
+    /// When it begins, s.
+    pub from_s: f64,
+    /// Factor.
+    pub by: f64,
+}
+
+/// How long a burst lasts, s.
+const BURST_S: f64 = 4.0;
+
+/// A load on a cell.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Its name.
+    pub name: &'static str,
+    runners: usize,
+    room: Resources,
+    kinds: [Kind; 3],
+    /// How long jobs come, s.
+    pub seconds: f64,
+    /// Factor on all rates.
+    pub times: f64,
+    /// Bursts.
+    pub bursts: Vec<Burst>,
+    /// Instances that can ask the approval service.
+    lines: usize,
+}
+
+/// Share of the runners that a policy approves, by position of the queue, per cent.
+const APPROVED: [u64; 3] = [30, 45, 70];
+
+/// Bits of a job's id that say its queue.
+const KIND_BITS: u32 = 2;
+
+/// Share of runs that fail by their own fault.
+const OWN_FAULTS: f64 = 0.006;
+
+/// Most members that a gang has, per cent of those that the empty cell could hold: well under
+/// half of what its policy approves, so that every gang can be placed at all.
+const GANG_ROOM: u64 = 12;
+
+/// Jobs still come to an end for this long after the last has arrived, s.
+const TAIL_S: u64 = 40;
+
+/// What is approved for a step never changes: it follows from the step and the runner.
+fn approves(step: StepId, runner: usize) -> bool {
+    let kind = (step.job.0 & ((1 << KIND_BITS) - 1)) as usize;
+    let mut h = step.job.0.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ u64::from(step.step) << 32;
+    h = (h ^ runner as u64).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    (h >> 33) % 100 < APPROVED[kind]
+}
+
+impl Load {
+    /// A calm day of a trade with small runners: 16 cores, 64 GB.
+    pub fn small_runners(runners: usize) -> Self {
+        let gangs = Kind {
+            name: "gangs",
+            priority: 1,
+            per_s: 1.8,
+            steps: 1.2,
+            width: Draw(8.0, 0.8, 48.0),
+            cpu: Draw(4_500.0, 0.4, 7_600.0),
+            mem: Draw(17_000.0, 0.5, 34_000.0),
+            work_ms: Draw(4_000.0, 0.5, 10_000.0),
+            gangs: 1.0,
+            slack: 2.2,
+            latency_ms: 1_000,
+            asks: (360.0, 5.1),
+            worth: 12.4,
+        };
+        let patient = Kind {
+            name: "patient",
+            priority: 2,
+            per_s: 4.4,
+            steps: 1.5,
+            width: Draw(10.0, 0.8, 60.0),
+            cpu: Draw(980.0, 0.45, 2_900.0),
+            mem: Draw(3_600.0, 0.6, 11_000.0),
+            work_ms: Draw(3_400.0, 0.5, 8_400.0),
+            gangs: 0.0,
+            slack: 4.0,
+            latency_ms: 3_000,
+            asks: (72.0, 1.0),
+            worth: 3.3,
+        };
+        let urgent = Kind {
+            name: "urgent",
+            priority: 0,
+            per_s: 48.0,
+            steps: 1.0,
+            width: Draw(2.0, 0.8, 12.0),
+            cpu: Draw(1_400.0, 0.45, 4_200.0),
+            mem: Draw(4_000.0, 0.6, 12_000.0),
+            work_ms: Draw(640.0, 0.5, 1_600.0),
+            gangs: 0.3,
+            slack: 1.5,
+            latency_ms: 250,
+            asks: (6.5, 0.1),
+            worth: 0.41,
+        };
+        let room = Resources { cpu: 16_000, mem: 65_536, acc: 0 };
+        Self {
+            name: "small runners, calm",
+            runners,
+            room,
+            kinds: [gangs, patient, urgent],
+            seconds: 34.0,
+            times: 1.0,
+            bursts: Vec::new(),
+            lines: 7,
+        }
+    }
+
+    /// A calm day of a trade with large runners: 64 cores, 256 GB.
+    pub fn large_runners(runners: usize) -> Self {
+        let mut load = Self::small_runners(runners);
+        let [gangs, patient, urgent] = &mut load.kinds;
+        gangs.cpu = Draw(18_000.0, 0.4, 30_000.0);
+        gangs.mem = Draw(37_000.0, 0.5, 75_000.0);
+        gangs.asks = (410.0, 5.9);
+        gangs.worth = 9.3;
+        patient.per_s = 6.8;
+        patient.cpu = Draw(3_900.0, 0.45, 12_000.0);
+        patient.mem = Draw(11_000.0, 0.6, 34_000.0);
+        patient.work_ms = Draw(2_200.0, 0.5, 5_400.0);
+        patient.asks = (53.0, 0.75);
+        patient.worth = 1.5;
+        urgent.per_s = 31.0;
+        urgent.cpu = Draw(5_600.0, 0.45, 17_000.0);
+        urgent.mem = Draw(21_000.0, 0.6, 62_000.0);
+        urgent.work_ms = Draw(1_000.0, 0.5, 2_500.0);
+        urgent.asks = (12.0, 0.17);
+        urgent.worth = 0.48;
+        load.name = "large runners, calm";
+        load.room = Resources { cpu: 64_000, mem: 262_144, acc: 0 };
+        load.lines = 9;
+        load
+    }
+
+    /// The same with bursts of lookups and of gangs, as on the heaviest days.
+    pub fn heavy(mut self, name: &'static str, by: f64) -> Self {
+        let (lookups, gangs) = (2, 0);
+        self.bursts =
+            vec![Burst { kind: lookups, from_s: 5.0, by }, Burst { kind: gangs, from_s: 19.0, by }];
+        self.name = name;
+        self
+    }
+
+    /// The same at `times` the rates.
+    pub fn times(mut self, name: &'static str, times: f64) -> Self {
+        self.times = times;
+        self.name = name;
+        self
+    }
+
+    fn queues(&self) -> Vec<Queue> {
+        let of = |k: &Kind| {
+            let (base_ms, each_ms) = k.asks;
+            let approval = Approval { base_ms, each_ms, valid_ms: 2_000 };
+            let slack = k.slack;
+            let latency_ms = k.latency_ms;
+            Queue { slack, latency_ms, ..queue(k.name, k.priority, 3, Some(approval)) }
+        };
+        self.kinds.iter().map(of).collect()
+    }
+
+    fn rate(&self, kind: usize, at_s: f64) -> f64 {
+        let inside = |b: &&Burst| b.kind == kind && (b.from_s..b.from_s + BURST_S).contains(&at_s);
+        let burst = self.bursts.iter().find(inside).map_or(1.0, |b| b.by);
+        self.kinds[kind].per_s * self.times * burst
+    }
+}
+
+/// What a queue's callers got.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Got {
+    /// Jobs submitted.
+    pub jobs: usize,
+    /// Within the objective.
+    pub in_time: usize,
+    /// Up to three times the objective.
+    pub late: usize,
+    /// Share of the worth earned.
+    pub worth: f64,
+    /// Median and 95th of 100 of the time to the first start, ms.
+    pub waits: (u64, u64),
+}
+
+/// What came of a load.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// By queue.
+    pub queues: BTreeMap<&'static str, Got>,
+    /// Share of all worth earned.
+    pub worth: f64,
+    /// Share of the processors that ran tasks, each second.
+    pub used: Vec<f64>,
+    /// Median and 99th of 100 of the time of a planning round, µs.
+    pub round_us: (u64, u64),
+    /// Longest mean time of a round a placement, µs.
+    pub placement_us: u64,
+    /// Starts.
+    pub starts: usize,
+}
+
+struct Sent {
+    kind: usize,
+    at: u64,
+    objective: u64,
+    worth: f64,
+}
+
+fn percentile(sorted: &[u64], share: f64) -> u64 {
+    let i = (sorted.len() as f64 * share) as usize;
+    sorted.get(i.min(sorted.len().saturating_sub(1))).copied().unwrap_or(0)
+}
+
+/// A job of a kind: its steps and the real work of its tasks in per cent of the estimate.
+fn draw_job(load: &Load, k: &Kind, rng: &mut StdRng) -> (Vec<Step>, u64) {
+    let (steps, gang) = (k.steps.floor() as u32, rng.gen_bool(k.gangs));
+    let steps = steps + u32::from(rng.gen_bool(k.steps.fract()));
+    let off = rng.gen_range(0.8..1.25);
+    let one = |n: u32, rng: &mut StdRng| {
+        let work = k.work_ms.draw(rng).max(50.0);
+        let cpu = k.cpu.draw(rng).max(50.0) as u64;
+        let mem = k.mem.draw(rng).max(50.0) as u64;
+        let slots = (load.room.cpu / cpu).min(load.room.mem / mem) * load.runners as u64;
+        let most = if gang { slots * GANG_ROOM / 100 } else { u64::MAX };
+        Step {
+            count: (k.width.draw(rng).round().max(1.0) as u64).min(most) as u32,
+            need: Resources { cpu, mem, acc: 0 },
+            estimate: (work / off) as u64,
+            after: (0..n).collect(),
+            gang,
+            ..Step::default()
+        }
+    };
+    ((0..steps).map(|n| one(n, rng)).collect(), (off * 100.0) as u64)
+}
+
+/// Core-seconds of a job.
+fn work_of(steps: &[Step], truth: u64) -> f64 {
+    let of = |s: &Step| u64::from(s.count) * s.need.cpu * s.estimate;
+    steps.iter().map(of).sum::<u64>() as f64 * truth as f64 / 1e8
+}
+
+/// Plays `load` with runners chosen by `placement`.
+pub fn play(load: &Load, placement: Placement, seed: u64) -> Outcome {
+    let rules = Rules { placement, ..RULES };
+    let mut cell = Cell::with(rules, load.runners, load.room, load.queues(), seed);
+    cell.approves = approves;
+    cell.lines = vec![0.0; load.lines];
+    cell.own_faults = OWN_FAULTS;
+    cell.run(200);
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut sent: BTreeMap<JobId, Sent> = BTreeMap::new();
+    let (begin, tick) = (cell.now, super::control::STEP_MS);
+    let mut used = Vec::new();
+    let total = load.runners as u64 * load.room.cpu;
+    let end = begin + (load.seconds * 1_000.0) as u64 + TAIL_S * 1_000;
+    while cell.now < end {
+        let at_s = (cell.now - begin) as f64 / 1_000.0;
+        for kind in 0..load.kinds.len() {
+            let share = load.rate(kind, at_s) * tick as f64 / 1_000.0;
+            if at_s < load.seconds && rng.gen_bool(share.min(1.0)) {
+                let id = JobId((rng.gen::<u64>() >> KIND_BITS) << KIND_BITS | kind as u64);
+                let k = &load.kinds[kind];
+                let (steps, truth) = draw_job(load, k, &mut rng);
+                let chain: u64 = steps.iter().map(|s| s.estimate * truth / 100).sum();
+                let asks = (k.asks.0 + 30.0 * k.asks.1) as u64 * steps.len() as u64;
+                let objective = (k.slack * (chain + asks) as f64) as u64 + k.latency_ms;
+                let worth = work_of(&steps, truth);
+                sent.insert(id, Sent { kind, at: cell.now, objective, worth });
+                cell.truth.insert(id, truth);
+                cell.submit(id.0, k.name, steps);
+            }
+        }
+        cell.run(tick);
+        if (cell.now - begin) % 1_000 < tick {
+            let runs: u64 = cell.runners.iter().map(|r| r.used().cpu).sum();
+            used.push(runs as f64 / total as f64);
+        }
+    }
+    cell.check();
+    weigh(load, &cell, sent, used)
+}
+
+/// A job is worth 0.3 and 0.7 times its work against the mean of its queue, at most 4.
+fn weigh(load: &Load, cell: &Cell, mut sent: BTreeMap<JobId, Sent>, used: Vec<f64>) -> Outcome {
+    let (mut owed, mut earned) = (0.0, 0.0);
+    let mut queues = BTreeMap::new();
+    for (kind, k) in load.kinds.iter().enumerate() {
+        let mine = || sent.values().filter(move |s| s.kind == kind);
+        let mean = mine().map(|s| s.worth).sum::<f64>() / mine().count().max(1) as f64;
+        for s in sent.values_mut().filter(|s| s.kind == kind) {
+            s.worth = k.worth * (0.3 + 0.7 * s.worth / mean).min(4.0);
+        }
+        let mut got = Got::default();
+        let (mut own_owed, mut own_earned) = (0.0, 0.0);
+        let mut waits = Vec::new();
+        for (id, s) in sent.iter().filter(|(_, s)| s.kind == kind) {
+            got.jobs += 1;
+            own_owed += s.worth;
+            waits.push(cell.began.get(id).map_or(u64::MAX / 2, |b| b - s.at));
+            match cell.ended.get(id) {
+                Some((at, JobState::Completed)) if at - s.at <= s.objective => {
+                    got.in_time += 1;
+                    own_earned += s.worth;
+                }
+                Some((at, JobState::Completed)) if at - s.at <= 3 * s.objective => {
+                    got.late += 1;
+                    own_earned += s.worth / 5.0;
+                }
+                _ => {}
+            }
+        }
+        waits.sort_unstable();
+        got.worth = own_earned / own_owed;
+        got.waits = (percentile(&waits, 0.5), percentile(&waits, 0.95));
+        owed += own_owed;
+        earned += own_earned;
+        queues.insert(k.name, got);
+    }
+    let mut rounds: Vec<u64> = cell.planning.iter().map(|d| d.as_micros() as u64).collect();
+    rounds.sort_unstable();
+    let starts: u32 = cell.starts.values().sum();
+    Outcome {
+        queues,
+        worth: earned / owed,
+        used,
+        round_us: (percentile(&rounds, 0.5), percentile(&rounds, 0.99)),
+        placement_us: rounds.iter().sum::<u64>() / u64::from(starts.max(1)),
+        starts: starts as usize,
+    }
+}
--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -9,6 +9,7 @@
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use currantgw::control::node;
+use currantgw::control::place::Placement;
 use currantgw::control::ports;
 use currantgw::control::settings::NodeSettings;
 use currantgw::http::Conns;
@@ -480,6 +481,7 @@
             hold_max_ms: 10_000,
             grace_ms: 2_600,
             keep_ms: 120_000,
+            placement: Placement::default(),
         }
     }
 
--- a/tests/control_engine.rs
+++ b/tests/control_engine.rs
@@ -287,7 +287,7 @@
 #[test]
 fn only_approved_runners_get_tasks() {
     let mut cell = Cell::new(12, 12);
-    cell.approves = |i| i % 3 == 0;
+    cell.approves = |_, i| i % 3 == 0;
     let job = cell.submit(1, "asked", vec![step(8, 6_000, 500)]);
     cell.run(200);
     assert!((0..8).flat_map(|i| cell.whereabouts(task(job, i))).all(|r| r % 3 == 0));
--- a/tests/control_policy.rs
+++ b/tests/control_policy.rs
@@ -9,7 +9,7 @@
 use common::control::{step, Cell};
 use currantgw::control::engine::{Engine, Now};
 use currantgw::control::model::{BadId, Invalid, JobId, JobState, Step, TaskId};
-use currantgw::control::place::{self, Ask, Place};
+use currantgw::control::place::{self, Ask, Place, Placement};
 use currantgw::control::queue::{self, Claim};
 use currantgw::control::rows::{self, JobKey, ProgressRow, StepRow, TaskRow};
 use currantgw::control::settings::NodeSettings;
@@ -56,7 +56,13 @@
 }
 
 fn ask(cpu: u64) -> Ask {
-    Ask { need: Resources { cpu, mem: 100, acc: 0 }, rack: None, one_rack: false }
+    Ask {
+        need: Resources { cpu, mem: 100, acc: 0 },
+        rack: None,
+        one_rack: false,
+        how: Placement::BestFit,
+        seed: 1,
+    }
 }
 
 /// Small tasks go where little room is left, so that whole runners stay free for gangs.
