Parts of the store are lost and regained one by one

Ruled out: lost connections in general (reads went on).

Change: each part is a dependency of its own, named in the log; the state dump lists those lost.

Test: a part of the stand-in takes no writes; before, the dump has no such list and one dependency stood for all.

Writing to another part while one is away is not built (docs/design/platform.md).

--- a/src/control/health.rs
+++ b/src/control/health.rs
@@ -23,6 +23,16 @@
         Self { name: name.into(), clock, lost: Mutex::default() }
     }
 
+    /// Whether it is lost.
+    pub fn lost(&self) -> bool {
+        self.lost.lock().unwrap().is_some()
+    }
+
+    /// Its name in logs.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     /// A call succeeded.
     pub fn works(&self) {
         if let Some(loss) = self.lost.lock().unwrap().take() {
--- a/src/control/intake.rs
+++ b/src/control/intake.rs
@@ -89,6 +89,9 @@
 /// The writers of one instance.
 pub struct Intake {
     parts: Vec<Sender<Request>>,
+    /// The store's parts, each a dependency of its own: some can be away while others serve, and
+    /// one dependency for all would be lost and regained several times a second.
+    writes: Vec<Arc<Dependency>>,
     clock: Clock,
 }
 
@@ -101,17 +104,25 @@
         peer: Arc<Peer>,
         clock: Clock,
     ) -> (Self, Vec<Writer>) {
-        let writes = Arc::new(Dependency::new("store, submissions", clock.clone()));
         let mut parts = Vec::new();
+        let mut all_writes = Vec::new();
         let mut writers = Vec::new();
-        for _ in 0..rows::JOB_PARTS {
+        for part in 0..rows::JOB_PARTS {
             let (tx, rx) = channel::bounded(QUEUE);
             parts.push(tx);
+            let name = format!("store, submissions, part {}", rows::part_name(part));
+            let writes = Arc::new(Dependency::new(name, clock.clone()));
+            all_writes.push(writes.clone());
             let (store, mirror, peer) = (store.clone(), mirror.clone(), peer.clone());
-            let (writes, pulse, clock) = (writes.clone(), pulse.clone(), clock.clone());
+            let (pulse, clock) = (pulse.clone(), clock.clone());
             writers.push(Writer { rx, store, pulse, mirror, peer, writes, clock });
         }
-        (Self { parts, clock }, writers)
+        (Self { parts, writes: all_writes, clock }, writers)
+    }
+
+    /// Parts of the store that take no submissions now, for the state dump.
+    pub fn lost(&self) -> Vec<&str> {
+        self.writes.iter().filter(|w| w.lost()).map(|w| w.name()).collect()
     }
 
     /// Stores a job if its id is new, giving up after `ms`.
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -181,6 +181,7 @@
             "ready": self.ready(), "jobs": self.mirror.job_count(),
             "catalogue": { "version": cat.version, "queues": cat.queues.len() },
             "store_heard_ms": self.clock.mono().saturating_sub(self.pulse.heard()),
+            "parts_lost": self.intake.lost(),
             "link": { "fresh": self.peer.fresh(), "opened": self.peer.dials() },
             "scheduler": *self.view.lock().unwrap(),
         })
--- a/src/control/rows.rs
+++ b/src/control/rows.rs
@@ -98,9 +98,14 @@
     id.0 >> (u64::BITS - JOB_PARTS.ilog2())
 }
 
+/// Name of a part of the jobs table by its number.
+pub fn part_name(index: u64) -> String {
+    format!("{index:02x}")
+}
+
 /// The part of a job's rows.
 pub fn job_part(id: JobId) -> String {
-    format!("{:02x}", job_part_index(id))
+    part_name(job_part_index(id))
 }
 
 /// Key of a submitted job.
--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -57,6 +57,8 @@
     version: u64,
     forgotten: u64,
     mood: Mood,
+    /// A part that takes no writes.
+    away: Option<String>,
     writes: u64,
 }
 
@@ -113,6 +115,16 @@
         self.store.lock().unwrap().mood = mood;
     }
 
+    /// One part of the store's tables takes no writes, or none is away.
+    pub fn lose_part(&self, part: Option<&str>) {
+        self.store.lock().unwrap().away = part.map(str::to_string);
+    }
+
+    fn away(&self, body: &Value) -> bool {
+        let away = self.store.lock().unwrap().away.clone();
+        away.is_some_and(|p| body["write"][0]["part"] == p.as_str())
+    }
+
     /// The store forgets its history.
     pub fn forget(&self) {
         let mut st = self.store.lock().unwrap();
@@ -253,6 +265,9 @@
     if w.store.lock().unwrap().mood == Mood::Mute {
         let _ = w.tx(&body);
     }
+    if w.away(&body) {
+        return Ok(text(503, &json!({})));
+    }
     if let Some(res) = moody(&w, true).await {
         return Ok(res);
     }
--- a/tests/control_path.rs
+++ b/tests/control_path.rs
@@ -229,6 +229,30 @@
     cell.end().await;
 }
 
+/// Symptom: in an outage of some parts of the store the log of each instance has it lost and
+/// regained ten times a second, and nobody can tell what is away.
+/// Sequence: writes to parts that serve alternate with writes to parts that do not.
+/// Cause: one dependency stood for all parts.
+#[async_std::test]
+async fn a_part_that_is_away_is_lost_alone() {
+    let cell = Cell::start(1, 1, 100).await;
+    cell.world.lose_part(Some("3f"));
+    let lost = "fc000000000000a1";
+    let (refused, _) = futures::future::join(cell.submit(0, "plain", lost, 1), async {
+        for n in 0..5 {
+            assert_eq!(cell.submit(0, "plain", &format!("00000000000000f{n}"), 1).await.0, 200);
+        }
+        let parts = cell.dump(0).await["parts_lost"].clone();
+        assert_eq!(parts, json!(["store, submissions, part 3f"]));
+    })
+    .await;
+    assert_eq!(refused.0, 503);
+    cell.world.lose_part(None);
+    assert_eq!(cell.submit(0, "plain", lost, 1).await.0, 200);
+    assert_eq!(cell.dump(0).await["parts_lost"], json!([]));
+    cell.end().await;
+}
+
 /// The feed's history is dropped: everything is read anew, nothing is lost.
 #[async_std::test]
 async fn a_store_that_forgets_its_history_is_read_anew() {
