--- a/benches/planner.rs
+++ b/benches/planner.rs
@@ -25,9 +25,18 @@
         large.clone().heavy("large runners, bursts", 1.9),
         large.clone().heavy("", 1.9).times("large runners, full", 1.25),
         large.times("large runners, twice", 2.0),
+        grown("350 runners", 350),
     ]
 }
 
+/// A cell of `runners` at the calm load of each, for ten seconds.
+fn grown(name: &'static str, runners: usize) -> Load {
+    let mut load = Load::small_runners(runners).times(name, runners as f64 / 48.0);
+    load.seconds = 10.0;
+    load.lines = 7 * runners / 48;
+    load
+}
+
 fn plot(used: &[f64]) {
     for line in (1..=PLOT_LINES).rev() {
         let level = line as f64 / PLOT_LINES as f64;
--- a/tests/common/load.rs
+++ b/tests/common/load.rs
@@ -80,7 +80,7 @@
     /// Bursts.
     pub bursts: Vec<Burst>,
     /// Instances that can ask the approval service.
-    lines: usize,
+    pub lines: usize,
 }
 
 /// Share of the runners that a policy approves, by position of the queue, per cent.
