An instance that starts reads every part of the jobs table, listed or not

Cause, found by reading the change: the parts were listed and then read, and the feed was followed from the first read on.

Change: the parts are known by their names, so that no listing is needed; the store's listing call, which nothing else used, is gone from the port, the adapter and the stand-in.

Test: a table of which one part has rows is read in all 64; the listing read one.

--- a/src/control/mirror.rs
+++ b/src/control/mirror.rs
@@ -301,7 +301,9 @@
     /// Reads a whole table.
     async fn load(&self, table: Table) -> Result<usize, ReadError> {
         let parts = match table {
-            Table::Jobs => self.store.parts(table.name()).await?,
+            // All there can be: a part first written to between a listing of the parts and the
+            // first read would be in neither, and its jobs lost to this instance.
+            Table::Jobs => (0..rows::JOB_PARTS).map(rows::part_name).collect(),
             Table::Progress => vec![rows::CELL.to_string()],
             Table::Config | Table::Registry => vec![String::new()],
         };
--- a/src/control/ports.rs
+++ b/src/control/ports.rs
@@ -133,9 +133,6 @@
         to: Option<&str>,
     ) -> Result<Page, ReadError>;
 
-    /// Lists the parts of a table.
-    async fn parts(&self, table: &str) -> Result<Vec<String>, ReadError>;
-
     /// Changes of a table after a version; waits up to `wait_ms` for the first.
     async fn changes(&self, table: &str, after: u64, wait_ms: u64) -> Result<Changes, ReadError>;
 }
--- a/src/control/pulse.rs
+++ b/src/control/pulse.rs
@@ -147,13 +147,6 @@
         res
     }
 
-    async fn parts(&self, table: &str) -> Result<Vec<String>, ReadError> {
-        let call = self.pulse.call(0);
-        let res = self.inner.parts(table).await;
-        call.ended(served(&res));
-        res
-    }
-
     async fn changes(&self, table: &str, after: u64, wait_ms: u64) -> Result<Changes, ReadError> {
         let call = self.pulse.call(wait_ms);
         let res = self.inner.changes(table, after, wait_ms).await;
--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -282,18 +282,6 @@
     Ok(w.get(&query(&req)))
 }
 
-async fn parts(req: Request<Arc<World>>) -> tide::Result {
-    let w = req.state().clone();
-    if let Some(res) = moody(&w, false).await {
-        return Ok(res);
-    }
-    let table = query(&req).remove("table").unwrap_or_default();
-    let st = w.store.lock().unwrap();
-    let mut parts: Vec<&String> = st.rows.keys().filter(|k| k.0 == table).map(|k| &k.1).collect();
-    parts.dedup();
-    Ok(text(200, &json!({"parts": parts})))
-}
-
 async fn feed(req: Request<Arc<World>>) -> tide::Result {
     let w = req.state().clone();
     let q = query(&req);
@@ -470,7 +458,6 @@
         let mut app = tide::with_state(world.clone());
         app.at("/v1/rows-tx").post(tx);
         app.at("/v1/rows-get").get(get);
-        app.at("/v1/rows-parts").get(parts);
         app.at("/v1/rows-feed").get(feed);
         app.at("/v1/advise").post(advise);
         servers.push(serve(app, store));
--- a/tests/control_mirror.rs
+++ b/tests/control_mirror.rs
@@ -55,11 +55,6 @@
         Ok(Page { rows, more: false, version })
     }
 
-    async fn parts(&self, _: &str) -> Result<Vec<String>, ReadError> {
-        task::sleep(Duration::from_millis(ANSWER_MS)).await;
-        Ok(self.parts.keys().cloned().collect())
-    }
-
     async fn changes(&self, _: &str, after: u64, _: u64) -> Result<Changes, ReadError> {
         Ok(Changes { rows: Vec::new(), version: after })
     }
@@ -94,3 +89,19 @@
     // What was written while the parts were read is followed from the oldest of the reads.
     assert_eq!(mirror.followed(Table::Jobs), Some(10));
 }
+
+/// Symptom: a scheduler that has just started never places a job, although it is stored.
+/// Sequence: the instance lists the parts of the jobs table; the first job of another part is
+/// stored; the instance reads the parts listed and follows the feed from that moment on.
+/// Cause: a listing and the reads are not of one moment. Now no listing is needed.
+#[async_std::test]
+async fn a_part_that_was_empty_a_moment_ago_is_read() {
+    let last = *one_a_part().last().unwrap();
+    let store = Arc::new(Slow::with_jobs(&[last]));
+    let clock = Clock::real();
+    let mirror = Mirror::new(store.clone(), Arc::new(Pulse::new(clock.clone())), clock);
+    mirror.poll(Table::Jobs, 0).await.unwrap();
+    assert_eq!(mirror.job_state(last), Some(JobState::Queued));
+    let read = store.version.load(Ordering::Relaxed) - 10;
+    assert_eq!(read, rows::JOB_PARTS, "every part is read, whether it has rows or not");
+}
