--- a/src/control/leader/duty.rs
+++ b/src/control/leader/duty.rs
@@ -2,10 +2,10 @@
 
 use super::{BEAT_MS, RETRY_MS, YIELD_MS};
 
-/// Transactions under way at once, of different jobs. A store sixty times too slow needs 180 ms
-/// for each, one after the other, and 240 ms for the way: three keep it busy, and a fourth would
-/// only wait there. With one at a time such a store took 145 rows a second instead of 340, and the
-/// placement of a lookup waited 1.6 s in a burst instead of 0.5 s (medians of one played day).
+/// Transactions under way at once, of different jobs. A store 47 times too slow needs 140 ms
+/// for each, one after the other, and 190 ms for the way: three keep it busy, and a fourth would
+/// only wait there. One at a time, 330 ms each, is 145 rows a second, three are up to 340; placements
+/// of lookups in a burst waited 0.5 s instead of up to 1.6 s (medians of each second, one day each).
 const COMMITS: usize = 3;
 
 /// What a scheduler has under way with the store.
--- a/src/control/links/peer.rs
+++ b/src/control/links/peer.rs
@@ -90,7 +90,7 @@
         self.linked() && self.deaf.load(Ordering::Relaxed)
     }
 
-    /// Links opened so far: a figure that runs away shows a scheduler that cannot be worked with.
+    /// Links opened so far; many in a short time mean that each breaks at once.
     pub fn dials(&self) -> u64 {
         self.dials.load(Ordering::Relaxed)
     }
