--- a/benches/planner.rs
+++ b/benches/planner.rs
@@ -7,6 +7,8 @@
 mod control;
 #[path = "../tests/common/load.rs"]
 mod load;
+#[path = "../tests/common/runner.rs"]
+mod runner;
 
 use currantgw::control::place::Placement;
 use load::{Load, Outcome};
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -11,6 +11,7 @@
 mod commit;
 mod jobs;
 mod plan;
+mod progress;
 mod reports;
 mod runners;
 mod runs;
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -1,5 +1,6 @@
 //! What a look at a runner tells: what runs there, and what has ended.
 
+use super::progress::{self, Progress};
 use super::runs::Stage;
 use super::{Action, Engine, Now, RunnerKey};
 use crate::control::model::{Attempt, EndKind, TaskId};
@@ -17,14 +18,6 @@
 /// Wait after a look that failed, ms.
 const RETRY_LOOK_MS: u64 = 150;
 
-/// A task without progress for this long is stopped and placed elsewhere, ms: progress is
-/// reported in whole percent (350 ms of a 4 s task on a runner nine times too slow), and restoring
-/// a checkpoint takes 600 ms.
-const STALL_MS: u64 = 1_200;
-
-/// ... or for this share of its estimate, whichever is longer: 1 % of it many times over.
-const STALL_SHARE: u64 = 8;
-
 impl Engine {
     /// The answer to a look.
     pub fn looked(&mut self, k: RunnerKey, res: Result<Report, Refusal>, now: Now) {
@@ -103,28 +96,22 @@
         let Some(job) = self.jobs.get(&id.step.job) else { return };
         let over = job.state.ended();
         let spec = job.spec(id.step);
-        let stall = STALL_MS.max(spec.estimate / STALL_SHARE);
-        let (lasts, gang) = (spec.lasts || spec.fills, spec.gang);
+        let (lasts, gang, estimate) = (spec.lasts || spec.fills, spec.gang, spec.estimate);
         let clock = self.runners.get(k).clock.map_or(0, |(c, _)| c);
         let Some(task) = self.task_mut(id).filter(|t| t.attempt == a.attempt) else { return };
         if !a.saved.is_empty() {
             task.saved.clone_from(&a.saved);
         }
         let Some(run) = task.run.as_mut().filter(|r| r.runner == k) else { return };
-        if a.percent > run.moved.0 || run.moved.1 == 0 {
-            run.moved = (a.percent, now.mono);
-        }
-        let stalled = !lasts && run.moved.1 + stall <= now.mono;
+        run.progress.note(a.percent, now.mono);
+        let progress = run.progress;
         match run.stage {
             Stage::Sent | Stage::Inherited => run.stage = Stage::Running { clock },
-            Stage::Running { .. } if stalled => {
-                log::warn!(task:% = id, percent = a.percent, ms = now.mono - run.moved.1;
-                    "no progress: task stopped");
-                task.avoid.insert(k);
-                if !gang {
-                    self.runners.get_mut(k).health.strike(now.mono);
+            Stage::Running { .. } if !lasts && !over => {
+                let free = if gang { self.member_free(id, &progress) } else { Some(0) };
+                if free.is_some_and(|free| progress.hangs(free, estimate, now.mono)) {
+                    self.move_away(k, id, gang, now);
                 }
-                self.order_stop(id, now);
             }
             _ => {}
         }
@@ -133,6 +120,27 @@
         }
     }
 
+    /// Since when a member of a gang could work, local ms; none if it waits for others.
+    fn member_free(&self, id: TaskId, of: &Progress) -> Option<u64> {
+        let step = self.step(id.step)?;
+        let waits = of.through() && progress::waited_for(step);
+        progress::whole_since(step).filter(|_| !waits)
+    }
+
+    /// Stops a run that hangs; its task goes elsewhere if it can.
+    fn move_away(&mut self, k: RunnerKey, id: TaskId, gang: bool, now: Now) {
+        let Some(task) = self.task_mut(id) else { return };
+        task.avoid.insert(k);
+        if let Some(p) = task.run.as_ref().map(|r| r.progress) {
+            log::warn!(task:% = id, percent = p.percent, ms = now.mono - p.moved;
+                "no progress: task stopped");
+        }
+        if !gang {
+            self.runners.get_mut(k).health.strike(now.mono);
+        }
+        self.order_stop(id, now);
+    }
+
     /// A run is not in the lists, though its room is still taken.
     fn is_absent(&mut self, k: RunnerKey, id: TaskId, attempt: Attempt, clock: u64, now: Now) {
         let Some(run) = self.run_mut(k, id, attempt) else {
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -5,6 +5,7 @@
 //! So a run holds its room until its end is listed, or a stop for its attempt was answered and a
 //! later look does not show it, or the runner's lease or life is over.
 
+use super::progress::Progress;
 use super::{Action, Engine, Now, RunnerKey};
 use crate::control::model::{Attempt, StepId, TaskId};
 use crate::control::ports::{Order, Refusal, Start};
@@ -54,8 +55,8 @@
     pub tries: u32,
     /// A start had no answer: it may come into effect later.
     pub unsure: bool,
-    /// Last sign of progress: percent and local time, ms.
-    pub moved: (f64, u64),
+    /// How far it is known to have come.
+    pub progress: Progress,
     /// When a stop was last sent, local ms.
     pub stop_at: u64,
     /// Ticket for the start.
@@ -65,8 +66,8 @@
 impl Run {
     /// A run on `runner`.
     pub fn new(runner: RunnerKey, stage: Stage) -> Self {
-        let moved = (0.0, 0);
-        Self { runner, stage, tries: 0, unsure: false, moved, stop_at: 0, ticket: None }
+        let progress = Progress::default();
+        Self { runner, stage, tries: 0, unsure: false, progress, stop_at: 0, ticket: None }
     }
 }
 
@@ -176,7 +177,7 @@
         match res {
             Ok(clock) => {
                 run.stage = Stage::Running { clock };
-                run.moved = (0.0, now.mono);
+                run.progress.begin(now.mono);
                 self.begin(id.step.job, id.step.occurrence, now);
             }
             Err(why) => self.not_started(k, id, why, now),
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -5,13 +5,14 @@
 
 #![allow(dead_code)]
 
+use super::runner::{FakeRunner, Running};
 use currantgw::control::engine::{Action, Batch, Engine, Now, Outcome, Rules, RunnerKey};
 use currantgw::control::model::{
     Approval, Attempt, Catalogue, EndKind, JobId, JobSpec, JobState, Queue, Step, StepId, TaskId,
 };
 use currantgw::control::place::Placement;
 use currantgw::control::ports::{
-    Active, Advice, End, Hold, Order, Refusal, Report, RunnerEntry, Start, Ticket,
+    Active, Advice, Hold, Order, Refusal, Report, RunnerEntry, Start, Ticket,
 };
 use currantgw::control::rows::{self, JobRow, ProgressRow};
 use currantgw::kernel::res::Resources;
@@ -32,71 +33,13 @@
 /// Time a runner takes to stop a task, ms.
 const STOP_MS: u64 = 100;
 
+/// A member of a gang waits this long for the others, ms.
+const GANG_WAIT_MS: u64 = 3_000;
+
 /// Limits used by the tests.
 pub const RULES: Rules =
     Rules { hold_ms: 8_000, yield_ms: 10_000, keep_ms: 120_000, placement: Placement::BestFit };
 
-/// What one run does on a fake runner.
-#[derive(Clone, Debug)]
-struct Running {
-    attempt: Attempt,
-    began: u64,
-    ends: u64,
-    stopping: Option<u64>,
-    need: Resources,
-    fails: bool,
-}
-
-/// A life of a runner.
-#[derive(Clone, Debug)]
-pub struct FakeRunner {
-    /// Its id.
-    pub id: String,
-    /// Its capacity.
-    pub room: Resources,
-    /// It exists; a dead one answers nothing.
-    pub up: bool,
-    /// Nothing reaches it before this time.
-    pub cut_until: u64,
-    /// Its tasks make no progress.
-    pub hangs: bool,
-    /// Its tasks all fail.
-    pub fails: bool,
-    /// Another life answers at its address.
-    pub replaced: bool,
-    /// It refuses tickets before this time.
-    pub refuses_until: u64,
-    /// Starts carried out.
-    pub started: u32,
-    fence: u64,
-    lease: u64,
-    offset: u64,
-    running: BTreeMap<TaskId, Running>,
-    ends: Vec<End>,
-    last: u64,
-    closed: BTreeMap<TaskId, Attempt>,
-}
-
-impl FakeRunner {
-    fn clock(&self, now: u64) -> u64 {
-        now + self.offset
-    }
-
-    /// Room taken by what runs.
-    pub fn used(&self) -> Resources {
-        self.running.values().fold(Resources::ZERO, |sum, r| sum.add(&r.need))
-    }
-
-    fn end(&mut self, task: TaskId, kind: EndKind) {
-        let Some(run) = self.running.remove(&task) else { return };
-        self.last += 1;
-        let closed = self.closed.entry(task).or_default();
-        *closed = (*closed).max(run.attempt);
-        let (number, attempt, saved) = (self.last, run.attempt, String::new());
-        self.ends.push(End { number, task, attempt, kind, saved });
-    }
-}
-
 /// What the calls of a scheduler meet.
 #[derive(Clone, Debug, Default)]
 pub struct Faults {
@@ -147,6 +90,8 @@
     pub truth: BTreeMap<JobId, u64>,
     /// Share of runs that fail by their own fault.
     pub own_faults: f64,
+    /// Most by which the work of a step's tasks differs from their mean, per cent.
+    pub uneven: u64,
     /// When a job's end was stored, ms, and its state.
     pub ended: BTreeMap<JobId, (u64, JobState)>,
     /// When a task of a job first started, ms.
@@ -167,6 +112,18 @@
     rng: StdRng,
 }
 
+/// A gang that runs.
+struct Gang {
+    present: u32,
+    through: bool,
+}
+
+/// A number drawn from a task: its share of its step's uneven work.
+fn uneven_of(task: TaskId) -> u64 {
+    let seed = task.step.job.0 ^ u64::from(task.step.step) << 16 ^ u64::from(task.index);
+    seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33
+}
+
 /// The queue that jobs of the tests go to.
 pub fn queue(name: &str, priority: u32, max_fails: u32, approval: Option<Approval>) -> Queue {
     Queue {
@@ -221,6 +178,7 @@
             lines: Vec::new(),
             truth: BTreeMap::new(),
             own_faults: 0.0,
+            uneven: 0,
             ended: BTreeMap::new(),
             began: BTreeMap::new(),
             planning: Vec::new(),
@@ -246,24 +204,7 @@
     /// Adds a runner and registers it.
     pub fn add_runner(&mut self) -> usize {
         let i = self.runners.len();
-        self.runners.push(FakeRunner {
-            id: format!("r{i}"),
-            room: self.room,
-            up: true,
-            cut_until: 0,
-            hangs: false,
-            fails: false,
-            replaced: false,
-            refuses_until: 0,
-            started: 0,
-            fence: 0,
-            lease: 0,
-            offset: 77 * (i as u64 + 1),
-            running: BTreeMap::new(),
-            ends: Vec::new(),
-            last: 0,
-            closed: BTreeMap::new(),
-        });
+        self.runners.push(FakeRunner::new(i, self.room));
         self.register(i, true);
         i
     }
@@ -547,7 +488,9 @@
             || (self.own_faults > 0.0 && self.rng.gen_bool(self.own_faults));
         let step = &self.jobs[&s.task.step.job].spec.steps[s.task.step.step as usize];
         let truth = self.truth.get(&s.task.step.job).copied().unwrap_or(100);
-        let (work, copies) = (step.estimate * truth / 100, step.copies);
+        let share = 100 - self.uneven + uneven_of(s.task) % (2 * self.uneven + 1);
+        let work = step.estimate * truth * share / 10_000;
+        let (copies, gang) = (step.copies, step.gang.then_some(step.count));
         self.began.entry(s.task.step.job).or_insert(now);
         let r = &mut self.runners[i];
         if s.fence < r.fence {
@@ -573,10 +516,12 @@
         let run = Running {
             attempt: s.attempt,
             began: now,
-            ends: now + work,
+            work,
+            worked: 0,
             stopping: None,
             need,
             fails: poison || r.fails,
+            gang,
         };
         r.running.insert(s.task, run);
         let over = !r.used().fits(&r.room);
@@ -624,32 +569,76 @@
             task: *task,
             attempt: x.attempt,
             saved: String::new(),
-            percent: match r.hangs {
-                true => 0.0,
-                false => 100.0 * (now - x.began) as f64 / (x.ends - x.began).max(1) as f64,
-            },
+            percent: x.percent(),
             load: 0.0,
         });
         Ok(Report { clock: r.clock(now), active: active.collect(), ends: r.ends.clone() })
     }
 
-    /// Runners work: tasks end, leases lapse.
+    /// Runners work: tasks end, leases lapse. Members of a gang work while all are there, and end
+    /// done together once the slowest is through; where one is gone the others break.
     fn work(&mut self) {
         let now = self.now;
+        let gangs = self.gangs();
+        let mut broken: BTreeSet<(StepId, Attempt)> = BTreeSet::new();
         for r in self.runners.iter_mut().filter(|r| r.up) {
-            let clock = r.clock(now);
-            let tasks: Vec<(TaskId, Running)> =
-                r.running.iter().map(|(t, x)| (*t, x.clone())).collect();
-            for (task, x) in tasks {
-                if clock > r.lease {
-                    r.end(task, EndKind::Lapsed);
+            let lapsed = r.clock(now) > r.lease;
+            let tasks: Vec<TaskId> = r.running.keys().copied().collect();
+            for task in tasks {
+                let hangs = r.hangs;
+                let Some(x) = r.running.get_mut(&task) else { continue };
+                let key = (task.step, x.attempt);
+                let whole = x.gang.is_none_or(|n| gangs.get(&key).is_some_and(|g| g.present == n));
+                let through = x.gang.is_none() || gangs.get(&key).is_some_and(|g| g.through);
+                if whole && !hangs && x.stopping.is_none() {
+                    x.worked = (x.worked + STEP_MS).min(x.work);
+                }
+                let kind = if lapsed {
+                    EndKind::Lapsed
                 } else if x.stopping.is_some_and(|at| at <= now) {
-                    r.end(task, EndKind::Stopped);
-                } else if x.ends <= now && !r.hangs && x.stopping.is_none() {
-                    r.end(task, if x.fails { EndKind::Failed } else { EndKind::Done });
+                    EndKind::Stopped
+                } else if x.worked >= x.work && (through || x.fails) && x.stopping.is_none() {
+                    if x.fails {
+                        EndKind::Failed
+                    } else {
+                        EndKind::Done
+                    }
+                } else if !whole && x.worked == 0 && x.began + GANG_WAIT_MS <= now {
+                    EndKind::Alone
+                } else {
+                    continue;
+                };
+                if x.gang.is_some() && kind != EndKind::Done {
+                    broken.insert(key);
                 }
+                r.end(task, kind);
             }
         }
+        self.break_gangs(&broken);
+    }
+
+    /// Members present of each gang that runs, and whether all are through with their work.
+    fn gangs(&self) -> BTreeMap<(StepId, Attempt), Gang> {
+        let mut out: BTreeMap<(StepId, Attempt), Gang> = BTreeMap::new();
+        let up = self.runners.iter().filter(|r| r.up);
+        for (task, x) in up.flat_map(|r| &r.running).filter(|(_, x)| x.gang.is_some()) {
+            let gang =
+                out.entry((task.step, x.attempt)).or_insert(Gang { present: 0, through: true });
+            gang.present += 1;
+            gang.through &= x.worked >= x.work;
+        }
+        out
+    }
+
+    fn break_gangs(&mut self, broken: &BTreeSet<(StepId, Attempt)>) {
+        for r in self.runners.iter_mut().filter(|r| r.up && !broken.is_empty()) {
+            let of = |(task, x): (&TaskId, &Running)| {
+                let hit = x.gang.is_some() && broken.contains(&(task.step, x.attempt));
+                hit.then_some(*task)
+            };
+            let tasks: Vec<TaskId> = r.running.iter().filter_map(of).collect();
+            tasks.into_iter().for_each(|t| r.end(t, EndKind::Broken));
+        }
     }
 
     /// A runner crashes: what ran there is gone and nobody answers.
--- a/tests/control_engine.rs
+++ b/tests/control_engine.rs
@@ -3,6 +3,7 @@
 
 mod common {
     pub mod control;
+    pub mod runner;
 }
 
 use common::control::{step, Cell, Faults};
@@ -268,6 +269,51 @@
 }
 
 /// A gang starts whole: all members on one attempt number, or none.
+/// Symptom: gangs are stopped for want of progress shortly before they end, start again after tens
+/// of seconds and are stopped again. Sequence: the members of a gang have unlike amounts of work;
+/// those through with theirs stay at 100 percent until the slowest is through. Cause: a member that
+/// had done all its work counted as standing still.
+#[test]
+fn members_that_wait_for_the_slowest_of_their_gang_are_left_alone() {
+    let mut cell = Cell::new(6, 21);
+    cell.uneven = 40;
+    let job = cell.submit(1, "patient", vec![Step { gang: true, ..step(6, 9_000, 8_000) }]);
+    cell.run(13_000);
+    assert_eq!(cell.stored(job), JobState::Completed);
+    assert!(cell.starts.values().all(|n| *n == 1), "{:?}", cell.starts);
+    cell.check();
+}
+
+/// Symptom: a gang is stopped while it waits for a member. Sequence: the start of one member has no
+/// answer and is repeated; the others are there and cannot work yet. Cause: their time without
+/// progress was counted from their own start, not from when the gang was whole.
+#[test]
+fn members_that_wait_for_one_to_arrive_are_left_alone() {
+    let mut cell = Cell::new(6, 5);
+    let slow = 3;
+    cell.run(500);
+    cell.runners[slow].cut_until = cell.now + 1_300;
+    let job = cell.submit(1, "patient", vec![Step { gang: true, ..step(6, 9_000, 4_000) }]);
+    cell.run(12_000);
+    assert_eq!(cell.stored(job), JobState::Completed);
+    assert!(cell.starts.values().all(|n| *n == 1), "{:?}", cell.starts);
+    cell.check();
+}
+
+/// Symptom: a gang with a member on a runner where nothing moves stays there for good. Sequence: all
+/// members are there, one stands still at once, the others are through and wait for it. The one
+/// that stands still has to be noticed, and the gang to start again without that runner.
+#[test]
+fn a_member_that_stands_still_moves_its_gang() {
+    let mut cell = Cell::new(7, 8);
+    cell.runners[2].hangs = true;
+    let job = cell.submit(1, "patient", vec![Step { gang: true, ..step(6, 9_000, 1_500) }]);
+    cell.run(9_000);
+    assert_eq!(cell.stored(job), JobState::Completed);
+    assert!(cell.runners[2].started >= 1);
+    cell.check();
+}
+
 #[test]
 fn a_gang_waits_until_all_of_it_fits() {
     let mut cell = Cell::new(2, 11);
--- a/tests/control_policy.rs
+++ b/tests/control_policy.rs
@@ -3,6 +3,7 @@
 
 mod common {
     pub mod control;
+    pub mod runner;
 }
 
 use assert_matches::assert_matches;
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -5,6 +5,7 @@
 mod common {
     pub mod control;
     pub mod load;
+    pub mod runner;
 }
 
 use common::load::{self, Load, Outcome};
