Registry entries of other writers name no runner, and the others hold

Cause: an entry without capacity, or in a state that the registry does not have, was taken in as a runner without room or one that leaves, and called; a capacity near 2^64 would have overflowed the cell's sums; one value that is not base64 refused the whole answer and every runner with it. Found by reading, not seen in a play.

--- a/src/control/mirror.rs
+++ b/src/control/mirror.rs
@@ -30,6 +30,10 @@
 /// Longest wait for a write, ms: leaves a caller's 3 s time for a second try.
 const MAX_TRY_MS: u64 = 1_600;
 
+/// Most unreadable registry entries that are logged, one line each: bounds the log, and the memory
+/// that remembers them.
+const BAD_ENTRIES: usize = 1_000;
+
 /// What the scheduler in office has to hear of.
 #[derive(Clone, Debug)]
 pub enum News {
@@ -106,6 +110,8 @@
     /// How long the store's last answer without changes took beyond the wait asked for, ms.
     lag: u64,
     news: Option<Sender<News>>,
+    /// Registry entries that name no runner and were logged.
+    bad: BTreeSet<String>,
 }
 
 /// The mirror of one instance.
@@ -350,9 +356,7 @@
     fn put(&mut self, table: Table, row: Row) {
         match table {
             Table::Config => self.put_config(&row),
-            Table::Registry => {
-                self.tell(News::Runner(row.key.key, runners::entry(&row.value)));
-            }
+            Table::Registry => self.put_runner(row),
             Table::Jobs => match rows::job_of(&row.key.key) {
                 Some(JobKey::Job(id)) => match rows::decode::<JobRow>(&row.value) {
                     Ok(job) => self.put_job(id, Arc::new(job)),
@@ -371,6 +375,21 @@
         }
     }
 
+    /// An entry that cannot be read, or that another program has written, names no runner.
+    fn put_runner(&mut self, row: Row) {
+        let id = row.key.key;
+        let entry = runners::entry(&row.value);
+        if let Err(why) = &entry {
+            metrics::counter!("control_bad_entries").increment(1);
+            // One line an entry and not one a heartbeat: its writer may be busy.
+            if self.bad.len() < BAD_ENTRIES && self.bad.insert(id.clone()) {
+                log::warn!(runner = id, version = row.version, why:% = why;
+                    "registry entry names no runner");
+            }
+        }
+        self.tell(News::Runner(id, entry.ok()));
+    }
+
     fn gone(&mut self, table: Table, key: &Key) {
         match (table, rows::job_of(&key.key)) {
             (Table::Registry, _) => self.tell(News::Runner(key.key.clone(), None)),
