--- a/benches/planner.rs
+++ b/benches/planner.rs
@@ -67,7 +67,8 @@
     }
     let busy = mean(&|o| o.used.iter().take(34).sum::<f64>() / 34.0);
     println!(
-        " | used {busy:.2} | round {:.0}/{:.0} us, {:.0} us a start",
+        " | evicted {:.0} | used {busy:.2} | round {:.0}/{:.0} us, {:.0} us a start",
+        mean(&|o| o.evicted as f64),
         mean(&|o| o.round_us.0 as f64),
         mean(&|o| o.round_us.1 as f64),
         mean(&|o| o.placement_us as f64)
--- a/src/control/engine/gangs.rs
+++ b/src/control/engine/gangs.rs
@@ -5,6 +5,7 @@
 //! the gang, by then past its objective. But the others end as broken, which says that a member
 //! has ended; where every end that is seen says so, it is the one that is not seen.
 
+use super::runs::StopWhy;
 use super::{Engine, Now, RunnerKey};
 use crate::control::model::{Attempt, StepId, TaskId};
 
@@ -22,7 +23,7 @@
         let Some(job) = self.jobs.get(&id.step.job) else { return };
         let broken = job.spec(id.step).gang && job.step(id.step).is_some_and(|s| !s.done());
         if broken {
-            self.stop_step(id.step, now);
+            self.stop_step(id.step, StopWhy::GangBroken, now);
         }
     }
 
--- a/src/control/engine/jobs.rs
+++ b/src/control/engine/jobs.rs
@@ -2,9 +2,9 @@
 
 use super::gangs::Broken;
 use super::progress;
-use super::runs::{Run, Stage};
+use super::runs::{Run, Stage, StopWhy};
 use super::{Engine, Now, RunnerKey};
-use crate::control::model::{Attempt, JobId, JobState, Step, StepId, TaskId};
+use crate::control::model::{Attempt, JobId, JobState, Queue, Step, StepId, TaskId};
 use crate::control::pace::Pace;
 use crate::control::rows::{JobRow, ProgressRow, StepRow, TaskRow};
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,6 +25,8 @@
     pub run: Option<Run>,
     /// Runners on which it failed or stood still; it goes elsewhere if it can.
     pub avoid: BTreeSet<RunnerKey>,
+    /// It has been stopped once to make room for others.
+    pub yielded: bool,
 }
 
 impl Task {
@@ -67,6 +69,8 @@
     pub approvals: Approvals,
     /// When it could first be placed, local ms.
     pub opened: u64,
+    /// When room was last tried to be made for it, local ms.
+    pub tried_at: u64,
     /// Longest that one of its tasks took so far, ms; of a gang, from when it was whole.
     pub took: u64,
 }
@@ -82,6 +86,7 @@
             unseen: BTreeMap::new(),
             approvals: Approvals::default(),
             opened: 0,
+            tried_at: 0,
             took: 0,
         }
     }
@@ -198,6 +203,11 @@
         self.steps.iter().any(|s| s.tasks.iter().any(|t| t.run.is_some()))
     }
 
+    /// Time in which it earns all it can, ms.
+    pub fn objective(&self, queue: &Queue) -> u64 {
+        (self.longest as f64 * queue.slack) as u64 + queue.latency_ms
+    }
+
     /// When work on an occurrence could begin, Unix ms.
     pub fn begin(&self, occurrence: u32) -> u64 {
         self.row.spec.due(occurrence).unwrap_or(self.row.at)
@@ -396,7 +406,7 @@
         for step in steps {
             self.open.remove(&step);
             if state != JobState::Completed {
-                self.stop_step(step, now);
+                self.stop_step(step, StopWhy::JobEnded, now);
             }
         }
         self.touch(id);
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -12,6 +12,7 @@
 mod gangs;
 mod jobs;
 mod plan;
+mod preempt;
 mod progress;
 mod reports;
 mod reserve;
@@ -113,6 +114,8 @@
     pub ends: u64,
     /// Tasks written off because a lease lapsed or a runner was replaced.
     pub written_off: u64,
+    /// Tasks stopped to make room for gangs.
+    pub evicted: u64,
     /// Questions to the advice service.
     pub asks: u64,
     /// Planning rounds.
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -1,7 +1,7 @@
 //! A planning round: which waiting tasks go where.
 
 use super::advice::TICKET_MARGIN_MS;
-use super::reserve::Claims;
+use super::reserve::{Backlog, Claims};
 use super::runs::{Run, Stage};
 use super::{Engine, Now, Runner, RunnerKey};
 use crate::control::model::{Queue, Step, StepId, TaskId};
@@ -24,15 +24,10 @@
 /// bursts of the calm day's lookups, some 4 % of the room.
 const URGENT_SHARE: u64 = 40;
 
-/// A cell does not keep up while what waits asks for more than this share of its processors, per
-/// cent. Of 20, 40, 70 and 100 played in memory, 20 gives up the gain in bursts, and 100 loses most
-/// at 130 % load.
-const FULL_BACKLOG: u64 = 40;
-
 /// What a round knows of a step.
-struct View<'a> {
-    id: StepId,
-    step: &'a Step,
+pub(super) struct View<'a> {
+    pub id: StepId,
+    pub step: &'a Step,
     queue: &'a Queue,
     waiting: usize,
 }
@@ -58,8 +53,7 @@
         let mut order: Vec<(Rank, StepId)> =
             self.open.iter().filter_map(|&id| Some((self.rank(id, lead, now)?, id))).collect();
         order.sort_unstable();
-        let full = self.falls_behind(&order);
-        let mut claims = Claims::new(full);
+        let mut claims = Claims::new(self.backlog(&order));
         for (rank, id) in order {
             let Some(job) = self.jobs.get(&id.job) else { continue };
             let (row, waits) = (job.row.clone(), job.step(id).is_some_and(|s| s.waits()));
@@ -88,19 +82,18 @@
     fn rank(&self, id: StepId, lead: u64, now: Now) -> Option<Rank> {
         let job = self.jobs.get(&id.job)?;
         let queue = self.cat.queues.get(&job.row.queue)?;
-        let objective = (job.longest as f64 * queue.slack) as u64 + queue.latency_ms;
         let claim = Claim {
             priority: queue.priority,
             begin: job.begin(id.occurrence),
-            objective,
+            objective: job.objective(queue),
             chain: job.tails[id.step as usize],
             lead: if job.spec(id).gang { lead } else { 0 },
         };
         Some(queue::rank(&claim, now.wall))
     }
 
-    /// Whether more waits than the cell can take in soon.
-    fn falls_behind(&self, order: &[(Rank, StepId)]) -> bool {
+    /// What waits, against the whole cell.
+    fn backlog(&self, order: &[(Rank, StepId)]) -> Backlog {
         let asked = |&(_, id): &(Rank, StepId)| {
             let demand = self.jobs.get(&id.job).map_or(Resources::ZERO, |j| j.spec(id).demand());
             demand.cpu * self.waiting(id) as u64
@@ -108,7 +101,7 @@
         let asked: u64 = order.iter().map(asked).sum();
         let listed = self.runners.iter().filter(|(_, r)| r.listed && !r.over);
         let room: u64 = listed.map(|(_, r)| r.room().cpu).sum();
-        asked * 100 > room * FULL_BACKLOG
+        Backlog { asked, room }
     }
 
     fn waiting(&self, id: StepId) -> usize {
@@ -245,11 +238,23 @@
                 self.book(v.id, keys, need, now);
                 return self.place_booked(v, now);
             }
+            if !self.unasked(v, &all) && self.make_room(v, rank, &known, claims, now) {
+                return self.place_booked(v, now);
+            }
         }
         self.reserve(v.id, rank, &known, &need, claims);
         self.ask_for(v, all, count, now);
     }
 
+    /// Whether there are runners with room for a task of the step that its policy was not asked
+    /// about.
+    fn unasked(&self, v: &View<'_>, all: &[Place<RunnerKey>]) -> bool {
+        let Some(a) = self.step(v.id).map(|s| &s.approvals) else { return false };
+        let need = v.step.demand();
+        let known = |k| a.tickets.contains_key(&k) || a.denied.contains(&k);
+        v.queue.approval.is_some() && all.iter().any(|p| need.fits(&p.free) && !known(p.key))
+    }
+
     /// Runners on which a member of a gang failed or stood still.
     fn avoided(&self, id: StepId) -> BTreeSet<RunnerKey> {
         let tasks = self.step(id).into_iter().flat_map(|s| &s.tasks);
@@ -266,6 +271,10 @@
             a.tickets.get(k).is_some_and(|(_, end)| *end > now.mono + TICKET_MARGIN_MS)
         };
         if v.queue.approval.is_none() || runners.iter().all(good) {
+            // Tasks that make room may still be there.
+            if !runners.iter().all(|k| self.runners.get(*k).clear()) {
+                return;
+            }
             if let Some(b) = self.unbook(v.id) {
                 self.commit_gang(v, &b.keys);
             }
--- /dev/null
+++ b/src/control/engine/preempt.rs
@@ -0,0 +1,97 @@
+//! Tasks that make room for gangs: who may be stopped, and when.
+
+use super::plan::View;
+use super::progress::Progress;
+use super::reserve::Claims;
+use super::runs::{Stage, StopWhy};
+use super::{Engine, Now, RunnerKey};
+use crate::control::evict::{self, Spot, Victim};
+use crate::control::model::TaskId;
+use crate::control::place::Place;
+use crate::control::queue::Rank;
+
+/// Time between two tries to make room for a gang, ms: what is known of its runners changes with
+/// each look, some five a second.
+const TRY_MS: u64 = 200;
+
+/// Nothing is stopped while what waits beside the gang asks for more than this share of the cell's
+/// processors, per cent: stopped tasks would only wait themselves, and lookups for the room. At 125 %
+/// load lookups earned 0.90 of their worth without a limit, 0.96 with 70 and 0.98 with 40; gangs in
+/// bursts on small runners earned 0.92, 0.93 and 0.89 (loads played in memory, four seeds).
+const MOST_BACKLOG: u64 = 60;
+
+/// A task is not stopped beyond this percent of its work: it ends soon.
+const NEARLY_DONE: f64 = 85.0;
+
+/// Time that the job of a stopped task must have to spare, ms: a stop (0.9 s), a question for new
+/// tickets (0.1 s), a restore (0.6 s), the way of its rows, and as much again.
+const SPARE_MS: u64 = 4_000;
+
+impl Engine {
+    /// Stops tasks that can go on elsewhere for a gang that has no room, and books it. Returns
+    /// whether it did.
+    pub(super) fn make_room(
+        &mut self,
+        v: &View<'_>,
+        rank: Rank,
+        known: &[Place<RunnerKey>],
+        claims: &Claims,
+        now: Now,
+    ) -> bool {
+        let Some(s) = self.step_mut(v.id) else { return false };
+        let count = s.tasks.len();
+        let need = v.step.demand();
+        let asked = need.cpu * count as u64;
+        if !rank.patient
+            || rank.worthless
+            || claims.beside(asked).over(MOST_BACKLOG)
+            || s.tried_at + TRY_MS > now.mono
+        {
+            return false;
+        }
+        s.tried_at = now.mono;
+        let free = known.iter().filter(|p| !claims.has(p.key));
+        let spots: Vec<Spot<RunnerKey, TaskId>> = free
+            .map(|p| Spot {
+                key: p.key,
+                free: p.free,
+                limit: p.limit,
+                victims: self.victims(p.key, now),
+            })
+            .collect();
+        let Some(plan) = evict::plan(spots, &need, count) else { return false };
+        log::info!(step:% = v.id, members = count, stopped = plan.stops.len(), late = rank.late;
+            "tasks stopped to make room for a gang");
+        self.book(v.id, plan.keys, need, now);
+        for (_, id) in plan.stops {
+            self.counts.evicted += 1;
+            if let Some(task) = self.task_mut(id) {
+                task.yielded = true;
+            }
+            self.order_stop(id, StopWhy::MakesRoom, now);
+        }
+        true
+    }
+
+    /// Tasks on a runner that may be stopped: patient ones that write checkpoints, whose job has
+    /// time to spare, each once.
+    fn victims(&self, k: RunnerKey, now: Now) -> Vec<Victim<TaskId>> {
+        let tasks = self.runners.get(k).tasks.iter();
+        let yielding = tasks.filter(|((id, _), _)| self.may_yield(*id, now).unwrap_or(false));
+        yielding.map(|((id, _), need)| Victim { id: *id, need: *need }).collect()
+    }
+
+    fn may_yield(&self, id: TaskId, now: Now) -> Option<bool> {
+        let job = self.jobs.get(&id.step.job)?;
+        let queue = self.cat.queues.get(&job.row.queue)?;
+        let spec = job.spec(id.step);
+        let task = job.step(id.step)?.tasks.get(id.index as usize)?;
+        let run = task.run.as_ref()?;
+        let runs = matches!(run.stage, Stage::Running { .. });
+        let Progress { percent, .. } = run.progress;
+        let kind = queue.priority > 0 && spec.saves && !spec.gang && !spec.lasts && !spec.fills;
+        let due = job.begin(id.step.occurrence) + job.objective(queue);
+        let spare = now.wall + job.tails[id.step.step as usize] + SPARE_MS <= due;
+        Some(kind && runs && spare && !task.yielded && percent < NEARLY_DONE)
+    }
+}
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -1,7 +1,7 @@
 //! What a look at a runner tells: what runs there, and what has ended.
 
 use super::progress::{self, Progress};
-use super::runs::Stage;
+use super::runs::{Stage, StopWhy};
 use super::{Action, Engine, Now, RunnerKey};
 use crate::control::model::{Attempt, EndKind, TaskId};
 use crate::control::ports::{Active, End, Order, Refusal, Report};
@@ -117,7 +117,7 @@
             _ => {}
         }
         if over {
-            self.order_stop(id, now);
+            self.order_stop(id, StopWhy::JobEnded, now);
         }
     }
 
@@ -139,7 +139,7 @@
         if !gang {
             self.runners.get_mut(k).health.strike(now.mono);
         }
-        self.order_stop(id, now);
+        self.order_stop(id, StopWhy::Hangs, now);
     }
 
     /// A run is not in the lists, though its room is still taken.
--- a/src/control/engine/reserve.rs
+++ b/src/control/engine/reserve.rs
@@ -21,36 +21,70 @@
 /// runners, in memory, means of two seeds).
 const GANGS_AHEAD_FULL: usize = 2;
 
+/// A cell does not keep up while what waits asks for more than this share of its processors, per
+/// cent. Of 20, 40, 70 and 100 played in memory, 20 gives up the gain in bursts, and 100 loses most
+/// at 130 % load.
+const FULL_BACKLOG: u64 = 40;
+
 /// Share of the room taken on a runner that a waiting gang counts on, per cent: its tasks end one
 /// by one, and a gang that counts on all of it waits for the last.
 const ROOM_TO_COME: u64 = 25;
 
+/// Processors, in thousandths of a core, that what waits asks for, and that the cell has.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Backlog {
+    /// Asked for.
+    pub asked: u64,
+    /// Of all runners.
+    pub room: u64,
+}
+
+impl Backlog {
+    /// Whether it is over `share` per cent of the cell.
+    pub fn over(self, share: u64) -> bool {
+        self.asked * 100 > self.room * share
+    }
+}
+
 /// Who has reserved which runner, as a planning round sees it.
 #[derive(Default)]
 pub(super) struct Claims {
     taken: BTreeSet<RunnerKey>,
     gangs: usize,
-    /// The cell does not keep up with what waits.
-    full: bool,
+    backlog: Backlog,
 }
 
 impl Claims {
-    /// No reservations yet; `full` says that the cell does not keep up with what waits.
-    pub fn new(full: bool) -> Self {
-        Self { full, ..Self::default() }
+    /// No reservations yet, with `backlog` waiting.
+    pub fn new(backlog: Backlog) -> Self {
+        Self { backlog, ..Self::default() }
     }
 
     /// What patient work may use of a runner's free room.
     pub fn left(&self, k: RunnerKey, free: Resources) -> Resources {
-        match self.taken.contains(&k) {
+        match self.has(k) {
             true => Resources::ZERO,
             false => free,
         }
     }
 
+    /// Whether a runner is reserved.
+    pub fn has(&self, k: RunnerKey) -> bool {
+        self.taken.contains(&k)
+    }
+
+    /// What waits beside a gang that asks for `cpu` itself.
+    pub fn beside(&self, cpu: u64) -> Backlog {
+        Backlog { asked: self.backlog.asked.saturating_sub(cpu), ..self.backlog }
+    }
+
     /// Whether a gang of this rank may begin to reserve runners.
     fn open(&self, rank: Rank) -> bool {
-        let most = if rank.late || self.full { GANGS_AHEAD_FULL } else { GANGS_AHEAD };
+        let most = if rank.late || self.backlog.over(FULL_BACKLOG) {
+            GANGS_AHEAD_FULL
+        } else {
+            GANGS_AHEAD
+        };
         self.gangs < most
     }
 }
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -147,6 +147,11 @@
         self.room().sub(&self.used).sub(&self.booked)
     }
 
+    /// Whether what runs there leaves the room that is booked.
+    pub fn clear(&self) -> bool {
+        self.used.add(&self.booked).fits(&self.room())
+    }
+
     /// Whether it was heard of lately.
     pub fn reached(&self, now: Now) -> bool {
         self.clock.is_some() && self.heard_at + REACH_MS > now.mono
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -44,6 +44,37 @@
     },
 }
 
+/// Why a run is stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopWhy {
+    /// Its job has ended or was cancelled.
+    JobEnded,
+    /// Its gang cannot go on.
+    GangBroken,
+    /// It makes no progress.
+    Hangs,
+    /// Its start was not answered: it must not happen any more.
+    NoAnswer,
+    /// It makes room for a gang.
+    MakesRoom,
+    /// An earlier stop was not answered.
+    Again,
+}
+
+impl StopWhy {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::JobEnded => "job ended",
+            Self::GangBroken => "gang broken",
+            Self::Hangs => "no progress",
+            Self::NoAnswer => "start not answered",
+            Self::MakesRoom => "makes room for a gang",
+            Self::Again => "earlier stop not answered",
+        }
+    }
+}
+
 /// A run of a task on a runner.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -100,7 +131,7 @@
     }
 
     /// Orders a stop of a task's run.
-    pub(super) fn order_stop(&mut self, id: TaskId, now: Now) {
+    pub(super) fn order_stop(&mut self, id: TaskId, why: StopWhy, now: Now) {
         let fence = self.fence;
         let Some(task) = self.task_mut(id) else { return };
         let attempt = task.attempt;
@@ -112,20 +143,20 @@
         run.stop_at = now.mono;
         let k = run.runner;
         let Some(to) = self.runners.get(k).call() else { return };
-        log::info!(task:% = id, attempt = attempt.0, runner = to.id; "stop ordered");
+        log::info!(task:% = id, attempt = attempt.0, runner = to.id, why = why.name(); "stop ordered");
         let order = Order { task: id, attempt, fence };
         self.acts.push(Action::Stop { runner: k, to, order });
     }
 
     /// Stops whatever runs of a step. What was not sent yet is taken back at once.
-    pub(super) fn stop_step(&mut self, step: StepId, now: Now) {
+    pub(super) fn stop_step(&mut self, step: StepId, why: StopWhy, now: Now) {
         let Some(s) = self.step(step) else { return };
         let ids: Vec<TaskId> = s.ids().collect();
         for id in ids {
             let Some(task) = self.task_mut(id) else { continue };
             match task.run.as_ref().map(|r| r.stage) {
                 Some(Stage::Storing { .. }) => self.release(id, now),
-                Some(_) => self.order_stop(id, now),
+                Some(_) => self.order_stop(id, why, now),
                 None => {}
             }
         }
@@ -147,7 +178,7 @@
         self.release(id, now);
         let gang = self.jobs.get(&id.step.job).is_some_and(|j| j.spec(id.step).gang);
         if gang {
-            self.stop_step(id.step, now);
+            self.stop_step(id.step, StopWhy::GangBroken, now);
         }
         self.settle(id.step.job, now);
     }
@@ -199,11 +230,11 @@
                 self.order_start(id, now, RETRY_START_MS);
             }
             Refusal::Superseded => run.stage = Stage::Running { clock: 0 },
-            Refusal::NoAnswer => self.order_stop(id, now),
+            Refusal::NoAnswer => self.order_stop(id, StopWhy::NoAnswer, now),
             _ => {
                 self.blame(k, id, why, now);
                 match unsure {
-                    true => self.order_stop(id, now),
+                    true => self.order_stop(id, StopWhy::NoAnswer, now),
                     false => self.never_ran(id, now),
                 }
             }
@@ -280,7 +311,7 @@
             }
         }
         for id in due {
-            self.order_stop(id, now);
+            self.order_stop(id, StopWhy::Again, now);
         }
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,9 +4,10 @@
 //! `engine` decides without I/O; `leader` drives it; `office` elects who does; `mirror` keeps
 //! what the store says of jobs; `intake` writes submissions in groups; `front` answers callers;
 //! `links` connects the other instances with the scheduler's; `pulse` knows whether the store answers;
-//! `pace` learns what estimates are worth; `health` logs dependencies lost and regained.
+//! `evict` picks tasks that make room; `pace` learns what estimates are worth; `health` logs dependencies lost and regained.
 
 pub mod engine;
+pub mod evict;
 pub mod front;
 pub mod health;
 pub mod intake;
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -33,6 +33,9 @@
 /// Time a runner takes to stop a task, ms.
 const STOP_MS: u64 = 100;
 
+/// Resuming from a checkpoint takes this long, ms.
+const RESTORE_MS: u64 = 250;
+
 /// A member of a gang waits this long for the others, ms.
 const GANG_WAIT_MS: u64 = 3_000;
 
@@ -490,7 +493,7 @@
         let truth = self.truth.get(&s.task.step.job).copied().unwrap_or(100);
         let share = 100 - self.uneven + uneven_of(s.task) % (2 * self.uneven + 1);
         let work = step.estimate * truth * share / 10_000;
-        let (copies, gang) = (step.copies, step.gang.then_some(step.count));
+        let (copies, gang, saves) = (step.copies, step.gang.then_some(step.count), step.saves);
         self.began.entry(s.task.step.job).or_insert(now);
         let r = &mut self.runners[i];
         if s.fence < r.fence {
@@ -517,11 +520,12 @@
             attempt: s.attempt,
             began: now,
             work,
-            worked: 0,
+            worked: s.saved.parse::<u64>().unwrap_or(0).saturating_sub(RESTORE_MS),
             stopping: None,
             need,
             fails: poison || r.fails,
             gang,
+            saves,
         };
         r.running.insert(s.task, run);
         let over = !r.used().fits(&r.room);
--- a/tests/common/load.rs
+++ b/tests/common/load.rs
@@ -44,6 +44,8 @@
     work_ms: Draw,
     /// Share of the jobs that are gangs.
     gangs: f64,
+    /// Share of the jobs that write checkpoints.
+    saves: f64,
     slack: f64,
     latency_ms: u64,
     /// Approval service: time of a question, and more for each runner, ms.
@@ -124,6 +126,7 @@
             mem: Draw(17_000.0, 0.5, 34_000.0),
             work_ms: Draw(4_000.0, 0.5, 10_000.0),
             gangs: 1.0,
+            saves: 0.5,
             slack: 2.2,
             latency_ms: 1_000,
             asks: (360.0, 5.1),
@@ -139,6 +142,7 @@
             mem: Draw(3_600.0, 0.6, 11_000.0),
             work_ms: Draw(3_400.0, 0.5, 8_400.0),
             gangs: 0.0,
+            saves: 0.8,
             slack: 4.0,
             latency_ms: 3_000,
             asks: (72.0, 1.0),
@@ -154,6 +158,7 @@
             mem: Draw(4_000.0, 0.6, 12_000.0),
             work_ms: Draw(640.0, 0.5, 1_600.0),
             gangs: 0.3,
+            saves: 0.0,
             slack: 1.5,
             latency_ms: 250,
             asks: (6.5, 0.1),
@@ -289,6 +294,8 @@
     pub placement_us: u64,
     /// Starts.
     pub starts: usize,
+    /// Tasks stopped to make room for gangs.
+    pub evicted: u64,
 }
 
 struct Sent {
@@ -306,6 +313,7 @@
 /// A job of a kind: its steps and the real work of its tasks in per cent of the estimate.
 fn draw_job(load: &Load, k: &Kind, rng: &mut StdRng) -> (Vec<Step>, u64) {
     let (steps, gang) = (k.steps.floor() as u32, rng.gen_bool(k.gangs));
+    let saves = rng.gen_bool(k.saves);
     let steps = steps + u32::from(rng.gen_bool(k.steps.fract()));
     // The estimate is off by a share of the truth that is drawn evenly.
     let (least, most) = load.truth;
@@ -322,6 +330,7 @@
             estimate: (work / off) as u64,
             after: (0..n).collect(),
             gang,
+            saves,
             ..Step::default()
         }
     };
@@ -423,5 +432,6 @@
         round_us: (percentile(&rounds, 0.5), percentile(&rounds, 0.99)),
         placement_us: rounds.iter().sum::<u64>() / u64::from(starts.max(1)),
         starts: starts as usize,
+        evicted: cell.engine.counts.evicted,
     }
 }
--- a/tests/common/runner.rs
+++ b/tests/common/runner.rs
@@ -27,9 +27,24 @@
     pub fails: bool,
     /// Members of its gang, if it is of one.
     pub gang: Option<u32>,
+    /// It writes checkpoints.
+    pub saves: bool,
 }
 
+/// Work between two checkpoints, ms.
+const CHECKPOINT_MS: u64 = 2_000;
+
 impl Running {
+    /// The checkpoint to resume from: work done, at a stop all of it; empty for none.
+    fn saved(&self, stopped: bool) -> String {
+        let whole = self.worked / CHECKPOINT_MS * CHECKPOINT_MS;
+        let done = if stopped { self.worked } else { whole };
+        match self.saves && done > 0 {
+            true => format!("{done:08}"),
+            false => String::new(),
+        }
+    }
+
     /// Progress, whole percent as runners report it.
     pub fn percent(&self) -> f64 {
         (100 * self.worked / self.work.max(1)) as f64
@@ -110,7 +125,8 @@
         self.last += 1;
         let closed = self.closed.entry(task).or_default();
         *closed = (*closed).max(run.attempt);
-        let (number, attempt, saved) = (self.last, run.attempt, String::new());
+        let (number, attempt) = (self.last, run.attempt);
+        let saved = run.saved(kind == EndKind::Stopped);
         self.ends.push(End { number, task, attempt, kind, saved });
     }
 }
--- a/tests/control_policy.rs
+++ b/tests/control_policy.rs
@@ -9,6 +9,7 @@
 use assert_matches::assert_matches;
 use common::control::{step, Cell};
 use currantgw::control::engine::{Engine, Now};
+use currantgw::control::evict::{self, Spot, Victim};
 use currantgw::control::model::{BadId, Invalid, JobId, JobState, Step, TaskId};
 use currantgw::control::place::{self, Ask, Place, Placement};
 use currantgw::control::queue::{self, Claim};
@@ -147,6 +148,63 @@
     cell.check();
 }
 
+/// Load: runners full of narrow tasks that write checkpoints and have time to spare, and a gang. It
+/// must not wait for them to end: they are stopped, start again elsewhere and lose no work.
+#[test]
+fn tasks_that_save_their_work_make_room_for_a_gang() {
+    let mut cell = Cell::new(8, 23);
+    let narrow = Step { saves: true, ..step(5, 3_000, 9_000) };
+    for n in 0..6 {
+        cell.submit(n + 1, "patient", vec![narrow.clone()]);
+    }
+    cell.run(2_500);
+    let gang = Step { gang: true, ..step(5, 9_000, 2_000) };
+    let job = cell.submit(500, "patient", vec![gang]);
+    cell.run(700);
+    assert!(cell.began.contains_key(&job), "the gang waits for the others to end");
+    cell.run(14_500);
+    let done = (0..6).filter(|n| cell.stored(JobId(n + 1)) == JobState::Completed).count();
+    assert_eq!(done, 6);
+    assert!(cell.starts.values().all(|n| *n <= 2), "{:?}", cell.starts);
+    cell.check();
+}
+
+/// Tasks without checkpoints would lose their work: they are not stopped for a gang.
+#[test]
+fn tasks_that_save_nothing_are_not_stopped_for_a_gang() {
+    let mut cell = Cell::new(8, 23);
+    for n in 0..6 {
+        cell.submit(n + 1, "patient", vec![step(5, 3_000, 5_000)]);
+    }
+    cell.run(2_500);
+    cell.submit(500, "patient", vec![Step { gang: true, ..step(8, 9_000, 2_000) }]);
+    cell.run(8_000);
+    let narrow = cell.starts.iter().filter(|(t, _)| t.step.job != JobId(500));
+    assert!(narrow.into_iter().all(|(_, n)| *n == 1), "{:?}", cell.starts);
+    cell.check();
+}
+
+fn crowded(key: u32, free: u64, victims: &[u64]) -> Spot<u32, u32> {
+    let room = |cpu: u64| Resources { cpu, mem: 1_000, acc: 0 };
+    let victim = |(i, cpu): (usize, &u64)| Victim { id: key * 10 + i as u32, need: room(*cpu) };
+    let victims = victims.iter().enumerate().map(victim).collect();
+    Spot { key, free: room(free), limit: u32::MAX, victims }
+}
+
+#[test]
+fn as_little_as_possible_is_stopped_for_a_gang() {
+    let need = Resources { cpu: 9, mem: 0, acc: 0 };
+    let spots = vec![crowded(1, 4, &[2, 5, 6]), crowded(2, 10, &[8]), crowded(3, 0, &[3, 3])];
+    let plan = evict::plan(spots.clone(), &need, 2).unwrap();
+    assert_eq!(plan.keys, vec![2, 1]);
+    // 5 is the smallest that is enough beside the 4 that are free.
+    assert_eq!(plan.stops, vec![(1, 11)]);
+    // A third member fits once 8 is stopped beside the 1 that is left.
+    let plan = evict::plan(spots.clone(), &need, 3).unwrap();
+    assert_eq!(plan.stops, vec![(1, 11), (2, 20)]);
+    assert_eq!(evict::plan(spots, &need, 4), None);
+}
+
 /// Symptom: a gang asks some twenty times and starts after up to a minute. Sequence: room is
 /// free, tickets are asked for, others take the room before the answer. Cause: nothing kept it.
 #[test]
@@ -428,5 +486,5 @@
     let e = runners::entry(body).unwrap();
     assert!(e.draining && e.labels.contains("a"));
     assert_eq!((e.rack.as_str(), e.room.mem), ("r1-3", 32_768));
-    assert!(runners::entry(b"{}").is_none());
+    assert!(runners::entry(b"{}").is_err());
 }
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -39,6 +39,23 @@
     assert!(all.iter().all(|o| o.queues["urgent"].waits.1 <= 250), "{all:?}");
 }
 
+/// Load: bursts on runners of 32 cores, with gangs of 9 cores a member that a third of the runners may
+/// run, and estimates that are off by up to ten times.
+/// Figures, mean of four seeds: gangs earned 0.885 of their worth with estimates taken at their word
+/// and nothing stopped for them, 0.927 with what steps really take, 0.979 with tasks that make room;
+/// lookups 0.99 each time.
+#[test]
+fn gangs_with_rough_estimates_get_room_in_bursts() {
+    let load = Load::rough_estimates(48).heavy("bursts", 1.9);
+    let all = plays(&load, Placement::BestFit);
+    let gangs = mean(&all, |o| o.queues["gangs"].worth);
+    assert!(gangs >= 0.95, "gangs {gangs:.3}");
+    let patient = mean(&all, |o| o.queues["patient"].worth);
+    assert!(patient >= 0.99, "patient {patient:.3}");
+    let urgent = mean(&all, |o| o.queues["urgent"].worth);
+    assert!(urgent >= 0.98, "urgent {urgent:.3}");
+}
+
 /// Best fit keeps room in one piece for gangs: it earns more than placing anywhere.
 #[test]
 fn best_fit_earns_more_than_random_placing() {
