--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -30,6 +30,8 @@
     pub step: &'a Step,
     queue: &'a Queue,
     waiting: usize,
+    /// It is not of an urgent queue.
+    patient: bool,
 }
 
 /// Number of runners, roomiest first, that together take `missing` tasks.
@@ -64,10 +66,10 @@
             let Some(queue) = cat.queues.get(&row.queue) else { continue };
             let step = &row.spec.steps[id.step as usize];
             let waiting = self.waiting(id);
-            let view = View { id, step, queue, waiting };
+            let view = View { id, step, queue, waiting, patient: rank.patient };
             match step.gang {
                 true => self.place_gang(&view, rank, &mut claims, now),
-                false => self.place_tasks(&view, rank, &claims, now),
+                false => self.place_tasks(&view, &claims, now),
             }
         }
     }
@@ -117,42 +119,62 @@
         out
     }
 
-    /// Runners on which the step may run as far as the runner itself goes.
-    fn eligible(&self, v: &View<'_>, now: Now) -> Vec<Place<RunnerKey>> {
-        let on = self.spread(v.id);
-        let suits = |r: &Runner| {
-            let Some(e) = &r.entry else { return false };
-            let labelled = v.step.label.is_empty() || e.labels.contains(&v.step.label);
-            e.service == v.queue.service && labelled && v.step.demand().fits(&e.room)
+    /// Runners known to be approved for the step, with the room that it may use there. A round
+    /// visits every waiting step, most of which wait for an answer about a few runners: on a cell of
+    /// 350 looking at all of them for each took most of the time.
+    fn known(&self, v: &View<'_>, claims: &Claims, now: Now) -> Vec<Place<RunnerKey>> {
+        let Some(s) = self.step(v.id).filter(|_| v.queue.approval.is_some()) else {
+            return self.everywhere(v, claims, now);
         };
-        let limit = |k: RunnerKey| match v.step.per_runner {
+        let on = self.spread(v.id);
+        let keys = s.approvals.tickets.keys();
+        keys.filter_map(|&k| self.place_on(v, k, &on, claims, now)).collect()
+    }
+
+    /// Every runner that could take tasks of the step, approved or not.
+    fn everywhere(&self, v: &View<'_>, claims: &Claims, now: Now) -> Vec<Place<RunnerKey>> {
+        let on = self.spread(v.id);
+        let keys = self.runners.iter().map(|(k, _)| k);
+        keys.filter_map(|k| self.place_on(v, k, &on, claims, now)).collect()
+    }
+
+    /// What a runner can take of a step of which `on` tasks run on each; none if it may not.
+    fn place_on(
+        &self,
+        v: &View<'_>,
+        k: RunnerKey,
+        on: &BTreeMap<RunnerKey, u32>,
+        claims: &Claims,
+        now: Now,
+    ) -> Option<Place<RunnerKey>> {
+        let r = self.runners.get(k);
+        let e = r.entry.as_ref().filter(|_| r.usable(now))?;
+        let labelled = v.step.label.is_empty() || e.labels.contains(&v.step.label);
+        if e.service != v.queue.service || !labelled || !v.step.demand().fits(&e.room) {
+            return None;
+        }
+        let limit = match v.step.per_runner {
             0 => u32::MAX,
             n => n.saturating_sub(on.get(&k).copied().unwrap_or(0)),
         };
-        self.runners
-            .iter()
-            .filter(|(_, r)| r.usable(now) && suits(r))
-            .map(|(k, r)| Place {
-                key: k,
-                free: r.free(),
-                rack: r.rack,
-                limit: limit(k),
-                proven: r.health.proven,
-            })
-            .collect()
+        let free = if v.patient { claims.left(k, r.free()) } else { r.free() };
+        Some(Place { key: k, free, rack: r.rack, limit, proven: r.health.proven })
     }
 
-    /// Keeps the runners that the queue's policy approves; those with a good ticket only, if
-    /// `good`.
-    fn approved(&self, v: &View<'_>, all: &mut Vec<Place<RunnerKey>>, good: bool, now: Now) {
-        if v.queue.approval.is_none() {
-            return;
-        }
-        let Some(s) = self.step(v.id) else { return };
-        all.retain(|p| match s.approvals.tickets.get(&p.key) {
-            Some((_, end)) => !good || *end > now.mono + TICKET_MARGIN_MS,
-            None => false,
-        });
+    /// Keeps the runners for which a ticket is good.
+    fn ticketed(
+        &self,
+        v: &View<'_>,
+        known: &[Place<RunnerKey>],
+        now: Now,
+    ) -> Vec<Place<RunnerKey>> {
+        let tickets = self.step(v.id).map(|s| &s.approvals.tickets);
+        let good = |p: &&Place<RunnerKey>| {
+            let ticket = tickets.and_then(|t| t.get(&p.key));
+            ticket.is_some_and(|(_, end)| *end > now.mono + TICKET_MARGIN_MS)
+        };
+        let all = v.queue.approval.is_none();
+        known.iter().filter(|p| all || good(p)).cloned().collect()
     }
 
     /// Processor room of the service that patient work may take now.
@@ -176,15 +198,10 @@
         }
     }
 
-    fn place_tasks(&mut self, v: &View<'_>, rank: Rank, claims: &Claims, now: Now) {
-        let mut all = self.eligible(v, now);
-        let mut budget = u64::MAX;
-        if rank.patient {
-            all.iter_mut().for_each(|p| p.free = claims.left(p.key, p.free));
-            budget = self.patient_room(v, now);
-        }
-        let mut good = all.clone();
-        self.approved(v, &mut good, true, now);
+    fn place_tasks(&mut self, v: &View<'_>, claims: &Claims, now: Now) {
+        let known = self.known(v, claims, now);
+        let mut good = self.ticketed(v, &known, now);
+        let mut budget = if v.patient { self.patient_room(v, now) } else { u64::MAX };
         let ask = self.demand(v);
         let waiting: Vec<TaskId> = self.waiting_ids(v.id);
         let mut left = waiting.len();
@@ -204,7 +221,7 @@
             self.commit_place(v, id, k);
         }
         if left > 0 {
-            self.ask_for(v, all, left, now);
+            self.ask_for(v, claims, left, now);
         }
     }
 
@@ -219,36 +236,31 @@
         }
         let need = v.step.demand();
         let ask = self.demand(v);
-        let mut all = self.eligible(v, now);
-        if rank.patient {
-            all.iter_mut().for_each(|p| p.free = claims.left(p.key, p.free));
-        }
-        let mut good = all.clone();
-        self.approved(v, &mut good, true, now);
+        let known = self.known(v, claims, now);
         let avoid = self.avoided(v.id);
+        let mut good = self.ticketed(v, &known, now);
         if let Some(keys) = place::all(&mut good, &ask, count, &avoid) {
             self.commit_gang(v, &keys);
             return;
         }
-        let mut known = all.clone();
-        self.approved(v, &mut known, false, now);
         let asking = self.step(v.id).is_some_and(|s| s.approvals.asking);
         if !asking {
             if let Some(keys) = place::all(&mut known.clone(), &ask, count, &avoid) {
                 self.book(v.id, keys, need, now);
                 return self.place_booked(v, now);
             }
-            if !self.unasked(v, &all) && self.make_room(v, rank, &known, claims, now) {
+            if self.make_room(v, rank, &known, claims, now) {
                 return self.place_booked(v, now);
             }
         }
         self.reserve(v.id, rank, &known, &need, claims);
-        self.ask_for(v, all, count, now);
+        self.ask_for(v, claims, count, now);
     }
 
     /// Whether there are runners with room for a task of the step that its policy was not asked
     /// about.
-    fn unasked(&self, v: &View<'_>, all: &[Place<RunnerKey>]) -> bool {
+    pub(super) fn unasked(&self, v: &View<'_>, claims: &Claims, now: Now) -> bool {
+        let all = self.everywhere(v, claims, now);
         let Some(a) = self.step(v.id).map(|s| &s.approvals) else { return false };
         let need = v.step.demand();
         let known = |k| a.tickets.contains_key(&k) || a.denied.contains(&k);
@@ -328,12 +340,13 @@
 
     /// Asks the policy about runners: those never asked about, or, where all are known, approved
     /// ones with room whose tickets have run out.
-    fn ask_for(&mut self, v: &View<'_>, all: Vec<Place<RunnerKey>>, missing: usize, now: Now) {
+    fn ask_for(&mut self, v: &View<'_>, claims: &Claims, missing: usize, now: Now) {
         let Some(s) = self.step(v.id) else { return };
         let a = &s.approvals;
         if v.queue.approval.is_none() || a.asking || a.retry_at > now.mono {
             return;
         }
+        let all = self.everywhere(v, claims, now);
         let need = v.step.demand();
         let fits = |p: &Place<RunnerKey>| need.fits(&p.free);
         let held = |p: &Place<RunnerKey>| a.tickets.contains_key(&p.key);
--- a/src/control/engine/preempt.rs
+++ b/src/control/engine/preempt.rs
@@ -50,6 +50,9 @@
             return false;
         }
         s.tried_at = now.mono;
+        if self.unasked(v, claims, now) {
+            return false;
+        }
         let free = known.iter().filter(|p| !claims.has(p.key));
         let spots: Vec<Spot<RunnerKey, TaskId>> = free
             .map(|p| Spot {
