--- a/src/control/engine/gangs.rs
+++ b/src/control/engine/gangs.rs
@@ -93,10 +93,10 @@
         (one && others && self.runners.get(k).dark).then_some(k)
     }
 
-    /// Whether a gang may start again. Each end that was not seen may have been a failure, which
+    /// Whether a gang may be started again. Each end that was not seen may have been a failure, which
     /// counts if its runner comes back and lists it while the lease is not over: where that could
     /// make as many failures as the queue allows, the gang waits.
-    pub(super) fn may_fail(&self, step: StepId, now: Now) -> bool {
+    pub(super) fn may_retry(&self, step: StepId, now: Now) -> bool {
         let Some((s, job)) = self.step(step).zip(self.jobs.get(&step.job)) else { return false };
         let Some(queue) = self.cat.queues.get(&job.row.queue) else { return false };
         let open = s.unseen.values().filter(|over| **over > now.mono).count();
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -228,7 +228,7 @@
     fn place_gang(&mut self, v: &View<'_>, rank: Rank, claims: &mut Claims, now: Now) {
         let count = self.step(v.id).map_or(0, |s| s.tasks.len());
         // It starts again whole, once nothing of the last attempt is left.
-        if v.waiting < count || !self.may_fail(v.id, now) {
+        if v.waiting < count || !self.may_retry(v.id, now) {
             return;
         }
         if self.bookings.contains_key(&v.id) {
