--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -149,9 +149,10 @@
         Ok(())
     }
 
-    /// Whether the balancer should send this instance new requests.
+    /// Whether the balancer should send this instance new requests: from when it has read the
+    /// worker list, without which it refuses every submission, until it is told to stop.
     pub fn ready(&self) -> bool {
-        !self.stop.fired()
+        !self.stop.fired() && self.inventory.lock().unwrap().is_some()
     }
 
     /// Sleeps `ms` or until the stop; false once stopped.
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -88,6 +88,26 @@
     assert_eq!(s["started"], 24, "each task started once");
 }
 
+/// Symptom: the first submission to an entry that has just started is answered 503, although its
+/// `/ready` answered 200. Sequence: the entry listens, and the platform takes a while to answer it
+/// (paused here; a busy machine does the same). Cause: an entry called itself ready from the start.
+#[async_std::test]
+async fn entry_is_not_ready_before_it_takes_submissions() {
+    let mut p = started(2, 1, 1).await;
+    p.signal("entry-1", "KILL");
+    p.signal("platform", "STOP");
+    p.spawn("entry-1-again", &["entry", "--id", "entry-1"]);
+    let ready = format!("{}/ready", p.url(1));
+    let answers = eventually(100, || async { try_get(&ready).await.is_some() }).await;
+    assert!(answers, "the entry does not listen");
+    assert_eq!(get(&ready).await.0, 503);
+    p.signal("platform", "CONT");
+    assert!(eventually(200, || async { get(&ready).await.0 == 200 }).await);
+    let job = job("cronometria/splits", 1, 50, "first");
+    let (status, body) = post(&format!("{}/jobs", p.url(1)), &job).await;
+    assert_eq!(status, 200, "{body}");
+}
+
 /// Symptom: a task runs on two workers at once after its scheduler woke from a pause.
 /// Sequence: an entry is stopped (SIGSTOP) while jobs are being placed, for longer than its
 /// lease; the other entry takes its shards over and places on; the first is resumed (SIGCONT)
@@ -100,7 +120,8 @@
     for i in 0..60 {
         let k = format!("pause-{i}");
         let url = format!("{}/jobs", p.url(1));
-        assert_eq!(post(&url, &job("cronometria/splits", 2, 100, &k)).await.0, 200);
+        let (status, body) = post(&url, &job("cronometria/splits", 2, 100, &k)).await;
+        assert_eq!(status, 200, "{k}: {body}");
         keys.push(k);
         if i == 10 {
             p.signal("entry-0", "STOP");
