--- /dev/null
+++ b/src/control/engine/forecast.rs
@@ -0,0 +1,66 @@
+//! How much work is left of jobs: learned from steps that ended, forecast for those that wait.
+
+use super::{progress, Engine, Job, Now};
+use crate::control::model::{Attempt, JobId, Step, StepId, TaskId};
+use crate::control::pace::Pace;
+
+impl Job {
+    /// Works out the chains of work anew, of what steps took or are expected to take and the time
+    /// of a question about each, ms.
+    pub(super) fn forecast(&mut self, pace: &Pace, asking: u64) {
+        let known = |i: usize| self.steps.get(i).map_or(0, |s| s.took);
+        let time = |(i, s): (usize, &Step)| match known(i) {
+            0 => pace.expect(s.estimate) + asking,
+            took => took + asking,
+        };
+        let times: Vec<u64> = self.row.spec.steps.iter().enumerate().map(time).collect();
+        self.tails = tails(&self.row.spec.steps, &times);
+        self.longest = self.tails.iter().copied().max().unwrap_or(0);
+    }
+}
+
+/// Longest chain of `times` from each step to the end.
+fn tails(steps: &[Step], times: &[u64]) -> Vec<u64> {
+    let mut out = times.to_vec();
+    for i in (0..steps.len()).rev() {
+        for &a in &steps[i].after {
+            let a = a as usize;
+            out[a] = out[a].max(times[a] + out[i]);
+        }
+    }
+    out
+}
+
+impl Engine {
+    /// Works out anew what is left to do of a job.
+    pub(super) fn forecast(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let approval = self.cat.queues.get(&job.row.queue).and_then(|q| q.approval);
+        let asking = approval.map_or(0, |a| a.cost_ms(super::plan::ASK_FIRST) as u64);
+        let pace = self.paces.get(&job.row.queue).copied().unwrap_or_default();
+        job.forecast(&pace, asking);
+    }
+
+    /// Notes how long a task took that has ended done, before its run is released.
+    pub(super) fn note_time(&mut self, id: TaskId, gang: bool, now: Now) {
+        let Some(step) = self.step_mut(id.step) else { return };
+        let run = step.tasks.get(id.index as usize).and_then(|t| t.run.as_ref());
+        let began = match gang {
+            true => progress::whole_since(step),
+            false => run.map(|r| r.progress.began),
+        };
+        let Some(began) = began.filter(|&at| at > 0) else { return };
+        step.took = step.took.max(now.mono - began);
+    }
+
+    /// Learns from a step that is done, if it was not resumed on the way.
+    pub(super) fn learn(&mut self, id: StepId) {
+        let Some(job) = self.jobs.get(&id.job) else { return };
+        let Some(step) = job.step(id).filter(|s| s.done() && s.took > 0) else { return };
+        if step.tasks.iter().all(|t| t.attempt <= Attempt::default().next()) {
+            let (estimate, took) = (job.spec(id).estimate, step.took);
+            self.paces.entry(job.row.queue.clone()).or_default().note(estimate, took);
+        }
+        self.forecast(id.job);
+    }
+}
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -9,6 +9,7 @@
 mod advice;
 mod booking;
 mod commit;
+mod forecast;
 mod gangs;
 mod jobs;
 mod plan;
