--- a/src/control/front.rs
+++ b/src/control/front.rs
@@ -101,7 +101,7 @@
         let rest = &path[queue.prefix.len()..];
         let method = req.method();
         if method == Method::Get && rest.is_empty() {
-            return answer(200, callers::pending(self.mirror.pending(&queue.name)));
+            return self.pending(queue);
         }
         let Ok(id) = rest.parse::<JobId>() else { return invalid(&Invalid::Id) };
         let res = match method {
@@ -142,6 +142,14 @@
         end.saturating_sub(self.clock.mono() + ANSWER_MS)
     }
 
+    fn pending(&self, queue: &Queue) -> Response {
+        let count = self.mirror.pending(&queue.name);
+        log::info!(queue = queue.name, waiting = count, jobs = self.mirror.job_count(),
+            jobs_age_ms:? = self.mirror.age(Table::Jobs),
+            progress_age_ms:? = self.mirror.age(Table::Progress); "waiting jobs counted");
+        answer(200, callers::pending(count))
+    }
+
     async fn submit(
         &self,
         req: &mut Request<Arc<Self>>,
--- a/src/control/mirror.rs
+++ b/src/control/mirror.rs
@@ -171,6 +171,12 @@
         st.jobs.iter().filter(|(id, j)| of(j) && waits(id)).count() as u64
     }
 
+    /// How long ago the last successful poll of a table began, ms; none if it was never read.
+    pub fn age(&self, table: Table) -> Option<u64> {
+        let checked = self.state.lock().unwrap().checked.get(&table).copied()?;
+        Some(self.clock.mono().saturating_sub(checked))
+    }
+
     /// Jobs known.
     pub fn job_count(&self) -> usize {
         self.state.lock().unwrap().jobs.len()
@@ -313,8 +319,14 @@
             Table::Progress => vec![rows::CELL.to_string()],
             Table::Config | Table::Registry => vec![String::new()],
         };
+        let (began, count) = (self.clock.mono(), parts.len());
+        log::info!(table = table.name(), parts = count; "reading a table");
         let reads = futures::stream::iter(parts.into_iter().map(|p| self.load_part(table, p)));
-        let read: Vec<(Vec<Row>, u64)> = reads.buffer_unordered(READS).try_collect().await?;
+        let read = reads.buffer_unordered(READS).try_collect::<Vec<(Vec<Row>, u64)>>().await;
+        let ms = self.clock.mono() - began;
+        let read = read.inspect_err(|e| {
+            log::warn!(table = table.name(), parts = count, ms = ms, why:% = e; "table not read");
+        })?;
         // Changes after the oldest of the reads are followed from the feed.
         let start = read.iter().map(|(_, version)| *version).min();
         let seen: Vec<Row> = read.into_iter().flat_map(|(rows, _)| rows).collect();
@@ -328,7 +340,7 @@
             st.put(table, row);
         }
         st.at.insert(table, start.unwrap_or(0));
-        log::info!(table = table.name(), rows = n, version = start.unwrap_or(0); "table read");
+        log::info!(table = table.name(), rows = n, version = start.unwrap_or(0), ms = ms; "table read");
         Ok(n)
     }
 
