--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -8,9 +8,11 @@
 use async_std::task::{self, JoinHandle};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
+use currantgw::control::model::{JobId, JobSpec, Step};
 use currantgw::control::node;
 use currantgw::control::place::Placement;
 use currantgw::control::ports;
+use currantgw::control::rows::{self, JobRow};
 use currantgw::control::settings::NodeSettings;
 use currantgw::http::Conns;
 use currantgw::kernel::clock::Clock;
@@ -110,6 +112,21 @@
         st.log.push((version, (table.into(), String::new(), key.into()), true));
     }
 
+    /// Stores jobs of `payload` bytes, as an instance that accepted them would have.
+    pub fn store_jobs(&self, queue: &str, ids: &[JobId], payload: usize) {
+        let steps = vec![Step { count: 1, ..Step::default() }];
+        let spec = JobSpec { payload: "x".repeat(payload), steps, ..JobSpec::default() };
+        let value = STANDARD.encode(rows::encode(&JobRow { queue: queue.into(), at: 1, spec }));
+        let mut st = self.store.lock().unwrap();
+        for &id in ids {
+            st.version += 1;
+            let key = rows::job_key(id);
+            let (key, version) = ((key.table, key.part, key.key), st.version);
+            st.rows.insert(key.clone(), (value.clone(), version));
+            st.log.push((version, key, true));
+        }
+    }
+
     /// Sets how the store behaves.
     pub fn mood(&self, mood: Mood) {
         self.store.lock().unwrap().mood = mood;
@@ -414,7 +431,8 @@
     settings: Vec<NodeSettings>,
     servers: Vec<JoinHandle<()>>,
     nodes: Vec<Option<(Trigger, JoinHandle<()>)>>,
-    store: SocketAddr,
+    /// Where the store is.
+    pub store: SocketAddr,
 }
 
 /// Listens before it returns, so that nobody finds the address closed.
@@ -519,6 +537,17 @@
         }
     }
 
+    /// Starts one more instance, which finds the store at `store`.
+    pub fn add(&mut self, store: SocketAddr) -> usize {
+        let n = self.nodes.len();
+        let settings = NodeSettings { store, ..self.settings_of(n) };
+        self.fronts.push(settings.front);
+        self.settings.push(settings);
+        self.nodes.push(None);
+        self.boot(n);
+        n
+    }
+
     /// Starts an instance.
     pub fn boot(&mut self, n: usize) {
         let (trigger, stop) = stop::pair();
