Tables are read a slice at a time and stay read; counts come from a view that is whole and fresh

Class: a fixed time for a transfer whose size grows, begun anew after a failure; and answers from a view whose completeness and age nobody asks for.

Ruled out: a feed that stood still after a good read (no such instance ever logged that it had read the jobs); a store that refused (740 to 840 calls a second served, none refused).

- An answer is waited for as long as it keeps arriving (http.rs), so that feeds are caught up with, too.
- What was read stays read; slices follow what the link carries (300 ms each), with the link left to others in between, and the feed followed meanwhile, so that its history does not go.
- Counts of waiting jobs are refused (503, come to another instance) unless jobs and progress are known as of 2 s ago.
Same cause elsewhere: a job found in the store while progress is not read was shown as queued; an instance that still read did not stop when told.

--- a/src/control/front.rs
+++ b/src/control/front.rs
@@ -25,6 +25,10 @@
 /// Longest wait for the catalogue where a queue is not known, ms.
 const RENEW_MS: u64 = 1_000;
 
+/// A count of waiting jobs is given from what was known to be true this long ago at most, ms: the
+/// interface's own bound.
+const COUNT_AGE_MS: u64 = 2_000;
+
 /// When a caller may come back if the store serves nobody, s. Outages last seconds, and callers
 /// have five tries within 3 s: told to come back after 1 s they spend them within 2.6 s, after 2 s
 /// their last comes near the end of their patience. A lookup's objective (1.2 to 1.8 s) has passed
@@ -101,7 +105,7 @@
         let rest = &path[queue.prefix.len()..];
         let method = req.method();
         if method == Method::Get && rest.is_empty() {
-            return self.pending(queue);
+            return self.pending(queue, self.left(&req, began)).await;
         }
         let Ok(id) = rest.parse::<JobId>() else { return invalid(&Invalid::Id) };
         let res = match method {
@@ -142,7 +146,17 @@
         end.saturating_sub(self.clock.mono() + ANSWER_MS)
     }
 
-    fn pending(&self, queue: &Queue) -> Response {
+    /// How many jobs of a queue wait; refused where not all of them are known.
+    async fn pending(&self, queue: &Queue, ms: u64) -> Response {
+        let known = self.mirror.up_to_date(COUNT_AGE_MS);
+        if self.clock.timeout(ms.min(RENEW_MS), known).await != Ok(true) {
+            log::info!(queue = queue.name, jobs = self.mirror.job_count(),
+                jobs_age_ms:? = self.mirror.age(Table::Jobs),
+                progress_age_ms:? = self.mirror.age(Table::Progress);
+                "waiting jobs not counted: not all are known");
+            let res = later(503, "not all waiting jobs are known here");
+            return if self.silent_for_all() { res } else { elsewhere(res) };
+        }
         let count = self.mirror.pending(&queue.name);
         log::info!(queue = queue.name, waiting = count, jobs = self.mirror.job_count(),
             jobs_age_ms:? = self.mirror.age(Table::Jobs),
@@ -197,8 +211,8 @@
 
     /// Finds out whether a job exists; an error answer if that cannot be told.
     async fn known(&self, id: JobId) -> Result<Option<JobState>, Response> {
-        if let Some(s) = self.mirror.job_state(id) {
-            return Ok(Some(s));
+        if self.mirror.knows_state(id) {
+            return Ok(self.mirror.job_state(id));
         }
         if self.pulse.silent() {
             log::info!(job:% = id; "unknown job, and the store is silent");
@@ -217,7 +231,12 @@
     /// Whether the store is silent towards this instance alone, as far as is known: another one
     /// may serve its callers.
     fn turned_away(&self) -> bool {
-        self.pulse.silent() && !self.peer.deaf() && !self.desk.deaf()
+        self.pulse.silent() && !self.silent_for_all()
+    }
+
+    /// Whether other instances say that the store is silent towards them, too.
+    fn silent_for_all(&self) -> bool {
+        self.peer.deaf() || self.desk.deaf()
     }
 
     /// Whether nothing new can be known here: neither the store nor the scheduler is heard of.
--- a/src/control/mirror.rs
+++ b/src/control/mirror/mod.rs
@@ -4,36 +4,39 @@
 //! Rows carry the version of their write, and an older one never replaces a newer one, so that
 //! full reads, feeds and an instance's own commits can arrive in any order.
 
+pub mod reading;
+mod state;
+
 use super::health::Dependency;
 use super::model::{Catalogue, JobId, JobState};
-use super::ports::{Change, Key, ReadError, Row, RunnerEntry, Store};
+use super::ports::{Change, Page, ReadError, RunnerEntry, Store};
 use super::pulse::Pulse;
-use super::rows::{self, JobKey, JobRow, ProgressRow};
+use super::rows::{self, JobRow, ProgressRow};
 use crate::kernel::clock::Clock;
 use crate::platform::{catalogue, runners};
 use async_std::channel::Sender;
-use futures::stream::{StreamExt, TryStreamExt};
+use reading::Reading;
+use state::{JobEntry, Progress, State};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 
 /// A write is waited for this many times a read's answer: it waits for others of its part, too.
 const LAG_TIMES: u64 = 10;
 
-/// Parts of a table read at the same time: one after the other, 64 parts would take a starting
-/// instance 15 s on a store that answers in 240 ms.
-const READS: usize = 16;
-
 /// How long a write is waited for while the store is silent, ms: many times its usual answer, and
 /// a fraction of the takeover that a longer wait after its return would risk.
 const PROBE_MS: u64 = 300;
 
+/// Time after which the feed is followed while a large table is read, ms: a fraction of the shortest
+/// history that a store keeps.
+const FOLLOW_MS: u64 = 1_000;
+
+/// Most rows that one job has in a table.
+const FOUND_ROWS: usize = 8;
+
 /// Longest wait for a write, ms: leaves a caller's 3 s time for a second try.
 const MAX_TRY_MS: u64 = 1_600;
 
-/// Most unreadable registry entries that are logged, one line each: bounds the log, and the memory
-/// that remembers them.
-const BAD_ENTRIES: usize = 1_000;
-
 /// What the scheduler in office has to hear of.
 #[derive(Clone, Debug)]
 pub enum News {
@@ -76,6 +79,8 @@
 }
 
 impl Table {
+    const ALL: [Self; 4] = [Self::Config, Self::Jobs, Self::Progress, Self::Registry];
+
     /// Its name in the store.
     fn name(self) -> &'static str {
         match self {
@@ -85,33 +90,17 @@
             Self::Registry => runners::REGISTRY_TABLE,
         }
     }
-}
-
-struct JobEntry {
-    row: Option<Arc<JobRow>>,
-    cancelled: bool,
-}
-
-struct Progress {
-    version: u64,
-    state: JobState,
-    /// The row; none where only the state is known, from a link.
-    value: Option<Vec<u8>>,
-}
 
-#[derive(Default)]
-struct State {
-    cat: Arc<Catalogue>,
-    jobs: BTreeMap<JobId, JobEntry>,
-    progress: BTreeMap<JobId, Progress>,
-    at: BTreeMap<Table, u64>,
-    /// When the last successful poll of a table began, local ms.
-    checked: BTreeMap<Table, u64>,
-    /// How long the store's last answer without changes took beyond the wait asked for, ms.
-    lag: u64,
-    news: Option<Sender<News>>,
-    /// Registry entries that name no runner and were logged.
-    bad: BTreeSet<String>,
+    /// The parts that its rows are in.
+    fn parts(self) -> Vec<String> {
+        match self {
+            // All there can be: a part first written to between a listing of the parts and the
+            // first read would be in neither, and its jobs lost to this instance.
+            Self::Jobs => (0..rows::JOB_PARTS).map(rows::part_name).collect(),
+            Self::Progress => vec![rows::CELL.to_string()],
+            Self::Config | Self::Registry => vec![String::new()],
+        }
+    }
 }
 
 /// The mirror of one instance.
@@ -123,6 +112,8 @@
     reads: Dependency,
     /// Held by the caller of [`Self::renew`] whose call serves the others.
     turn: async_std::sync::Mutex<()>,
+    /// Each held by whoever reads that table as a whole.
+    readers: BTreeMap<Table, async_std::sync::Mutex<()>>,
     state: Mutex<State>,
 }
 
@@ -130,8 +121,9 @@
     /// An empty mirror of `store`, whose calls `pulse` notes.
     pub fn new(store: Arc<dyn Store>, pulse: Arc<Pulse>, clock: Clock) -> Self {
         let reads = Dependency::new("store, reads", clock.clone());
-        let turn = async_std::sync::Mutex::new(());
-        Self { store, pulse, clock, reads, turn, state: Mutex::default() }
+        let turn = Default::default();
+        let readers = Table::ALL.into_iter().map(|t| (t, Default::default())).collect();
+        Self { store, pulse, clock, reads, turn, readers, state: Mutex::default() }
     }
 
     /// The catalogue in force here.
@@ -163,7 +155,35 @@
         })
     }
 
-    /// Accepted jobs of a queue of which no task has started.
+    /// Whether a job's state is known here: not of a job that was never met, nor while it has not
+    /// been read how far jobs have come.
+    pub fn knows_state(&self, id: JobId) -> bool {
+        let st = self.state.lock().unwrap();
+        let met = st.jobs.get(&id).is_some_and(|j| j.row.is_some());
+        met && (st.progress.contains_key(&id) || st.followed(Table::Progress).is_some())
+    }
+
+    /// Whether all jobs that others stored up to `max_age` ms ago, and how far they had come, are
+    /// known here; what is older is brought up to date first. Without it an instance that has just
+    /// started, or whose feed stands still, answers for a queue from the few jobs that it has met.
+    pub async fn up_to_date(&self, max_age: u64) -> bool {
+        // A scheduler writes progress itself, and follows it no further.
+        let leads = self.state.lock().unwrap().news.is_some();
+        let since = self.clock.mono().saturating_sub(max_age);
+        for table in [Table::Jobs, Table::Progress] {
+            if self.followed(table).is_none() {
+                return false;
+            }
+            let fresh = (leads && table == Table::Progress) || self.checked_since(table, since);
+            // A store known to be silent is not asked.
+            if !fresh && (self.pulse.silent() || self.renew(table, since).await.is_err()) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Accepted jobs of a queue of which no task has started, as far as is known here.
     pub fn pending(&self, queue: &str) -> u64 {
         let st = self.state.lock().unwrap();
         let waits = |id: &JobId| st.progress.get(id).is_none_or(|p| p.state == JobState::Queued);
@@ -188,6 +208,7 @@
         let mut st = self.state.lock().unwrap();
         st.news = news;
         st.at.remove(&Table::Registry);
+        st.readings.remove(&Table::Registry);
     }
 
     /// Everything known, for a scheduler that takes office.
@@ -233,20 +254,16 @@
         st.progress.remove(&id);
     }
 
-    /// The version up to which a table has been followed; none before it was first read.
+    /// The version up to which a table is known; none before it was read to the end.
     pub fn followed(&self, table: Table) -> Option<u64> {
-        self.state.lock().unwrap().at.get(&table).copied()
+        self.state.lock().unwrap().followed(table)
     }
 
     /// Brings a table up to date: changes since the last time, waiting up to `wait_ms` for the
     /// first, or all of it where that is not possible. Returns the number of changes.
     pub async fn poll(&self, table: Table, wait_ms: u64) -> Result<usize, ReadError> {
-        let began = self.clock.mono();
         let res = self.catch_up(table, wait_ms).await;
         self.reads.note(&res);
-        if res.is_ok() {
-            self.state.lock().unwrap().checked.insert(table, began);
-        }
         res
     }
 
@@ -254,208 +271,162 @@
     /// share one call.
     pub async fn renew(&self, table: Table, since: u64) -> Result<(), ReadError> {
         let _turn = self.turn.lock().await;
-        let checked = self.state.lock().unwrap().checked.get(&table).copied();
-        if checked.is_some_and(|at| at >= since) {
+        if self.checked_since(table, since) {
             return Ok(());
         }
         self.poll(table, 0).await.map(drop)
     }
 
+    fn checked_since(&self, table: Table, since: u64) -> bool {
+        self.state.lock().unwrap().checked.get(&table).is_some_and(|at| *at >= since)
+    }
+
     async fn catch_up(&self, table: Table, wait_ms: u64) -> Result<usize, ReadError> {
-        let Some(after) = self.followed(table) else {
-            return self.load(table).await;
-        };
+        if self.followed(table).is_none() {
+            return self.read_all(table).await;
+        }
         // While the store is silent a poll only finds out whether it is back.
         let wait_ms = if self.pulse.silent() { 0 } else { wait_ms };
-        let asked = self.clock.mono();
-        match self.store.changes(table.name(), after, wait_ms).await {
-            Ok(changes) => {
-                let n = changes.rows.len();
-                let mut st = self.state.lock().unwrap();
-                if n == 0 {
-                    st.lag = self.clock.mono().saturating_sub(asked + wait_ms);
-                }
-                for c in changes.rows {
-                    match c {
-                        Change::Put(row) => st.put(table, row),
-                        Change::Gone(key) => st.gone(table, &key),
-                    }
-                }
-                let at = st.at.entry(table).or_default();
-                *at = (*at).max(changes.version);
-                Ok(n)
-            }
+        match self.follow(table, wait_ms).await {
             Err(ReadError::HistoryGone) => {
-                log::info!(table = table.name(), after = after; "feed history gone, reading anew");
-                self.load(table).await
+                log::info!(table = table.name(); "feed history gone, reading anew");
+                self.read_all(table).await
             }
-            Err(e) => Err(e),
+            res => res,
         }
     }
 
-    /// Reads the rows of a part; the version is that of the first page.
-    async fn load_part(&self, table: Table, part: String) -> Result<(Vec<Row>, u64), ReadError> {
-        let (mut seen, mut start) = (Vec::new(), None);
-        let mut from = String::new();
-        loop {
-            let page = self.store.page(table.name(), &part, &from, None).await?;
-            let version = *start.get_or_insert(page.version);
-            // The next page repeats the last row of this one, which does no harm.
-            from = page.rows.last().map_or(String::new(), |r| r.key.key.clone());
-            let more = page.more && page.rows.len() > 1;
-            seen.extend(page.rows);
-            if !more {
-                return Ok((seen, version));
+    /// Takes in what the feed says of a table. History that is gone makes it unknown.
+    async fn follow(&self, table: Table, wait_ms: u64) -> Result<usize, ReadError> {
+        let after = self.state.lock().unwrap().at.get(&table).copied().unwrap_or(0);
+        let asked = self.clock.mono();
+        let res = self.store.changes(table.name(), after, wait_ms).await;
+        let mut st = self.state.lock().unwrap();
+        let changes = res.inspect_err(|e| {
+            if *e == ReadError::HistoryGone {
+                st.at.remove(&table);
+                st.readings.remove(&table);
             }
-        }
-    }
-
-    /// Reads a whole table.
-    async fn load(&self, table: Table) -> Result<usize, ReadError> {
-        let parts = match table {
-            // All there can be: a part first written to between a listing of the parts and the
-            // first read would be in neither, and its jobs lost to this instance.
-            Table::Jobs => (0..rows::JOB_PARTS).map(rows::part_name).collect(),
-            Table::Progress => vec![rows::CELL.to_string()],
-            Table::Config | Table::Registry => vec![String::new()],
-        };
-        let (began, count) = (self.clock.mono(), parts.len());
-        log::info!(table = table.name(), parts = count; "reading a table");
-        let reads = futures::stream::iter(parts.into_iter().map(|p| self.load_part(table, p)));
-        let read = reads.buffer_unordered(READS).try_collect::<Vec<(Vec<Row>, u64)>>().await;
-        let ms = self.clock.mono() - began;
-        let read = read.inspect_err(|e| {
-            log::warn!(table = table.name(), parts = count, ms = ms, why:% = e; "table not read");
         })?;
-        // Changes after the oldest of the reads are followed from the feed.
-        let start = read.iter().map(|(_, version)| *version).min();
-        let seen: Vec<Row> = read.into_iter().flat_map(|(rows, _)| rows).collect();
-        let n = seen.len();
-        let mut st = self.state.lock().unwrap();
-        if table == Table::Registry {
-            let ids = seen.iter().map(|r| r.key.key.clone()).collect();
-            st.tell(News::Runners(ids));
+        let n = changes.rows.len();
+        if n == 0 {
+            st.lag = self.clock.mono().saturating_sub(asked + wait_ms);
         }
-        for row in seen {
-            st.put(table, row);
+        for c in changes.rows {
+            match c {
+                Change::Put(row) => st.put(table, row),
+                Change::Gone(key) => st.gone(table, &key),
+            }
         }
-        st.at.insert(table, start.unwrap_or(0));
-        log::info!(table = table.name(), rows = n, version = start.unwrap_or(0), ms = ms; "table read");
+        let at = st.at.entry(table).or_default();
+        *at = (*at).max(changes.version);
+        st.checked.insert(table, asked);
         Ok(n)
     }
 
-    /// Looks a job up in the store, past the mirror.
-    pub async fn find_job(&self, id: JobId) -> Result<bool, ReadError> {
-        let key = rows::job_key(id);
-        let end = rows::cancel_key(id).key + "~";
-        let page = self.store.page(&key.table, &key.part, &key.key, Some(&end)).await?;
-        let mut st = self.state.lock().unwrap();
-        for row in page.rows {
-            st.put(Table::Jobs, row);
+    /// Reads a whole table, or what is left of it. In between the feed is followed, so that its
+    /// history does not go while a large table is read; never while pages are on their way, which
+    /// could bring back a row that the feed had removed.
+    async fn read_all(&self, table: Table) -> Result<usize, ReadError> {
+        let _reader = self.readers[&table].lock().await;
+        if self.followed(table).is_some() {
+            return self.follow(table, 0).await;
         }
-        Ok(st.jobs.get(&id).is_some_and(|j| j.row.is_some()))
-    }
-}
-
-impl State {
-    fn tell(&self, news: News) {
-        if let Some(tx) = &self.news {
-            // The scheduler's inbox is unbounded and closed only when it leaves office.
-            let _ = tx.try_send(news);
+        self.begin(table);
+        let mut followed = self.clock.mono();
+        loop {
+            let rest = self.read_slice(table).await?;
+            if let Some(rows) = self.ended(table) {
+                return Ok(rows);
+            }
+            if followed + FOLLOW_MS <= self.clock.mono() {
+                followed = self.clock.mono();
+                self.follow(table, 0).await?;
+            }
+            self.clock.sleep(rest).await;
         }
     }
 
-    fn put(&mut self, table: Table, row: Row) {
-        match table {
-            Table::Config => self.put_config(&row),
-            Table::Registry => self.put_runner(row),
-            Table::Jobs => match rows::job_of(&row.key.key) {
-                Some(JobKey::Job(id)) => match rows::decode::<JobRow>(&row.value) {
-                    Ok(job) => self.put_job(id, Arc::new(job)),
-                    Err(e) => log::error!(job:% = id, why:% = e; "job row unreadable"),
-                },
-                Some(JobKey::Cancel(id)) => self.put_cancel(id),
-                None => log::error!(key = row.key.key; "unknown key among the jobs"),
-            },
-            Table::Progress => match (row.key.key.parse(), rows::decode(&row.value)) {
-                (Ok(id), Ok(ProgressRow { state, .. })) => {
-                    let (version, value) = (row.version, Some(row.value));
-                    self.put_progress(id, Progress { version, state, value });
-                }
-                _ => log::error!(key = row.key.key; "progress row unreadable"),
-            },
-        }
+    fn begin(&self, table: Table) {
+        let mut st = self.state.lock().unwrap();
+        let now = self.clock.mono();
+        st.readings.entry(table).or_insert_with(|| {
+            let parts = table.parts();
+            log::info!(table = table.name(), parts = parts.len(); "reading a table");
+            Reading::new(parts, now)
+        });
     }
 
-    /// An entry that cannot be read, or that another program has written, names no runner.
-    fn put_runner(&mut self, row: Row) {
-        let id = row.key.key;
-        let entry = runners::entry(&row.value);
-        if let Err(why) = &entry {
-            metrics::counter!("control_bad_entries").increment(1);
-            // One line an entry and not one a heartbeat: its writer may be busy.
-            if self.bad.len() < BAD_ENTRIES && self.bad.insert(id.clone()) {
-                log::warn!(runner = id, version = row.version, why:% = why;
-                    "registry entry names no runner");
+    /// Reads the next pages of a table; returns how long to leave the link to others, ms.
+    async fn read_slice(&self, table: Table) -> Result<u64, ReadError> {
+        let (parts, limit) = self.state.lock().unwrap().slice(table);
+        let asked = self.clock.mono();
+        let name = table.name();
+        let reads = parts.iter().map(|(part, from)| self.store.page(name, part, from, None, limit));
+        let pages = futures::future::join_all(reads).await;
+        let ms = self.clock.mono() - asked;
+        let mut st = self.state.lock().unwrap();
+        let (mut rows, mut bytes, mut failed) = (0, 0, None);
+        for ((part, _), page) in parts.iter().zip(pages) {
+            match page {
+                Ok(page) => {
+                    let sizes = page.rows.iter().map(|r| reading::wire_size(r.value.len()));
+                    bytes += sizes.sum::<usize>();
+                    rows += page.rows.len();
+                    st.take_page(table, part, page);
+                }
+                Err(e) => failed = Some(e),
             }
         }
-        self.tell(News::Runner(id, entry.ok()));
-    }
-
-    fn gone(&mut self, table: Table, key: &Key) {
-        match (table, rows::job_of(&key.key)) {
-            (Table::Registry, _) => self.tell(News::Runner(key.key.clone(), None)),
-            (Table::Jobs, Some(JobKey::Job(id))) => drop(self.jobs.remove(&id)),
-            (Table::Progress, Some(JobKey::Job(id))) => drop(self.progress.remove(&id)),
-            _ => {}
+        st.sliced(table);
+        if let Some(why) = failed {
+            st.pace.shrink();
+            let left = st.readings.get(&table).map_or(0, |r| r.todo.len());
+            log::warn!(table = name, rows = rows, parts_left = left, ms = ms, why:% = why;
+                "part of a table not read");
+            return Err(why);
         }
+        Ok(st.pace.read(rows, bytes, ms))
     }
 
-    fn put_config(&mut self, row: &Row) {
-        if row.key.key != catalogue::CONFIG_KEY {
-            return;
+    /// Ends the reading of a table of which nothing is left; the number of rows read if it did.
+    fn ended(&self, table: Table) -> Option<usize> {
+        let mut st = self.state.lock().unwrap();
+        if st.readings.get(&table).is_some_and(|r| !r.todo.is_empty()) {
+            return None;
         }
-        match catalogue::decode(&row.value) {
-            Ok(cat) if cat.version > self.cat.version => {
-                log::info!(version = cat.version, queues = cat.queues.len(),
-                    row_version = row.version; "catalogue in force");
-                self.cat = Arc::new(cat);
-                self.tell(News::Catalogue(self.cat.clone()));
-            }
-            Ok(_) => {}
-            Err(e) => log::error!(why:% = e; "catalogue unreadable, the last one stays in force"),
+        let reading = st.readings.remove(&table).unwrap_or_default();
+        log::info!(table = table.name(), rows = reading.rows, version:? = st.at.get(&table),
+            ms = self.clock.mono() - reading.began; "table read");
+        if table == Table::Registry {
+            st.tell(News::Runners(reading.keys));
         }
+        Some(reading.rows)
     }
 
-    fn entry(&mut self, id: JobId) -> &mut JobEntry {
-        self.jobs.entry(id).or_insert(JobEntry { row: None, cancelled: false })
-    }
-
-    fn put_job(&mut self, id: JobId, row: Arc<JobRow>) {
-        let entry = self.entry(id);
-        if entry.row.is_none() {
-            entry.row = Some(row.clone());
-            let cancelled = entry.cancelled;
-            self.tell(News::Job(id, row));
-            if cancelled {
-                self.tell(News::Cancel(id));
-            }
+    /// Looks a job up in the store, past the mirror, and how far it has come unless that is known.
+    pub async fn find_job(&self, id: JobId) -> Result<bool, ReadError> {
+        let key = rows::job_key(id);
+        let end = rows::cancel_key(id).key + "~";
+        let job = self.store.page(&key.table, &key.part, &key.key, Some(&end), FOUND_ROWS);
+        let (job, progress) = futures::join!(job, self.find_progress(id));
+        let (job, progress) = (job?, progress?);
+        let mut st = self.state.lock().unwrap();
+        for row in progress.rows {
+            st.put(Table::Progress, row);
         }
-    }
-
-    fn put_cancel(&mut self, id: JobId) {
-        let entry = self.entry(id);
-        if !entry.cancelled {
-            entry.cancelled = true;
-            self.tell(News::Cancel(id));
+        for row in job.rows {
+            st.put(Table::Jobs, row);
         }
+        Ok(st.jobs.get(&id).is_some_and(|j| j.row.is_some()))
     }
 
-    fn put_progress(&mut self, id: JobId, p: Progress) {
-        match self.progress.get(&id) {
-            Some(old) if old.version > p.version => {}
-            Some(old) if old.version == p.version && old.value.is_some() => {}
-            _ => drop(self.progress.insert(id, p)),
+    async fn find_progress(&self, id: JobId) -> Result<Page, ReadError> {
+        if self.followed(Table::Progress).is_some() {
+            return Ok(Page::default());
         }
+        let key = rows::progress_key(id);
+        let end = key.key.clone() + "~";
+        self.store.page(&key.table, &key.part, &key.key, Some(&end), FOUND_ROWS).await
     }
 }
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -135,6 +135,10 @@
         };
         let read = |t| self.mirror.followed(t).is_some();
         while !(read(Table::Jobs) && read(Table::Progress)) {
+            // Reading may take longer than the time to stop.
+            if self.stop.fired() {
+                return;
+            }
             self.clock.sleep(RETRY_MS / 4).await;
         }
         while !self.stop.fired() {
--- a/src/control/office.rs
+++ b/src/control/office.rs
@@ -66,6 +66,9 @@
 /// Longest an attempt to take the office is waited for, ms.
 const TAKE_MS: u64 = 900;
 
+/// Rows of the office's table: holder and sign of life.
+const ROWS: usize = 2;
+
 /// A term of office.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Term {
@@ -222,7 +225,7 @@
                 (put.collect(), c.version)
             }
             None => {
-                let page = self.store.page(rows::OFFICE, rows::CELL, "", None).await?;
+                let page = self.store.page(rows::OFFICE, rows::CELL, "", None, ROWS).await?;
                 (page.rows, page.version)
             }
         };
--- a/src/control/ports.rs
+++ b/src/control/ports.rs
@@ -124,13 +124,14 @@
     /// Applies a transaction, waiting at most `ms` for the answer.
     async fn commit(&self, txn: &Txn, ms: u64) -> Result<Commit, CommitError>;
 
-    /// Reads rows of a part with keys in `from..to`.
+    /// Reads rows of a part with keys in `from..to`, at most `limit`.
     async fn page(
         &self,
         table: &str,
         part: &str,
         from: &str,
         to: Option<&str>,
+        limit: usize,
     ) -> Result<Page, ReadError>;
 
     /// Changes of a table after a version; waits up to `wait_ms` for the first.
--- a/src/control/pulse.rs
+++ b/src/control/pulse.rs
@@ -140,9 +140,10 @@
         part: &str,
         from: &str,
         to: Option<&str>,
+        limit: usize,
     ) -> Result<Page, ReadError> {
         let call = self.pulse.call(0);
-        let res = self.inner.page(table, part, from, to).await;
+        let res = self.inner.page(table, part, from, to, limit).await;
         call.ended(served(&res));
         res
     }
--- a/src/http.rs
+++ b/src/http.rs
@@ -22,6 +22,13 @@
 /// path has died stays open for many minutes.
 const DEAD_PEER_MS: u64 = 4_000;
 
+/// An answer that keeps arriving is given up after this many times the time that its head may
+/// take: bounds a call to a peer that sends a byte now and then.
+const MOST_WAITS: u64 = 10;
+
+/// Bytes of a body taken in at once.
+const PIECE: usize = 16 * 1024;
+
 /// Idle connections kept per address; the rest are closed.
 const IDLE_PER_ADDR: usize = 16;
 
@@ -106,7 +113,10 @@
         self.idle.lock().unwrap().remove(&addr);
     }
 
-    /// Calls `addr`, waiting at most `ms` for the whole answer.
+    /// Calls `addr`, waiting at most `ms` for the head of the answer, and as long for each further
+    /// piece of it. A time for the whole would depend on its size and on the link: over a link of
+    /// 10 Mbit/s an answer of 2 MB takes 1.6 s, and one that is given up before is asked for again,
+    /// which fills the link with answers that nobody takes.
     pub async fn call(
         &self,
         addr: SocketAddr,
@@ -122,18 +132,43 @@
         };
         let req = request(addr, method, path, head, body)
             .map_err(|e| CallError::Connect(e.to_string()))?;
-        let sent = self.clock.timeout(ms, exchange(stream.clone(), req)).await;
-        let out = match sent {
-            Ok(Ok((reply, true))) => {
-                self.give(addr, stream);
-                return Ok(reply);
+        let whole = self.exchange(stream.clone(), req, ms);
+        let sent = self.clock.timeout(ms * MOST_WAITS, whole).await;
+        match sent.unwrap_or(Err(CallError::Timeout)) {
+            Ok((reply, again)) => {
+                if again {
+                    self.give(addr, stream);
+                }
+                Ok(reply)
             }
-            Ok(Ok((reply, false))) => return Ok(reply),
-            Ok(Err(e)) => CallError::Broken(e.to_string()),
-            Err(_) => CallError::Timeout,
-        };
-        self.forget(addr);
-        Err(out)
+            Err(e) => {
+                self.forget(addr);
+                Err(e)
+            }
+        }
+    }
+
+    /// Sends `req` and reads the whole answer; true if the connection can be used again.
+    async fn exchange(
+        &self,
+        stream: TcpStream,
+        req: http::Request,
+        ms: u64,
+    ) -> Result<(Reply, bool), CallError> {
+        let late = |_| CallError::Timeout;
+        let head = self.clock.timeout(ms, async_h1::connect(stream, req)).await.map_err(late)?;
+        let mut res = head.map_err(|e| CallError::Broken(e.to_string()))?;
+        let close = res.header("Connection").is_some_and(|v| v.as_str() == "close");
+        let status = res.status().into();
+        let mut from = res.take_body();
+        let (mut body, mut piece) = (Vec::new(), vec![0; PIECE]);
+        loop {
+            let read = self.clock.timeout(ms, from.read(&mut piece)).await.map_err(late)?;
+            match read.map_err(|e| CallError::Broken(e.to_string()))? {
+                0 => return Ok((Reply { status, body }, !close)),
+                n => body.extend_from_slice(&piece[..n]),
+            }
+        }
     }
 
     async fn open(&self, addr: SocketAddr, ms: u64) -> Result<TcpStream, CallError> {
@@ -163,13 +198,3 @@
     }
     Ok(req)
 }
-
-/// Sends `req` and reads the whole answer; true if the connection can be used again.
-async fn exchange(stream: TcpStream, req: http::Request) -> http::Result<(Reply, bool)> {
-    let mut res = async_h1::connect(stream, req).await?;
-    let close = res.header("Connection").is_some_and(|v| v.as_str() == "close");
-    let status = res.status().into();
-    let mut body = Vec::new();
-    res.take_body().read_to_end(&mut body).await?;
-    Ok((Reply { status, body }, !close))
-}
--- a/tests/control_mirror.rs
+++ b/tests/control_mirror.rs
@@ -47,6 +47,7 @@
         part: &str,
         from: &str,
         _: Option<&str>,
+        _: usize,
     ) -> Result<Page, ReadError> {
         let version = self.version.fetch_add(1, Ordering::Relaxed);
         task::sleep(Duration::from_millis(ANSWER_MS)).await;
--- a/tests/control_views.rs
+++ b/tests/control_views.rs
@@ -12,10 +12,12 @@
 use async_std::task;
 use common::narrow::Link;
 use common::ports;
-use common::users::Cell;
+use common::users::{Cell, Mood};
+use currantgw::control::mirror::reading::Pace;
 use currantgw::control::mirror::{Mirror, Table};
 use currantgw::control::model::{JobId, JobState};
 use currantgw::control::pulse::Pulse;
+use currantgw::control::rows;
 use currantgw::http::{CallError, Conns, Method};
 use currantgw::kernel::clock::Clock;
 use currantgw::platform::store::RowStore;
@@ -69,6 +71,42 @@
     link.close().await;
 }
 
+/// What was known when the store fell silent is no count of now.
+#[async_std::test]
+async fn no_count_is_given_from_a_view_that_is_old() {
+    let cell = backlog().await;
+    cell.world.mood(Mood::Silent);
+    task::sleep(Duration::from_millis(2_600)).await;
+    let asked = Instant::now();
+    let (status, body) = cell.call(0, "GET", "/plain/", "").await;
+    assert_eq!(status, 503, "{body}");
+    assert!(asked.elapsed() < Duration::from_millis(300), "{:?}", asked.elapsed());
+    cell.world.mood(Mood::Well);
+    let known = || async { cell.call(0, "GET", "/plain/", "").await.1["pending"] == JOBS };
+    cell.wait("counted again", known).await;
+    cell.end().await;
+}
+
+/// Slices of a table come to take some 300 ms on any link, and on a store that answers late they do
+/// not shrink to nothing.
+#[test]
+fn slices_follow_what_the_link_carries() {
+    let parts = rows::JOB_PARTS as usize;
+    for (per_ms, answer_ms, least, most) in
+        [(1_250, 5, 200, 400), (125, 5, 200, 400), (1_250, 240, 240, 500), (25_000, 240, 240, 400)]
+    {
+        let mut pace = Pace::default();
+        let mut took = 0;
+        for _ in 0..12 {
+            let (reads, rows) = pace.ask(parts);
+            let bytes = reads * rows * 1_300;
+            took = answer_ms + (bytes / per_ms) as u64;
+            pace.read(reads * rows, bytes, took);
+        }
+        assert!((least..=most).contains(&took), "{per_ms} bytes/ms, {answer_ms} ms: {took} ms");
+    }
+}
+
 /// Symptom: small instances that were started again serve nobody for the rest of the day: what they
 /// are sent is neither stored nor looked up in time, and their links are full.
 /// Sequence: thousands of jobs are known; an instance on a link of 10 Mbit/s starts and reads all
--- a/tests/platform_entries.rs
+++ b/tests/platform_entries.rs
@@ -125,7 +125,7 @@
             conn.write_all((head + &body).as_bytes()).await.unwrap();
         });
         let store = RowStore::new(Conns::new(Clock::real()), addr);
-        let page = store.page("servers", "", "", None).await.unwrap();
+        let page = store.page("servers", "", "", None, 500).await.unwrap();
         server.await;
         let values: Vec<&[u8]> = page.rows.iter().map(|r| r.value.as_slice()).collect();
         assert_eq!(values, [&b""[..], b"{}"]);
