An instance that still reads the jobs knows the scheduler, and links to it

Cause: an instance looked at the office only once it had read the jobs and their progress, since it stood by for the office then. Before that it did not know whom to link to: it gave no line to the advice service, had nobody to write for it and heard of no states.

Ruled out: that they had no scheduler to link to (the term had begun, large instances linked within 0.1 s), that the links were refused (no such line).

Change: `Office::stand_by` is told whether the instance could hold the office, and only watches while it could not. The holder's silence is counted meanwhile, so that an instance that has read the tables late does not begin to count then. While it only watches, it asks without waiting, so as not to sit in a wait when it becomes able.

Test: an instance of which the store answers no read of jobs links to the holder of the office.

--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -134,16 +134,10 @@
             view: self.view.clone(),
         };
         let read = |t| self.mirror.followed(t).is_some();
-        while !(read(Table::Jobs) && read(Table::Progress)) {
-            // Reading may take longer than the time to stop.
-            if self.stop.fired() {
-                return;
-            }
-            self.clock.sleep(RETRY_MS / 4).await;
-        }
+        let able = || read(Table::Jobs) && read(Table::Progress);
         while !self.stop.fired() {
             let term = {
-                let stand = Box::pin(self.office.stand_by(|| self.peer.fresh()));
+                let stand = Box::pin(self.office.stand_by(|| self.peer.fresh(), able));
                 let stopped = Box::pin(self.stop.wait());
                 match futures::future::select(stand, stopped).await {
                     futures::future::Either::Left((term, _)) => term,
--- a/src/control/office.rs
+++ b/src/control/office.rs
@@ -157,12 +157,16 @@
     }
 
     /// Watches until this instance should try for the office, and tries. Returns a term once it
-    /// holds it. `calm` says whether the holder is heard of otherwise.
-    pub async fn stand_by(&self, calm: impl Fn() -> bool) -> Term {
+    /// holds it. `calm` says whether the holder is heard of otherwise, `able` whether this instance
+    /// knows enough to hold the office. One that does not yet watches all the same: where the
+    /// scheduler takes links is known from here.
+    pub async fn stand_by(&self, calm: impl Fn() -> bool, able: impl Fn() -> bool) -> Term {
         let mut jitter = rand::thread_rng().gen_range(0..STAGGER_MS);
         loop {
             let began = self.clock.mono();
-            let looked = self.look().await;
+            // One that is not able yet must not sit in a wait when it becomes so.
+            let wait_ms = if able() { WATCH_MS } else { 0 };
+            let looked = self.look(wait_ms).await;
             self.reads.note(&looked);
             if looked.is_err() {
                 // What was not watched does not count as silence.
@@ -178,7 +182,7 @@
             let silent = now.saturating_sub(seen.since);
             let patience = self.patience(&seen);
             let wait = jitter + self.smallness(&seen);
-            if patience.is_none_or(|ms| silent >= ms + wait) {
+            if able() && patience.is_none_or(|ms| silent >= ms + wait) {
                 if patience.is_none() {
                     self.clock.sleep(wait + self.deference()).await;
                 }
@@ -206,11 +210,11 @@
         age_s.min(AGE_S) * AGE_MS
     }
 
-    async fn look(&self) -> Result<(), ReadError> {
+    async fn look(&self, wait_ms: u64) -> Result<(), ReadError> {
         let at = self.seen.lock().unwrap().at;
         let got = match at {
             None => None,
-            Some(at) => match self.store.changes(rows::OFFICE, at, WATCH_MS).await {
+            Some(at) => match self.store.changes(rows::OFFICE, at, wait_ms).await {
                 Ok(changes) => Some(changes),
                 Err(ReadError::HistoryGone) => None,
                 Err(e) => return Err(e),
--- /dev/null
+++ b/tests/control_links.rs
@@ -0,0 +1,128 @@
+//! Links between instances: who an instance helps before it knows what its predecessors stored.
+
+mod common {
+    pub mod ports;
+}
+
+use async_std::net::TcpListener;
+use async_std::task::{self, JoinHandle};
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use common::ports::free_addr;
+use currantgw::control::node;
+use currantgw::control::place::Placement;
+use currantgw::control::rows::{self, HolderRow};
+use currantgw::control::settings::NodeSettings;
+use currantgw::kernel::clock::Clock;
+use currantgw::kernel::stop::{self, Trigger};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tide::{Request, Response};
+
+/// Time in which an instance that knows the scheduler opens its link, with room to spare, ms.
+const LINK_MS: u64 = 4_000;
+
+/// Longer than any caller of the store waits, ms.
+const NEVER_MS: u64 = 60_000;
+
+/// A store that holds the office's row and answers no read of jobs.
+#[derive(Clone)]
+struct Store {
+    holder: Value,
+}
+
+fn text(body: &Value) -> Response {
+    let mut res = Response::new(200);
+    res.set_body(body.to_string());
+    res.set_content_type("application/json");
+    res
+}
+
+fn page(rows: &[Value]) -> Response {
+    text(&json!({"rows": rows, "schema_version": 7, "now_ms": 1}))
+}
+
+fn arg(req: &Request<Store>, name: &str) -> String {
+    let found = req.url().query_pairs().find(|(k, _)| k == name);
+    found.map_or(String::new(), |(_, v)| v.into_owned())
+}
+
+async fn get(req: Request<Store>) -> tide::Result {
+    match arg(&req, "table").as_str() {
+        rows::JOBS => task::sleep(Duration::from_millis(NEVER_MS)).await,
+        rows::OFFICE => return Ok(page(&[req.state().holder.clone()])),
+        _ => {}
+    }
+    Ok(page(&[]))
+}
+
+async fn feed(req: Request<Store>) -> tide::Result {
+    let wait = arg(&req, "wait_ms").parse().unwrap_or(0);
+    task::sleep(Duration::from_millis(wait)).await;
+    Ok(page(&[]))
+}
+
+impl Store {
+    /// A store in whose office sits another instance, which takes links at `links`.
+    fn with_holder(links: SocketAddr) -> Self {
+        let row = HolderRow { node: "other".into(), life: 1, links: Some(links), size: 500 };
+        let key = rows::holder_key();
+        let value = STANDARD.encode(rows::encode(&row));
+        let holder = json!({"table": key.table, "part": key.part, "key": key.key,
+            "value": value, "schema_version": 5});
+        Self { holder }
+    }
+
+    fn serve(self, at: SocketAddr) -> JoinHandle<()> {
+        let mut app = tide::with_state(self);
+        app.at("/v1/rows-get").get(get);
+        app.at("/v1/rows-feed").get(feed);
+        let socket = std::net::TcpListener::bind(at).expect("the address is free");
+        task::spawn(async move { app.listen(TcpListener::from(socket)).await.expect("serves") })
+    }
+}
+
+fn settings(store: SocketAddr) -> NodeSettings {
+    NodeSettings {
+        id: "small".into(),
+        domain: "z".into(),
+        front: free_addr(),
+        ready: free_addr(),
+        links: free_addr(),
+        metrics: free_addr(),
+        share: 0.12,
+        store,
+        advice: None,
+        hold_max_ms: 10_000,
+        grace_ms: 2_600,
+        keep_ms: 120_000,
+        placement: Placement::default(),
+    }
+}
+
+fn boot(settings: NodeSettings) -> (Trigger, JoinHandle<()>) {
+    let (trigger, stop) = stop::pair();
+    let run = async move { node::run(settings, Clock::real(), stop).await.expect("runs") };
+    (trigger, task::spawn(run))
+}
+
+/// Symptom: after a power loss of all instances the scheduler has 8 lines to the advice service
+/// instead of 29; questions are refused for 37 s, gangs are not placed although nearly all room is
+/// free, and instances that the store turns away have nobody to write for them.
+/// Sequence: an instance on a small link starts and reads the jobs for many seconds; until it has
+/// read them it does not look at the office, and so does not know whom to link to.
+/// Cause: standing by for the office, which needs the jobs, and knowing the holder, which needs
+/// nothing, were one step.
+#[async_std::test]
+async fn an_instance_that_is_still_reading_the_jobs_links_to_the_scheduler() {
+    let links = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let store = free_addr();
+    let served = Store::with_holder(links.local_addr().unwrap()).serve(store);
+    let (mut trigger, node) = boot(settings(store));
+    let linked = async_std::future::timeout(Duration::from_millis(LINK_MS), links.accept()).await;
+    assert!(linked.is_ok(), "no link within {LINK_MS} ms");
+    trigger.fire();
+    node.await;
+    served.cancel().await;
+}
