--- a/src/control/mirror/mod.rs
+++ b/src/control/mirror/mod.rs
@@ -207,8 +207,7 @@
     pub fn watch(&self, news: Option<Sender<News>>) {
         let mut st = self.state.lock().unwrap();
         st.news = news;
-        st.at.remove(&Table::Registry);
-        st.readings.remove(&Table::Registry);
+        st.forget(Table::Registry);
     }
 
     /// Everything known, for a scheduler that takes office.
@@ -303,9 +302,9 @@
         let res = self.store.changes(table.name(), after, wait_ms).await;
         let mut st = self.state.lock().unwrap();
         let changes = res.inspect_err(|e| {
-            if *e == ReadError::HistoryGone {
-                st.at.remove(&table);
-                st.readings.remove(&table);
+            // Unless another caller has begun to read it anew meanwhile.
+            if *e == ReadError::HistoryGone && st.at.get(&table) == Some(&after) {
+                st.forget(table);
             }
         })?;
         let n = changes.rows.len();
@@ -359,7 +358,8 @@
 
     /// Reads the next pages of a table; returns how long to leave the link to others, ms.
     async fn read_slice(&self, table: Table) -> Result<u64, ReadError> {
-        let (parts, limit) = self.state.lock().unwrap().slice(table);
+        let slice = self.state.lock().unwrap().slice(table);
+        let (parts, limit) = slice.ok_or(ReadError::HistoryGone)?;
         let asked = self.clock.mono();
         let name = table.name();
         let reads = parts.iter().map(|(part, from)| self.store.page(name, part, from, None, limit));
@@ -392,10 +392,8 @@
     /// Ends the reading of a table of which nothing is left; the number of rows read if it did.
     fn ended(&self, table: Table) -> Option<usize> {
         let mut st = self.state.lock().unwrap();
-        if st.readings.get(&table).is_some_and(|r| !r.todo.is_empty()) {
-            return None;
-        }
-        let reading = st.readings.remove(&table).unwrap_or_default();
+        st.readings.get(&table).filter(|r| r.todo.is_empty())?;
+        let reading = st.readings.remove(&table)?;
         log::info!(table = table.name(), rows = reading.rows, version:? = st.at.get(&table),
             ms = self.clock.mono() - reading.began; "table read");
         if table == Table::Registry {
--- a/src/control/mirror/state.rs
+++ b/src/control/mirror/state.rs
@@ -56,11 +56,18 @@
         self.at.get(&table).copied().filter(|_| known)
     }
 
-    /// The next slice of a table: parts, each with the key to read from, and rows to ask for.
-    pub fn slice(&self, table: Table) -> (Vec<(String, String)>, usize) {
-        let Some(reading) = self.readings.get(&table) else { return (Vec::new(), 0) };
+    /// A table is no longer known, and has to be read from its beginning.
+    pub fn forget(&mut self, table: Table) {
+        self.at.remove(&table);
+        self.readings.remove(&table);
+    }
+
+    /// The next slice of a table that is being read: parts, each with the key to read from, and rows
+    /// to ask for.
+    pub fn slice(&self, table: Table) -> Option<(Vec<(String, String)>, usize)> {
+        let reading = self.readings.get(&table)?;
         let (reads, rows) = self.pace.ask(reading.todo.len());
-        (reading.todo.iter().take(reads).cloned().collect(), rows)
+        Some((reading.todo.iter().take(reads).cloned().collect(), rows))
     }
 
     /// The first slice is over: from its oldest page on the feed is followed.
