Lines to the advice service are full by the time that waits on them, and judged by it

And lines were compared by an estimated end that falls behind; once it had passed all seemed free, so that they filled one after the other and lookups waited 0.3 s for answers of 10 ms from the eighth second on.

Change: what waits on a line is the sum of what it takes; a question is taken only if its answer comes within 2.5 s. The choice is code of its own without I/O (links/lines.rs).

--- a/src/control/links/desk.rs
+++ b/src/control/links/desk.rs
@@ -1,6 +1,7 @@
 //! The accepting side of links: lines to the advice service, states for every instance, and
 //! writes on behalf of instances that the store turns away.
 
+use super::lines::{self, Load};
 use super::{decode, encode, pump, Frame, Relay, QUEUE, SILENT_MS};
 use crate::control::intake::Intake;
 use crate::control::mirror::Mirror;
@@ -21,19 +22,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
-/// Questions that take the service longer than this are kept off the scheduler's own line, where
-/// lookups' questions of some 10 ms would wait behind them, ms.
-const LONG_MS: f64 = 50.0;
-
-/// Lines kept free of long questions while there are twice as many.
-const SHORT_LINES: usize = 2;
-
 /// Margin over the computed time of an answer before it is given up, ms.
 const MARGIN_MS: u64 = 800;
 
-/// Questions that may wait on one line; the service refuses more than 32.
-const LINE_DEPTH: usize = 30;
-
 /// A write for another instance is given up after this long, ms: before that instance gives up
 /// waiting, so that it hears whether the write was sent at all.
 const RELAY_MS: u64 = 700;
@@ -53,9 +44,21 @@
     tx: Option<Sender<Message>>,
     /// The other side does not hear of the store.
     deaf: bool,
-    /// When the service will have answered all that waits on it, local ms.
-    free_at: f64,
-    waiting: BTreeMap<u64, oneshot::Sender<Result<Advice, AdviceError>>>,
+    waiting: BTreeMap<u64, Question>,
+}
+
+/// A question under way.
+struct Question {
+    /// Time of service, ms.
+    cost: f64,
+    done: oneshot::Sender<Result<Advice, AdviceError>>,
+}
+
+impl Line {
+    fn load(&self) -> Load {
+        let cost = self.waiting.values().map(|q| q.cost).sum();
+        Load { waiting: self.waiting.len(), cost }
+    }
 }
 
 /// Lines to the advice service: this instance's own, and one for each linked instance.
@@ -80,21 +83,6 @@
     }
 }
 
-/// Picks the line that answers first among those that take a question of this length.
-fn pick(lines: &BTreeMap<u64, Line>, cost: f64, now: f64) -> Option<u64> {
-    let long = cost > LONG_MS && lines.len() > 1;
-    let spared = if lines.len() >= 2 * SHORT_LINES { SHORT_LINES } else { 1 };
-    let open = lines
-        .iter()
-        .enumerate()
-        .filter(|(n, _)| !long || *n >= spared)
-        .map(|(_, l)| l)
-        .filter(|(_, l)| l.waiting.len() < LINE_DEPTH);
-    let at = |l: &Line| l.free_at.max(now) as u64;
-    // Short questions prefer the lines that take no long ones when both are free.
-    open.min_by_key(|(k, l)| (at(l), **k)).map(|(k, _)| *k)
-}
-
 impl Desk {
     /// A desk with this instance's own line, if there is an advice service.
     pub fn new(own: Option<Arc<dyn Advisor>>, clock: Clock) -> Self {
@@ -119,12 +107,11 @@
         let (done, answer) = oneshot::channel();
         let (key, tx, ms) = {
             let mut lines = self.lines.lock().unwrap();
-            let now = self.clock.mono() as f64;
-            let key = pick(&lines, cost, now).ok_or(AdviceError::Busy)?;
-            let Some(line) = lines.get_mut(&key) else { return Err(AdviceError::Busy) };
-            line.free_at = line.free_at.max(now) + cost;
-            line.waiting.insert(id, done);
-            (key, line.tx.clone(), (line.free_at - now) as u64 + MARGIN_MS)
+            let loads: Vec<Load> = lines.values().map(Line::load).collect();
+            let picked = lines::pick(&loads, cost).and_then(|n| lines.iter_mut().nth(n));
+            let (key, line) = picked.ok_or(AdviceError::Busy)?;
+            line.waiting.insert(id, Question { cost, done });
+            (*key, line.tx.clone(), line.load().cost as u64 + MARGIN_MS)
         };
         let _waiting = Waiting { desk: self, key, id };
         match tx {
@@ -155,16 +142,13 @@
     fn done(&self, key: u64, id: u64) {
         if let Some(line) = self.lines.lock().unwrap().get_mut(&key) {
             line.waiting.remove(&id);
-            if line.waiting.is_empty() {
-                line.free_at = 0.0;
-            }
         }
     }
 
     fn answered(&self, key: u64, id: u64, res: Result<Advice, AdviceError>) {
         let waiting = self.lines.lock().unwrap().get_mut(&key).and_then(|l| l.waiting.remove(&id));
-        if let Some(done) = waiting {
-            let _ = done.send(res);
+        if let Some(question) = waiting {
+            let _ = question.done.send(res);
         }
     }
 
--- a/src/control/links/mod.rs
+++ b/src/control/links/mod.rs
@@ -6,6 +6,7 @@
 //! time for each calling instance, and writes of an instance that the store turns away.
 
 pub mod desk;
+pub mod lines;
 pub mod peer;
 
 use super::model::{JobId, JobState, StepId};
