A successor logs a line for each job that has not ended, not for each job

No more than 4,000 lines a second are written.

Change: no line for a job that had ended when it was found; it cannot be placed, which is what the line says.

--- a/src/control/engine/jobs.rs
+++ b/src/control/engine/jobs.rs
@@ -264,10 +264,13 @@
                 }
             }
         }
-        log::info!(job:% = id, queue = job.row.queue, state = job.state.name(),
-            version = job.version; "job known to the scheduler");
+        // A successor comes to know all jobs of the last minutes at once, of which most have ended: a
+        // line for each would take the place of those that tell of the takeover.
         if job.state.ended() {
             self.old.insert((job.ended, id));
+        } else {
+            log::info!(job:% = id, queue = job.row.queue, state = job.state.name(),
+                version = job.version; "job known to the scheduler");
         }
         self.jobs.insert(id, job);
         self.forecast(id);
