A start whose ticket has run out is not sent

Cause: whether a ticket is good was looked at when a placement was decided, with a margin of 250 ms, and not when the start goes out, once the placement is stored. A slow or silent store takes longer than a ticket lives.

Change: once a placement is stored, tasks whose tickets have run out are given up before they are sent, members of a gang all together; a start carries the newest ticket of its runner.

Tests: after an outage longer than a ticket's life a task and a gang are asked about again before they start (before: they start with the old ticket); one whose ticket is good is not.

--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -17,6 +17,10 @@
 /// Tries of a start before its attempt is stopped and the task goes elsewhere.
 const START_TRIES: u32 = 3;
 
+/// A ticket must be good for this much longer when a start goes out, ms: the way of its answer and of
+/// the start, several times over.
+const TICKET_WAY_MS: u64 = 20;
+
 /// Time between repetitions of a stop that had no answer, ms.
 const RETRY_STOP_MS: u64 = 300;
 
@@ -109,8 +113,11 @@
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let payload = job.row.spec.payload.clone();
         let Some(step) = job.step_mut(id.step) else { return };
+        let tickets = &step.approvals.tickets;
         let Some(task) = step.tasks.get_mut(id.index as usize) else { return };
         let Some(run) = task.run.as_mut() else { return };
+        // One given since the placement was decided is good for longer.
+        run.ticket = tickets.get(&run.runner).map(|(t, _)| t.clone()).or(run.ticket.take());
         let runner = self.runners.get_mut(run.runner);
         let (Some(to), Some(until)) = (runner.call(), runner.extend(hold, now)) else { return };
         run.stage = Stage::Sent;
@@ -315,7 +322,17 @@
         }
     }
 
-    /// A placement has been stored: its start may go out.
+    /// Whether the ticket with which a task would start has run out. What approves no runners has none.
+    fn ticket_over(&self, id: TaskId, now: Now) -> bool {
+        let Some(step) = self.step(id.step) else { return false };
+        let run = step.tasks.get(id.index as usize).and_then(|t| t.run.as_ref());
+        let end = run.and_then(|r| step.approvals.tickets.get(&r.runner)).map(|(_, end)| *end);
+        end.is_some_and(|end| end <= now.mono + TICKET_WAY_MS)
+    }
+
+    /// A placement has been stored: its start may go out. While the store was slow or away its ticket
+    /// may have run out: it is given up then, a gang's for all members, since the runner would refuse
+    /// the start.
     pub(super) fn start_stored(&mut self, step: StepId, stored: u64, now: Now) {
         let Some(s) = self.step(step) else { return };
         let due: Vec<TaskId> = s
@@ -327,7 +344,19 @@
             })
             .map(|(id, _)| id)
             .collect();
-        for id in due {
+        let gang = self.jobs.get(&step.job).is_some_and(|j| j.spec(step).gang);
+        let (mut over, mut good): (Vec<_>, Vec<_>) =
+            due.into_iter().partition(|id| self.ticket_over(*id, now));
+        if gang && !over.is_empty() {
+            over.append(&mut good);
+        }
+        if !over.is_empty() {
+            log::info!(step:% = step, tasks = over.len(); "ticket ran out before the start");
+        }
+        for id in over {
+            self.release(id, now);
+        }
+        for id in good {
             self.order_start(id, now, 0);
         }
     }
