Links: states are encoded once for all links; planner bench: loads of a cell of 350 runners

Cause looked into: publish cloned a frame of states for each of 28 links, and each link encoded it again. Frames are now encoded by whoever sends them and the channel carries the bytes, which links share.

Loads: `many runners` has the widths, rates and question times of the grown trade; more jobs than one in a tick come now as drawn (they were cut off at one, which only `350 runners` reached).

--- a/benches/planner.rs
+++ b/benches/planner.rs
@@ -32,6 +32,9 @@
         Load::rough_estimates(48).heavy("rough estimates, bursts", 1.9),
         Load::rough_estimates(48).heavy("", 1.9).times("rough estimates, full", 1.25),
         grown("350 runners", 350),
+        Load::many_runners(350),
+        Load::many_runners(350).heavy("many runners, bursts", 1.7),
+        Load::many_runners(350).times("many runners, twice", 2.0),
     ]
 }
 
--- a/src/control/links/desk.rs
+++ b/src/control/links/desk.rs
@@ -1,7 +1,7 @@
 //! The accepting side of links: lines to the advice service, states for every instance, and
 //! writes on behalf of instances that the store turns away.
 
-use super::{decode, pump, Frame, Relay, QUEUE, SILENT_MS};
+use super::{decode, encode, pump, Frame, Relay, QUEUE, SILENT_MS};
 use crate::control::intake::Intake;
 use crate::control::mirror::Mirror;
 use crate::control::model::{JobId, JobState, StepId};
@@ -12,6 +12,7 @@
 use crate::kernel::clock::Clock;
 use async_std::channel::{self, Sender};
 use async_std::net::{TcpListener, TcpStream};
+use async_tungstenite::tungstenite::Message;
 use futures::channel::oneshot;
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
@@ -49,7 +50,7 @@
 #[derive(Default)]
 struct Line {
     /// None for the instance's own line.
-    tx: Option<Sender<Frame>>,
+    tx: Option<Sender<Message>>,
     /// The other side does not hear of the store.
     deaf: bool,
     /// When the service will have answered all that waits on it, local ms.
@@ -129,7 +130,7 @@
         match tx {
             None => own.ask(step, &ids, ms).await,
             Some(tx) => {
-                let sent = tx.try_send(Frame::Ask { id, step, ids, ms }).is_ok();
+                let sent = tx.try_send(encode(&Frame::Ask { id, step, ids, ms })).is_ok();
                 match self.clock.timeout(ms + MARGIN_MS, answer).await {
                     Ok(Ok(res)) if sent => res,
                     _ => Err(AdviceError::Unreachable),
@@ -170,7 +171,7 @@
     /// Tells every linked instance of states that have been stored. A link that cannot take it
     /// is closed: its instance reads what it missed from the store.
     pub fn publish(&self, list: &[(JobId, u64, JobState)]) {
-        let frame = Frame::States { list: list.to_vec() };
+        let frame = encode(&Frame::States { list: list.to_vec() });
         let takes = |l: &Line| l.tx.as_ref().is_none_or(|tx| tx.try_send(frame.clone()).is_ok());
         self.lines.lock().unwrap().retain(|_, l| takes(l));
     }
@@ -215,12 +216,12 @@
     /// scheduler for alive that has been replaced behind a cut. The link stays open: questions
     /// to the advice service go on, and an instance that dialled anew would take the greeting of
     /// each link for a sign that its writes are welcome, so that they ended in doubt.
-    async fn tell_silence(&self, tx: &Sender<Frame>) {
+    async fn tell_silence(&self, tx: &Sender<Message>) {
         let mut was = false;
         loop {
             let silent = self.pulse.silent();
             if silent != was {
-                let _ = tx.try_send(self.greeting());
+                let _ = tx.try_send(encode(&self.greeting()));
             }
             was = silent;
             self.clock.sleep(DEAF_MS).await;
@@ -244,7 +245,7 @@
         let Ok(Ok(ws)) = self.clock.timeout(SILENT_MS, shake).await else { return };
         let key = self.desk.next.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = channel::bounded(QUEUE);
-        let _ = tx.try_send(self.greeting());
+        let _ = tx.try_send(encode(&self.greeting()));
         let line = Line { tx: Some(tx.clone()), ..Line::default() };
         self.desk.lines.lock().unwrap().insert(key, line);
         log::info!(peer:% = from, line = key; "instance linked");
@@ -266,7 +267,7 @@
                             _ => return,
                         },
                         done = writes.next() => if let Some(frame) = done {
-                            let _ = tx.try_send(frame);
+                            let _ = tx.try_send(encode(&frame));
                         }
                     }
                 }
--- a/src/control/links/mod.rs
+++ b/src/control/links/mod.rs
@@ -73,10 +73,11 @@
     }
 }
 
-/// Writes frames and, while there are none, signs of life, until either side closes.
+/// Writes frames, encoded by whoever sends them, and signs of life while there are none, until
+/// either side closes.
 async fn pump(
     mut out: WebSocketSender<TcpStream>,
-    rx: channel::Receiver<Frame>,
+    rx: channel::Receiver<Message>,
     clock: &Clock,
     idle: impl Fn() -> Frame,
 ) {
@@ -84,9 +85,9 @@
         let frame = match clock.timeout(PING_MS, rx.recv()).await {
             Ok(Ok(f)) => f,
             Ok(Err(_)) => return,
-            Err(_) => idle(),
+            Err(_) => encode(&idle()),
         };
-        match clock.timeout(SILENT_MS, out.send(encode(&frame))).await {
+        match clock.timeout(SILENT_MS, out.send(frame)).await {
             Ok(Ok(())) => {}
             _ => return,
         }
--- a/src/control/links/peer.rs
+++ b/src/control/links/peer.rs
@@ -1,6 +1,6 @@
 //! The dialling side of links: an instance's link to the scheduler.
 
-use super::{decode, pump, Frame, Relay, QUEUE, SILENT_MS};
+use super::{decode, encode, pump, Frame, Relay, QUEUE, SILENT_MS};
 use crate::control::intake::Written;
 use crate::control::mirror::Mirror;
 use crate::control::model::JobId;
@@ -10,6 +10,7 @@
 use crate::http;
 use crate::kernel::clock::Clock;
 use async_std::channel::{self, Sender};
+use async_tungstenite::tungstenite::Message;
 use futures::channel::oneshot;
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
@@ -30,7 +31,7 @@
 
 /// An instance's link to the scheduler.
 pub struct Peer {
-    tx: Mutex<Option<Sender<Frame>>>,
+    tx: Mutex<Option<Sender<Message>>>,
     calls: Mutex<BTreeMap<u64, oneshot::Sender<Written>>>,
     heard: AtomicU64,
     opened: AtomicU64,
@@ -97,7 +98,7 @@
 
     fn send(&self, frame: Frame) -> bool {
         let tx = self.tx.lock().unwrap();
-        tx.as_ref().is_some_and(|tx| tx.try_send(frame).is_ok())
+        tx.as_ref().is_some_and(|tx| tx.try_send(encode(&frame)).is_ok())
     }
 
     /// Tells the scheduler of a job that this instance has stored. If the link is down it learns
@@ -189,7 +190,7 @@
                             _ => return,
                         },
                         done = asks.next() => if let Some(frame) = done {
-                            let _ = tx.try_send(frame);
+                            let _ = tx.try_send(encode(&frame));
                         }
                     }
                 }
--- a/tests/common/load.rs
+++ b/tests/common/load.rs
@@ -230,6 +230,31 @@
         load
     }
 
+    /// A calm day of a trade on `runners` small runners, of 350: wider jobs and more of them, 89 % of the
+    /// processors asked for, questions that take longer, and 29 instances that can ask.
+    pub fn many_runners(runners: usize) -> Self {
+        let mut load = Self::small_runners(runners);
+        let [gangs, patient, urgent] = &mut load.kinds;
+        gangs.per_s = 5.9;
+        gangs.width = Draw(20.0, 0.8, 120.0);
+        gangs.asks = (455.0, 6.5);
+        gangs.worth = 10.4;
+        patient.per_s = 7.9;
+        patient.width = Draw(25.0, 0.8, 150.0);
+        patient.cpu = Draw(1_700.0, 0.45, 5_200.0);
+        patient.mem = Draw(6_400.0, 0.6, 19_000.0);
+        patient.asks = (156.0, 2.34);
+        patient.worth = 4.86;
+        urgent.per_s = 138.0;
+        urgent.width = Draw(3.2, 0.8, 19.0);
+        urgent.cpu = Draw(2_500.0, 0.45, 7_400.0);
+        urgent.mem = Draw(7_100.0, 0.6, 21_000.0);
+        urgent.asks = (9.36, 0.13);
+        urgent.worth = 0.39;
+        load.lines = 29;
+        load.times("many runners, calm", runners as f64 / 350.0)
+    }
+
     /// The same with bursts of lookups and of gangs, as on the heaviest days.
     pub fn heavy(mut self, name: &'static str, by: f64) -> Self {
         let (lookups, gangs) = (2, 0);
@@ -362,7 +387,9 @@
         let at_s = (cell.now - begin) as f64 / 1_000.0;
         for kind in 0..load.kinds.len() {
             let share = load.rate(kind, at_s) * tick as f64 / 1_000.0;
-            if at_s < load.seconds && rng.gen_bool(share.min(1.0)) {
+            let some = rng.gen_bool(share.fract());
+            let jobs = if at_s < load.seconds { share as u32 + u32::from(some) } else { 0 };
+            for _ in 0..jobs {
                 let id = JobId((rng.gen::<u64>() >> KIND_BITS) << KIND_BITS | kind as u64);
                 let k = &load.kinds[kind];
                 let (steps, truth) = draw_job(load, k, &mut rng);
