Planning: a round's work is bounded; waiting steps that cannot be helped are passed over

Cause: each round visited every open step, and looked at all 350 runners for each that could be asked about or was of a patient queue.

Test: a backlog of 3,000 jobs; fails with the limit lifted (16,000,000), the counter is new.

--- a/src/control/engine/advice.rs
+++ b/src/control/engine/advice.rs
@@ -91,6 +91,7 @@
             let keyed = |t: &Ticket| (self.runner_named(&t.id), t.ticket.clone());
             a.approved.iter().map(keyed).collect()
         });
+        self.stirred.insert(step);
         let Some(s) = self.step_mut(step) else { return };
         let a = &mut s.approvals;
         a.asking = false;
@@ -101,7 +102,7 @@
                 log::info!(step:% = step, asked = ids.len(), approved = advice.approved.len(),
                     valid_ms = valid; "advice given");
                 a.refusals = 0;
-                a.denied.extend(keys);
+                a.denied.extend(keys.into_iter().filter(|k| !a.tickets.contains_key(k)));
                 for (k, ticket) in given.unwrap_or_default() {
                     a.denied.remove(&k);
                     a.tickets.insert(k, (ticket, end));
--- a/src/control/engine/booking.rs
+++ b/src/control/engine/booking.rs
@@ -33,6 +33,7 @@
 impl Engine {
     /// Books room for a gang.
     pub(super) fn book(&mut self, id: StepId, keys: Vec<RunnerKey>, need: Resources, now: Now) {
+        self.round.moves += 1;
         for k in &keys {
             let r = self.runners.get_mut(*k);
             r.booked = r.booked.add(&need);
@@ -44,6 +45,7 @@
     /// Gives a booking back.
     pub(super) fn unbook(&mut self, id: StepId) -> Option<Booking> {
         let b = self.bookings.remove(&id)?;
+        self.round.moves += 1;
         for k in &b.keys {
             let r = self.runners.get_mut(*k);
             r.booked = r.booked.sub(&b.need);
--- a/src/control/engine/jobs.rs
+++ b/src/control/engine/jobs.rs
@@ -320,7 +320,11 @@
                 continue;
             }
             let Some(s) = job.step_mut(step) else { continue };
-            if s.waits() && self.open.insert(step) && s.opened == 0 {
+            if !s.waits() || !self.open.insert(step) {
+                continue;
+            }
+            self.stirred.insert(step);
+            if s.opened == 0 {
                 s.opened = now.mono;
             }
         }
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -17,11 +17,13 @@
 mod progress;
 mod reports;
 mod reserve;
+mod round;
 mod runners;
 mod runs;
 
 pub use commit::{Batch, Outcome, Write};
 pub use jobs::{Job, StepRun, Task};
+pub use round::MOST_LOOKS;
 pub use runners::{Health, Runner};
 pub use runs::{Run, Stage};
 
@@ -121,6 +123,8 @@
     pub asks: u64,
     /// Planning rounds.
     pub rounds: u64,
+    /// Runners looked at and steps visited in planning rounds.
+    pub looks: u64,
 }
 
 /// The scheduler of the cell.
@@ -141,6 +145,14 @@
     jobs: BTreeMap<JobId, Job>,
     /// Steps with tasks to place.
     open: BTreeSet<StepId>,
+    /// The sweep of the open steps that is under way.
+    sweep: round::Sweep,
+    /// Open steps that opened or heard an answer since the last round.
+    stirred: BTreeSet<StepId>,
+    /// What the round has worked out of the runners.
+    round: round::Round,
+    /// Tasks that were ordered to stop, until the stop is answered.
+    stopping: BTreeSet<TaskId>,
     /// Occurrences not yet due, by due time.
     timed: BTreeSet<(u64, JobId, u32)>,
     /// Jobs whose progress is to be stored, by when that was first so.
@@ -178,6 +190,10 @@
             by_id: BTreeMap::new(),
             jobs: BTreeMap::new(),
             open: BTreeSet::new(),
+            sweep: round::Sweep::default(),
+            stirred: BTreeSet::new(),
+            round: round::Round::default(),
+            stopping: BTreeSet::new(),
             timed: BTreeSet::new(),
             dirty: BTreeMap::new(),
             touched: 0,
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -2,9 +2,10 @@
 
 use super::advice::TICKET_MARGIN_MS;
 use super::reserve::{Backlog, Claims};
+use super::round::{Round, Sweep, MOST_AHEAD, MOST_LOOKS};
 use super::runs::{Run, Stage};
-use super::{Engine, Now, Runner, RunnerKey};
-use crate::control::model::{Queue, Step, StepId, TaskId};
+use super::{Engine, Now, RunnerKey};
+use crate::control::model::{Catalogue, Queue, Step, StepId, TaskId};
 use crate::control::place::{self, Ask, Place};
 use crate::control::queue::{self, Claim, Rank};
 use crate::kernel::res::Resources;
@@ -46,34 +47,91 @@
 }
 
 impl Engine {
-    /// Places what can be placed, and asks about runners where a policy requires it.
+    /// Places what can be placed, and asks about runners where a policy requires it: goes on with
+    /// the sweep of the waiting steps, or begins a new one.
     pub fn plan(&mut self, now: Now) {
         self.counts.rounds += 1;
+        self.round = Round::default();
         self.expire_bookings(now);
         let cat = self.cat.clone();
+        let begin = self.counts.looks;
+        let mut sweep = std::mem::take(&mut self.sweep);
+        if sweep.over() {
+            self.stirred.clear();
+            sweep = self.sweep_anew(now);
+        }
+        let stirred = std::mem::take(&mut self.stirred);
+        for (rank, id) in self.urgent(stirred, now) {
+            if self.counts.looks < begin + MOST_AHEAD {
+                self.visit(&cat, id, rank, &mut sweep.claims, now);
+            } else {
+                self.stirred.insert(id);
+            }
+        }
+        while self.counts.looks < begin + MOST_LOOKS {
+            let Some((rank, id)) = sweep.next() else { break };
+            self.visit(&cat, id, rank, &mut sweep.claims, now);
+        }
+        self.sweep = sweep;
+    }
+
+    fn sweep_anew(&mut self, now: Now) -> Sweep {
+        let order = self.ranked(self.open.iter().copied(), now);
+        self.counts.looks += order.len() as u64;
+        let claims = Claims::new(self.backlog(&order));
+        Sweep::new(order, claims)
+    }
+
+    /// Steps in the order in which they are served.
+    fn ranked(&self, ids: impl Iterator<Item = StepId>, now: Now) -> Vec<(Rank, StepId)> {
         let lead = self.lead();
-        let mut order: Vec<(Rank, StepId)> =
-            self.open.iter().filter_map(|&id| Some((self.rank(id, lead, now)?, id))).collect();
+        let of = |id: StepId| Some((self.rank(id, lead, now)?, id));
+        let mut order: Vec<(Rank, StepId)> = ids.filter_map(of).collect();
         order.sort_unstable();
-        let mut claims = Claims::new(self.backlog(&order));
-        for (rank, id) in order {
-            let Some(job) = self.jobs.get(&id.job) else { continue };
-            let (row, waits) = (job.row.clone(), job.step(id).is_some_and(|s| s.waits()));
-            if !waits {
-                self.open.remove(&id);
-                continue;
-            }
-            let Some(queue) = cat.queues.get(&row.queue) else { continue };
-            let step = &row.spec.steps[id.step as usize];
-            let waiting = self.waiting(id);
-            let view = View { id, step, queue, waiting, patient: rank.patient };
-            match step.gang {
-                true => self.place_gang(&view, rank, &mut claims, now),
-                false => self.place_tasks(&view, &claims, now),
-            }
+        order
+    }
+
+    /// Of these steps the urgent ones that still earn something.
+    fn urgent(&self, ids: BTreeSet<StepId>, now: Now) -> Vec<(Rank, StepId)> {
+        let mut order = self.ranked(ids.into_iter(), now);
+        order.retain(|(rank, _)| !rank.patient && !rank.worthless);
+        order
+    }
+
+    fn visit(&mut self, cat: &Catalogue, id: StepId, rank: Rank, claims: &mut Claims, now: Now) {
+        self.counts.looks += 1;
+        let Some(job) = self.jobs.get(&id.job).filter(|_| self.open.contains(&id)) else { return };
+        let (row, waits) = (job.row.clone(), job.step(id).is_some_and(|s| s.waits()));
+        if !waits {
+            self.open.remove(&id);
+            return;
+        }
+        let Some(queue) = cat.queues.get(&row.queue) else { return };
+        let step = &row.spec.steps[id.step as usize];
+        let view = View { id, step, queue, waiting: self.waiting(id), patient: rank.patient };
+        match step.gang {
+            true => self.place_gang(&view, rank, claims, now),
+            false => self.place_tasks(&view, claims, now),
         }
     }
 
+    /// Whether a step has no good ticket, though it needs one.
+    fn unticketed(&self, v: &View<'_>, now: Now) -> bool {
+        let tickets = self.step(v.id).into_iter().flat_map(|s| s.approvals.tickets.values());
+        let mut ends = tickets.map(|(_, end)| *end);
+        v.queue.approval.is_some() && !ends.any(|end| end > now.mono + TICKET_MARGIN_MS)
+    }
+
+    /// Whether a question about a step is on its way.
+    fn asking(&self, id: StepId) -> bool {
+        self.step(id).is_some_and(|s| s.approvals.asking)
+    }
+
+    /// Whether no question about a step may be asked now.
+    fn may_not_ask(&self, id: StepId, now: Now) -> bool {
+        self.asking(id) || self.step(id).is_some_and(|s| s.approvals.retry_at > now.mono)
+    }
+
     /// Time in which room for a gang comes free, ms: what steps of patient queues usually take.
     fn lead(&self) -> u64 {
         let patient = |name: &String| self.cat.queues.get(name).is_some_and(|q| q.priority > 0);
@@ -110,10 +168,13 @@
         self.step(id).map_or(0, |s| s.tasks.iter().filter(|t| t.waits()).count())
     }
 
-    /// Tasks of a step on each runner.
-    fn spread(&self, id: StepId) -> BTreeMap<RunnerKey, u32> {
+    /// Tasks of a step on each runner, where their number there is limited.
+    fn spread(&self, v: &View<'_>) -> BTreeMap<RunnerKey, u32> {
         let mut out = BTreeMap::new();
-        for run in self.step(id).iter().flat_map(|s| &s.tasks).filter_map(|t| t.run.as_ref()) {
+        if v.step.per_runner == 0 {
+            return out;
+        }
+        for run in self.step(v.id).iter().flat_map(|s| &s.tasks).filter_map(|t| t.run.as_ref()) {
             *out.entry(run.runner).or_insert(0) += 1;
         }
         out
@@ -122,20 +183,31 @@
     /// Runners known to be approved for the step, with the room that it may use there. A round
     /// visits every waiting step, most of which wait for an answer about a few runners: on a cell of
     /// 350 looking at all of them for each took most of the time.
-    fn known(&self, v: &View<'_>, claims: &Claims, now: Now) -> Vec<Place<RunnerKey>> {
-        let Some(s) = self.step(v.id).filter(|_| v.queue.approval.is_some()) else {
-            return self.everywhere(v, claims, now);
+    fn known(&mut self, v: &View<'_>, claims: &Claims, now: Now) -> Vec<Place<RunnerKey>> {
+        let keys: Vec<RunnerKey> = match (v.queue.approval, self.step(v.id)) {
+            (Some(_), Some(s)) => s.approvals.tickets.keys().copied().collect(),
+            _ if v.step.gang => return self.everywhere(v, claims, now),
+            _ => self.roomy(&v.queue.service, v.step.demand().cpu, now),
         };
-        let on = self.spread(v.id);
-        let keys = s.approvals.tickets.keys();
-        keys.filter_map(|&k| self.place_on(v, k, &on, claims, now)).collect()
+        self.places(v, &keys, claims, now)
     }
 
     /// Every runner that could take tasks of the step, approved or not.
-    fn everywhere(&self, v: &View<'_>, claims: &Claims, now: Now) -> Vec<Place<RunnerKey>> {
-        let on = self.spread(v.id);
-        let keys = self.runners.iter().map(|(k, _)| k);
-        keys.filter_map(|k| self.place_on(v, k, &on, claims, now)).collect()
+    fn everywhere(&mut self, v: &View<'_>, claims: &Claims, now: Now) -> Vec<Place<RunnerKey>> {
+        let keys: Vec<RunnerKey> = self.runners.iter().map(|(k, _)| k).collect();
+        self.places(v, &keys, claims, now)
+    }
+
+    fn places(
+        &mut self,
+        v: &View<'_>,
+        keys: &[RunnerKey],
+        claims: &Claims,
+        now: Now,
+    ) -> Vec<Place<RunnerKey>> {
+        self.counts.looks += keys.len() as u64;
+        let on = self.spread(v);
+        keys.iter().filter_map(|&k| self.place_on(v, k, &on, claims, now)).collect()
     }
 
     /// What a runner can take of a step of which `on` tasks run on each; none if it may not.
@@ -178,12 +250,8 @@
     }
 
     /// Processor room of the service that patient work may take now.
-    fn patient_room(&self, v: &View<'_>, now: Now) -> u64 {
-        let of = |r: &&Runner| {
-            r.usable(now) && r.entry.as_ref().is_some_and(|e| e.service == v.queue.service)
-        };
-        let all = self.runners.iter().map(|(_, r)| r).filter(of);
-        let (free, room) = all.fold((0, 0), |(f, t), r| (f + r.free().cpu, t + r.room().cpu));
+    fn patient_room(&mut self, v: &View<'_>, now: Now) -> u64 {
+        let (free, room) = self.service_room(&v.queue.service, now);
         free.saturating_sub(room * URGENT_SHARE / 1000)
     }
 
@@ -199,6 +267,10 @@
     }
 
     fn place_tasks(&mut self, v: &View<'_>, claims: &Claims, now: Now) {
+        // Nothing to place or ask: with thousands of steps waiting that is what most of them are.
+        if self.may_not_ask(v.id, now) && self.unticketed(v, now) {
+            return;
+        }
         let known = self.known(v, claims, now);
         let mut good = self.ticketed(v, &known, now);
         let mut budget = if v.patient { self.patient_room(v, now) } else { u64::MAX };
@@ -234,6 +306,10 @@
         if self.bookings.contains_key(&v.id) {
             return self.place_booked(v, now);
         }
+        // Nothing to place, ask, book or reserve.
+        if self.asking(v.id) && self.unticketed(v, now) && !claims.open(rank) {
+            return;
+        }
         let need = v.step.demand();
         let ask = self.demand(v);
         let known = self.known(v, claims, now);
@@ -243,8 +319,7 @@
             self.commit_gang(v, &keys);
             return;
         }
-        let asking = self.step(v.id).is_some_and(|s| s.approvals.asking);
-        if !asking {
+        if !self.asking(v.id) {
             if let Some(keys) = place::all(&mut known.clone(), &ask, count, &avoid) {
                 self.book(v.id, keys, need, now);
                 return self.place_booked(v, now);
@@ -259,12 +334,14 @@
 
     /// Whether there are runners with room for a task of the step that its policy was not asked
     /// about.
-    pub(super) fn unasked(&self, v: &View<'_>, claims: &Claims, now: Now) -> bool {
-        let all = self.everywhere(v, claims, now);
-        let Some(a) = self.step(v.id).map(|s| &s.approvals) else { return false };
+    pub(super) fn unasked(&mut self, v: &View<'_>, claims: &Claims, now: Now) -> bool {
         let need = v.step.demand();
-        let known = |k| a.tickets.contains_key(&k) || a.denied.contains(&k);
-        v.queue.approval.is_some() && all.iter().any(|p| need.fits(&p.free) && !known(p.key))
+        let roomy = self.roomy(&v.queue.service, need.cpu, now);
+        let Some(a) = self.step(v.id).map(|s| &s.approvals) else { return false };
+        let known = |k: &RunnerKey| a.tickets.contains_key(k) || a.denied.contains(k);
+        let on = self.spread(v);
+        let fits = |k| self.place_on(v, k, &on, claims, now).is_some_and(|p| need.fits(&p.free));
+        v.queue.approval.is_some() && roomy.into_iter().any(|k| !known(&k) && fits(k))
     }
 
     /// Runners on which a member of a gang failed or stood still.
@@ -318,6 +395,7 @@
         task.run = Some(run);
         let attempt = task.attempt;
         self.runners.get_mut(k).occupy(id, attempt, need);
+        self.round.moves += 1;
         log::info!(task:% = id, attempt = attempt.0, runner = name, free_cpu = free.cpu,
             free_mem = free.mem, cat = self.cat.version; "task placed");
         self.touch(id.step.job);
@@ -341,37 +419,56 @@
     /// Asks the policy about runners: those never asked about, or, where all are known, approved
     /// ones with room whose tickets have run out.
     fn ask_for(&mut self, v: &View<'_>, claims: &Claims, missing: usize, now: Now) {
-        let Some(s) = self.step(v.id) else { return };
-        let a = &s.approvals;
+        let Some(a) = self.step(v.id).map(|s| &s.approvals) else { return };
         if v.queue.approval.is_none() || a.asking || a.retry_at > now.mono {
             return;
         }
-        let all = self.everywhere(v, claims, now);
-        let need = v.step.demand();
-        let fits = |p: &Place<RunnerKey>| need.fits(&p.free);
-        let held = |p: &Place<RunnerKey>| a.tickets.contains_key(&p.key);
-        let known: Vec<Place<RunnerKey>> =
-            all.iter().filter(|p| held(p) && fits(p)).cloned().collect();
         // A gang with room on approved runners has booked it and does not come here.
-        let picked: Vec<RunnerKey> = if !v.step.gang && !known.is_empty() {
-            known.into_iter().take(missing * ASK_AGAIN).map(|p| p.key).collect()
-        } else {
-            let mut new: Vec<&Place<RunnerKey>> =
-                all.iter().filter(|p| !held(p) && !a.denied.contains(&p.key)).collect();
-            new.sort_by_key(|p| std::cmp::Reverse((fits(p), p.free.cpu, p.key)));
-            let useless = !v.step.gang && !new.first().is_some_and(|p| fits(p));
-            if useless && !a.tickets.is_empty() {
-                return;
-            }
-            let share = self.shares.get(&v.queue.name).copied().unwrap_or_default();
-            let wanted = runners_wanted(&new, &need, missing);
-            // A gang needs all at once, so that it is asked about all that it may be.
-            let most = if v.step.gang { ASK_GANG } else { share.name(wanted).min(ASK_FIRST) };
-            new.into_iter().take(most).map(|p| p.key).collect()
+        let mut picked = match v.step.gang {
+            true => Vec::new(),
+            false => self.held_with_room(v, claims, now),
         };
+        picked.truncate(missing * ASK_AGAIN);
+        if picked.is_empty() {
+            picked = self.strangers(v, claims, missing, now);
+        }
         self.ask_about(v, picked, now);
     }
 
+    /// Approved runners with room, whether or not their tickets have run out.
+    fn held_with_room(&mut self, v: &View<'_>, claims: &Claims, now: Now) -> Vec<RunnerKey> {
+        let need = v.step.demand();
+        let known = self.known(v, claims, now);
+        known.into_iter().filter(|p| need.fits(&p.free)).map(|p| p.key).collect()
+    }
+
+    /// Runners to name of those never asked about, roomiest first.
+    fn strangers(
+        &mut self,
+        v: &View<'_>,
+        claims: &Claims,
+        missing: usize,
+        now: Now,
+    ) -> Vec<RunnerKey> {
+        let Some(a) = self.step(v.id).map(|s| &s.approvals) else { return Vec::new() };
+        let all_known = a.tickets.len() + a.denied.len() >= self.runners.len();
+        let some_held = !a.tickets.is_empty();
+        if all_known || (!v.step.gang && some_held && !self.unasked(v, claims, now)) {
+            return Vec::new();
+        }
+        let all = self.everywhere(v, claims, now);
+        let Some(a) = self.step(v.id).map(|s| &s.approvals) else { return Vec::new() };
+        let need = v.step.demand();
+        let known = |k: &RunnerKey| a.tickets.contains_key(k) || a.denied.contains(k);
+        let mut new: Vec<&Place<RunnerKey>> = all.iter().filter(|p| !known(&p.key)).collect();
+        new.sort_by_key(|p| std::cmp::Reverse((need.fits(&p.free), p.free.cpu, p.key)));
+        let share = self.shares.get(&v.queue.name).copied().unwrap_or_default();
+        let wanted = runners_wanted(&new, &need, missing);
+        // A gang needs all at once, so that it is asked about all that it may be.
+        let most = if v.step.gang { ASK_GANG } else { share.name(wanted).min(ASK_FIRST) };
+        new.into_iter().take(most).map(|p| p.key).collect()
+    }
+
     fn ask_about(&mut self, v: &View<'_>, runners: Vec<RunnerKey>, now: Now) {
         let Some(approval) = v.queue.approval.filter(|_| !runners.is_empty()) else { return };
         let cost = approval.cost_ms(runners.len());
--- a/src/control/engine/reserve.rs
+++ b/src/control/engine/reserve.rs
@@ -79,13 +79,13 @@
     }
 
     /// Whether a gang of this rank may begin to reserve runners.
-    fn open(&self, rank: Rank) -> bool {
+    pub fn open(&self, rank: Rank) -> bool {
         let most = if rank.late || self.backlog.over(FULL_BACKLOG) {
             GANGS_AHEAD_FULL
         } else {
             GANGS_AHEAD
         };
-        self.gangs < most
+        rank.patient && self.gangs < most
     }
 }
 
@@ -100,7 +100,7 @@
         need: &Resources,
         claims: &mut Claims,
     ) {
-        if !rank.patient || !claims.open(rank) {
+        if !claims.open(rank) {
             return;
         }
         claims.gangs += 1;
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -142,6 +142,7 @@
         run.stage = Stage::Stopping { answered: None };
         run.stop_at = now.mono;
         let k = run.runner;
+        self.stopping.insert(id);
         let Some(to) = self.runners.get(k).call() else { return };
         log::info!(task:% = id, attempt = attempt.0, runner = to.id, why = why.name(); "stop ordered");
         let order = Order { task: id, attempt, fence };
@@ -289,32 +290,30 @@
         self.deposed = true;
     }
 
-    /// Repeats stops that had no answer.
+    /// Repeats stops that had no answer, in the order of runners.
     pub(super) fn repeat_stops(&mut self, now: Now) {
-        let pending = Stage::Stopping { answered: None };
         let mut due = Vec::new();
-        for (k, runner) in self.runners.iter() {
-            if !runner.reached(now) {
+        for id in std::mem::take(&mut self.stopping) {
+            let Some(run) = self.run_of(id) else { continue };
+            if run.stage != (Stage::Stopping { answered: None }) {
                 continue;
             }
-            for &(id, attempt) in runner.tasks.keys() {
-                let run = self
-                    .step(id.step)
-                    .and_then(|s| s.tasks.get(id.index as usize))
-                    .filter(|t| t.attempt == attempt)
-                    .and_then(|t| t.run.as_ref());
-                if run.is_some_and(|r| {
-                    r.runner == k && r.stage == pending && r.stop_at + RETRY_STOP_MS <= now.mono
-                }) {
-                    due.push(id);
-                }
+            let late = run.stop_at + RETRY_STOP_MS <= now.mono;
+            if late && self.runners.get(run.runner).reached(now) {
+                due.push((run.runner, id));
             }
+            self.stopping.insert(id);
         }
-        for id in due {
+        due.sort_unstable();
+        for (_, id) in due {
             self.order_stop(id, StopWhy::Again, now);
         }
     }
 
+    fn run_of(&self, id: TaskId) -> Option<&Run> {
+        self.step(id.step)?.tasks.get(id.index as usize)?.run.as_ref()
+    }
+
     /// A placement has been stored: its start may go out.
     pub(super) fn start_stored(&mut self, step: StepId, stored: u64, now: Now) {
         let Some(s) = self.step(step) else { return };
--- a/tests/control_engine.rs
+++ b/tests/control_engine.rs
@@ -6,7 +6,8 @@
     pub mod runner;
 }
 
-use common::control::{step, Cell, Faults};
+use common::control::{step, Cell, Faults, STEP_MS};
+use currantgw::control::engine::MOST_LOOKS;
 use currantgw::control::model::{EndKind, JobId, JobState, Step, StepId, TaskId};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -454,3 +455,40 @@
         assert_eq!(cell.running(), 0, "seed {seed}");
     }
 }
+
+/// Symptom: with thousands of steps waiting on 350 runners a planning round takes 20 ms, of the 8 ms
+/// between rounds; lookups start late, and so does everything else.
+/// Sequence: 3,000 jobs come at once, half of them of a queue whose policy has to be asked, while the
+/// cell has room for a sixth; lookups come one by one.
+/// Cause: each round visits every waiting step, and looks at all runners for each.
+#[test]
+fn a_backlog_leaves_rounds_bounded_and_lookups_first_and_starves_nobody() {
+    let mut cell = Cell::new(350, 1);
+    cell.lines = vec![0.0; 29];
+    cell.run(300);
+    let queue = |id: u64| if id % 2 == 0 { "patient" } else { "asked" };
+    let backlog: Vec<JobId> =
+        (1..=3_000).map(|id| cell.submit(id, queue(id), vec![step(3, 4_000, 400)])).collect();
+    let mut lookups = Vec::new();
+    while cell.now < 25_000 {
+        if cell.now < 5_000 && cell.now % 50 == 0 {
+            let id = cell.submit(10_000 + cell.now, "urgent", vec![step(1, 1_000, 200)]);
+            lookups.push((id, cell.now));
+        }
+        let before = cell.engine.counts.looks;
+        let open = cell.engine.open_steps() as u64;
+        cell.run(STEP_MS);
+        let looks = cell.engine.counts.looks - before;
+        // A sweep ranks all that waits as it begins; the last step visited looks at all runners a few times.
+        let most = MOST_LOOKS + open + 4 * 350;
+        assert!(looks <= most, "{} ms: {looks} looks, {open} steps wait", cell.now);
+    }
+    cell.check();
+    for (id, at) in lookups {
+        let began = cell.began.get(&id).map(|b| b - at);
+        assert!(began.is_some_and(|ms| ms <= 100), "lookup of {at} ms: {began:?}");
+    }
+    for id in backlog {
+        assert_eq!(cell.stored(id), JobState::Completed, "{id}");
+    }
+}
