--- a/tests/control_engine.rs
+++ b/tests/control_engine.rs
@@ -466,12 +466,12 @@
     let mut cell = Cell::new(350, 1);
     cell.lines = vec![0.0; 29];
     cell.run(300);
-    let queue = |id: u64| if id % 2 == 0 { "patient" } else { "asked" };
+    let queue = |id: u64| if id.is_multiple_of(2) { "patient" } else { "asked" };
     let backlog: Vec<JobId> =
         (1..=3_000).map(|id| cell.submit(id, queue(id), vec![step(3, 4_000, 400)])).collect();
     let mut lookups = Vec::new();
     while cell.now < 25_000 {
-        if cell.now < 5_000 && cell.now % 50 == 0 {
+        if cell.now < 5_000 && cell.now.is_multiple_of(50) {
             let id = cell.submit(10_000 + cell.now, "urgent", vec![step(1, 1_000, 200)]);
             lookups.push((id, cell.now));
         }
