--- a/tests/control_engine.rs
+++ b/tests/control_engine.rs
@@ -377,6 +377,47 @@
     cell.check();
 }
 
+/// Time in which a job of one step of `estimate` ms is expected to run, ms.
+fn expected(cell: &mut Cell, id: u64, estimate: u64) -> u64 {
+    let job = cell.submit(id, "patient", vec![step(1, 1_000, estimate)]);
+    cell.engine.job(job).map_or(0, |j| j.longest)
+}
+
+/// Symptom: after one wide gang that took four times its estimate, all jobs of its queue are
+/// expected to take more than twice theirs, though all others took what they claimed. Sequence:
+/// seven single tasks end on time, then a gang of eight late. Cause: each member's end counted as a
+/// step for the learned times, so that the gang weighed more than all the others together.
+#[test]
+fn a_wide_gang_counts_as_one_step_for_learned_times() {
+    let mut cell = Cell::new(8, 41);
+    for n in 1..=7 {
+        cell.submit(n, "patient", vec![step(1, 1_000, 2_000)]);
+    }
+    cell.run(3_000);
+    cell.truth.insert(JobId(8), 400);
+    let gang = cell.submit(8, "patient", vec![Step { gang: true, ..step(8, 2_000, 2_000) }]);
+    cell.run(10_000);
+    assert_eq!(cell.stored(gang), JobState::Completed);
+    // Mean of the logarithms: 4 to the power of 1/8 is 1.19; counted by members, of 8/15, 2.09.
+    let expected = expected(&mut cell, 9, 2_000);
+    assert!((2_200..2_700).contains(&expected), "{expected} ms");
+    cell.check();
+}
+
+/// Symptom: one gang of eight is enough to mistrust the estimates of its queue, of which eight steps
+/// have to be seen. Sequence: the gang takes four times its estimate, and nothing else has ended.
+/// Cause: as above.
+#[test]
+fn one_gang_alone_leaves_estimates_at_their_word() {
+    let mut cell = Cell::new(8, 42);
+    cell.truth.insert(JobId(1), 400);
+    let gang = cell.submit(1, "patient", vec![Step { gang: true, ..step(8, 2_000, 2_000) }]);
+    cell.run(10_000);
+    assert_eq!(cell.stored(gang), JobState::Completed);
+    assert_eq!(expected(&mut cell, 2, 2_000), 2_000);
+    cell.check();
+}
+
 #[test]
 fn a_gang_waits_until_all_of_it_fits() {
     let mut cell = Cell::new(2, 11);
