--- a/src/control/engine/forecast.rs
+++ b/src/control/engine/forecast.rs
@@ -53,10 +53,10 @@
         step.took = step.took.max(now.mono - began);
     }
 
-    /// Learns from a step that is done, if it was not resumed on the way.
+    /// Learns from a step that has just become done, if it was not resumed on the way.
     pub(super) fn learn(&mut self, id: StepId) {
         let Some(job) = self.jobs.get(&id.job) else { return };
-        let Some(step) = job.step(id).filter(|s| s.done() && s.took > 0) else { return };
+        let Some(step) = job.step(id).filter(|s| s.took > 0) else { return };
         if step.tasks.iter().all(|t| t.attempt <= Attempt::default().next()) {
             let (estimate, took) = (job.spec(id).estimate, step.took);
             self.paces.entry(job.row.queue.clone()).or_default().note(estimate, took);
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -193,8 +193,9 @@
                 self.runners.get_mut(k).health.done();
                 if !lasts {
                     self.note_time(id, gang, now);
-                    self.mark_done(id, gang);
-                    self.learn(id.step);
+                    if self.mark_done(id, gang) {
+                        self.learn(id.step);
+                    }
                 }
             }
             EndKind::Failed => self.mark_failed(k, id, gang, now),
@@ -210,14 +211,16 @@
         self.settle(id.step.job, now);
     }
 
-    /// One end `done` of a gang's member stands for all of them.
-    fn mark_done(&mut self, id: TaskId, gang: bool) {
-        let Some(step) = self.step_mut(id.step) else { return };
+    /// One end `done` of a gang's member stands for all of them. Returns whether the step became
+    /// done with it: once a step, however many members' ends follow.
+    fn mark_done(&mut self, id: TaskId, gang: bool) -> bool {
+        let Some(step) = self.step_mut(id.step).filter(|s| !s.done()) else { return false };
         if gang {
             step.tasks.iter_mut().for_each(|t| t.done = true);
         } else if let Some(task) = step.tasks.get_mut(id.index as usize) {
             task.done = true;
         }
+        step.done()
     }
 
     fn mark_failed(&mut self, k: RunnerKey, id: TaskId, gang: bool, now: Now) {
