The tests' cell in memory: one file for each of its jobs

Cause: tests/common/control.rs had 683 lines and mixed what a test sees of the cell with calls on their way, the store, orders on runners and runners at work.

Change: a move. control.rs keeps the cell, its faults and its clock (329 lines); control/calls.rs has calls on their way (122), control/store.rs the store of progress rows (59), control/orders.rs what runners make of orders and the checks of promises (124), control/work.rs runners at work (101). No test or check changed.

--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -5,40 +5,33 @@
 
 #![allow(dead_code)]
 
-use super::runner::{FakeRunner, Running};
+#[path = "control/calls.rs"]
+mod calls;
+#[path = "control/orders.rs"]
+mod orders;
+#[path = "control/store.rs"]
+mod store;
+#[path = "control/work.rs"]
+mod work;
+
+use super::runner::FakeRunner;
+use calls::WAY_MS;
 use currantgw::control::engine::{Action, Batch, Engine, Now, Outcome, Rules, RunnerKey};
 use currantgw::control::model::{
-    Approval, Attempt, Catalogue, EndKind, JobId, JobSpec, JobState, Queue, Step, StepId, TaskId,
+    Approval, Attempt, Catalogue, JobId, JobSpec, JobState, Queue, Step, StepId, TaskId,
 };
 use currantgw::control::place::Placement;
-use currantgw::control::ports::{
-    Active, Advice, AdviceError, Hold, Order, Refusal, Report, RunnerEntry, Start, Ticket,
-};
-use currantgw::control::rows::{self, JobRow, ProgressRow};
+use currantgw::control::ports::{Advice, Refusal, Report, RunnerEntry};
+use currantgw::control::rows::{self, JobRow};
 use currantgw::kernel::res::Resources;
 use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Time between two steps of the cell, ms.
 pub const STEP_MS: u64 = 5;
 
-/// Way of a call in one direction, ms.
-const WAY_MS: u64 = 5;
-
-/// A call without an answer is given up after this long, ms.
-const TIMEOUT_MS: u64 = 600;
-
-/// Time a runner takes to stop a task, ms.
-const STOP_MS: u64 = 100;
-
-/// Resuming from a checkpoint takes this long, ms.
-const RESTORE_MS: u64 = 250;
-
-/// A member of a gang waits this long for the others, ms.
-const GANG_WAIT_MS: u64 = 3_000;
-
 /// Limits used by the tests.
 pub const RULES: Rules =
     Rules { hold_ms: 8_000, yield_ms: 10_000, keep_ms: 120_000, placement: Placement::BestFit };
@@ -119,18 +112,6 @@
     rng: StdRng,
 }
 
-/// A gang that runs.
-struct Gang {
-    present: u32,
-    through: bool,
-}
-
-/// A number drawn from a task: its share of its step's uneven work.
-fn uneven_of(task: TaskId) -> u64 {
-    let seed = task.step.job.0 ^ u64::from(task.step.step) << 16 ^ u64::from(task.index);
-    seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33
-}
-
 /// The queue that jobs of the tests go to.
 pub fn queue(name: &str, priority: u32, max_fails: u32, approval: Option<Approval>) -> Queue {
     Queue {
@@ -258,12 +239,6 @@
         self.engine.cancel(id, self.clocks());
     }
 
-    /// State of a job in the store.
-    pub fn stored(&self, id: JobId) -> JobState {
-        let row = self.store.get(&id).map(|(_, v)| rows::decode::<ProgressRow>(v).unwrap());
-        row.map_or(JobState::Queued, |r| r.state)
-    }
-
     /// Number of tasks that run anywhere.
     pub fn running(&self) -> usize {
         self.runners.iter().filter(|r| r.up).map(|r| r.running.len()).sum()
@@ -328,92 +303,6 @@
         }
     }
 
-    fn commit(&mut self) {
-        if !self.engine.wants_commit() {
-            return;
-        }
-        let batch = self.engine.take_batch(48);
-        let term = self.office;
-        if self.faults.store_down {
-            return self.at(TIMEOUT_MS, Event::Committed(batch, Outcome::Unknown));
-        }
-        if !self.rng.gen_bool(self.faults.commits) {
-            return self.at(WAY_MS, Event::Apply { term, batch, answered: true });
-        }
-        self.at(TIMEOUT_MS, Event::Committed(batch.clone(), Outcome::Unknown));
-        if self.rng.gen_bool(0.75) {
-            let late = if self.rng.gen() { WAY_MS } else { self.rng.gen_range(1_000..6_000) };
-            self.at(late, Event::Apply { term, batch, answered: false });
-        }
-    }
-
-    fn send(&mut self, act: Action) {
-        let term = self.office;
-        match &act {
-            Action::Ask { step, ids, cost_ms } => {
-                self.asked.push(ids.len());
-                let ok = |id: &&String| (self.approves)(*step, id[1..].parse().unwrap());
-                let approved = ids
-                    .iter()
-                    .filter(ok)
-                    .map(|id| Ticket { id: id.clone(), ticket: "t".into() })
-                    .collect();
-                let advice = Advice { approved, valid_ms: 2_000 };
-                let (step, ids, cost) = (*step, ids.clone(), *cost_ms);
-                let now = self.now as f64;
-                if !self.lines.is_empty() && self.lines.iter().all(|l| l - now > self.depth * cost)
-                {
-                    self.refused += 1;
-                    let busy = Err(AdviceError::Busy);
-                    return self.engine.advised(step, &ids, busy, self.clocks());
-                }
-                if let Some(delay) = self.on_a_line(cost) {
-                    return self.at(delay, Event::Advised(step, ids, advice));
-                }
-                self.engine.advised(step, &ids, Ok(advice), self.clocks());
-            }
-            Action::Hold { .. } => self.at(WAY_MS, Event::Arrive { term, act, answered: true }),
-            Action::Start { after_ms, .. } => self.order(*after_ms, act),
-            Action::Stop { .. } => self.order(0, act),
-        }
-    }
-
-    /// Time until the line that is free first has answered a question, ms.
-    fn on_a_line(&mut self, cost: f64) -> Option<u64> {
-        let now = self.now as f64;
-        let line = self.lines.iter_mut().min_by(|a, b| a.total_cmp(b))?;
-        *line = line.max(now) + cost;
-        Some((*line - now) as u64 + 2 * WAY_MS)
-    }
-
-    fn order(&mut self, after: u64, act: Action) {
-        let term = self.office;
-        if self.rng.gen_bool(self.faults.late) {
-            self.no_answer(&act);
-            let delay = self.rng.gen_range(2_000..12_000);
-            return self.at(delay, Event::Arrive { term, act, answered: false });
-        }
-        let answered = !self.rng.gen_bool(self.faults.unanswered);
-        if !answered {
-            self.no_answer(&act);
-        }
-        self.at(after + WAY_MS, Event::Arrive { term, act, answered });
-    }
-
-    fn no_answer(&mut self, act: &Action) {
-        let e = match act {
-            Action::Start { runner, start, .. } => {
-                Event::Started(*runner, start.task, start.attempt, Err(Refusal::NoAnswer))
-            }
-            Action::Stop { runner, order, .. } => {
-                Event::Stopped(*runner, order.task, order.attempt, Err(Refusal::NoAnswer))
-            }
-            Action::Hold { runner, .. } => Event::Looked(*runner, Err(Refusal::NoAnswer)),
-            Action::Ask { .. } => return,
-        };
-        self.at(TIMEOUT_MS, e);
-    }
-
     fn event(&mut self, office: u64, e: Event) {
         let (now, current) = (self.clocks(), office == self.office);
         match e {
@@ -433,249 +322,6 @@
         }
     }
 
-    fn apply(&mut self, term: u64, batch: &Batch) -> Outcome {
-        let stands = |id: &JobId| self.store.get(id).map_or(0, |(v, _)| *v);
-        if term != self.office || batch.writes.iter().any(|w| stands(&w.job) != w.version) {
-            let found = batch.writes.iter().filter_map(|w| {
-                let (version, value) = self.store.get(&w.job)?.clone();
-                let key = rows::progress_key(w.job);
-                Some(currantgw::control::ports::Row { key, value, version })
-            });
-            return Outcome::Conflict(found.collect());
-        }
-        self.version += 1;
-        for w in &batch.writes {
-            self.store.insert(w.job, (self.version, w.value.clone()));
-            *self.writes.entry(w.job).or_default() += 1;
-            if w.state.ended() {
-                self.ended.entry(w.job).or_insert((self.now, w.state));
-            }
-        }
-        Outcome::Done(self.version)
-    }
-
-    fn arrive(&mut self, act: Action, answered: bool) {
-        let (k, id) = match &act {
-            Action::Start { runner, to, .. }
-            | Action::Stop { runner, to, .. }
-            | Action::Hold { runner, to, .. } => (*runner, to.id.clone()),
-            Action::Ask { .. } => return,
-        };
-        let Some(i) = self.runners.iter().position(|r| r.id == id) else { return };
-        let r = &self.runners[i];
-        let lost = r.cut_until > self.now || (!r.up && !r.replaced);
-        if lost {
-            if answered {
-                self.no_answer(&act);
-            }
-            return;
-        }
-        let other = r.replaced.then_some(Refusal::OtherLife);
-        let e = match act {
-            Action::Start { start, .. } => {
-                let res = other.map_or_else(|| self.start(i, &start), Err);
-                Event::Started(k, start.task, start.attempt, res)
-            }
-            Action::Stop { order, .. } => {
-                let res = other.map_or_else(|| self.stop(i, &order), Err);
-                Event::Stopped(k, order.task, order.attempt, res)
-            }
-            Action::Hold { hold, .. } => {
-                let res = other.map_or_else(|| self.hold(i, &hold), Err);
-                Event::Looked(k, res)
-            }
-            Action::Ask { .. } => return,
-        };
-        if answered {
-            let wait =
-                if matches!(e, Event::Looked(_, Ok(ref r)) if r.ends.is_empty()) { 50 } else { 0 };
-            self.at(WAY_MS + wait, e);
-        }
-    }
-
-    fn need(&self, task: TaskId) -> Resources {
-        self.jobs[&task.step.job].spec.steps[task.step.step as usize].need
-    }
-
-    fn start(&mut self, i: usize, s: &Start) -> Result<u64, Refusal> {
-        let now = self.now;
-        let need = self.need(s.task);
-        let poison = self.fails.contains(&s.task.step.job)
-            || (self.own_faults > 0.0 && self.rng.gen_bool(self.own_faults));
-        let step = &self.jobs[&s.task.step.job].spec.steps[s.task.step.step as usize];
-        let truth = self.truth.get(&s.task.step.job).copied().unwrap_or(100);
-        let share = 100 - self.uneven + uneven_of(s.task) % (2 * self.uneven + 1);
-        let work = step.estimate * truth * share / 10_000;
-        let (copies, gang, saves) = (step.copies, step.gang.then_some(step.count), step.saves);
-        self.began.entry(s.task.step.job).or_insert(now);
-        let r = &mut self.runners[i];
-        if s.fence < r.fence {
-            return Err(Refusal::Fenced);
-        }
-        r.fence = s.fence;
-        let clock = r.clock(now);
-        if r.running.get(&s.task).is_some_and(|x| x.attempt == s.attempt) {
-            r.lease = r.lease.max(s.until);
-            return Ok(clock);
-        }
-        if r.closed.get(&s.task).is_some_and(|a| s.attempt <= *a) {
-            return Err(Refusal::Superseded);
-        }
-        if s.until <= clock {
-            return Err(Refusal::Expired);
-        }
-        if r.refuses_until > now {
-            return Err(Refusal::Ticket);
-        }
-        r.started += 1;
-        r.lease = r.lease.max(s.until);
-        let run = Running {
-            attempt: s.attempt,
-            began: now,
-            work,
-            worked: s.saved.parse::<u64>().unwrap_or(0).saturating_sub(RESTORE_MS),
-            stopping: None,
-            need,
-            fails: poison || r.fails,
-            gang,
-            saves,
-        };
-        r.running.insert(s.task, run);
-        let over = !r.used().fits(&r.room);
-        if over {
-            self.broken.push(format!("{now}: {} oversells r{i}", s.task));
-        }
-        if self.done.get(&s.task) == Some(&true) && !copies {
-            self.broken.push(format!("{now}: {} starts after it was done", s.task));
-        }
-        if self.whereabouts(s.task).len() > 1 && !copies {
-            self.broken.push(format!("{now}: {} runs twice", s.task));
-        }
-        *self.starts.entry(s.task).or_default() += 1;
-        Ok(clock)
-    }
-
-    fn stop(&mut self, i: usize, o: &Order) -> Result<u64, Refusal> {
-        let now = self.now;
-        let r = &mut self.runners[i];
-        if o.fence < r.fence {
-            return Err(Refusal::Fenced);
-        }
-        r.fence = o.fence;
-        let closed = r.closed.entry(o.task).or_default();
-        *closed = (*closed).max(o.attempt);
-        if let Some(run) = r.running.get_mut(&o.task).filter(|x| x.attempt <= o.attempt) {
-            run.stopping.get_or_insert(now + STOP_MS);
-        }
-        Ok(r.clock(now))
-    }
-
-    fn hold(&mut self, i: usize, h: &Hold) -> Result<Report, Refusal> {
-        let now = self.now;
-        let r = &mut self.runners[i];
-        if h.fence < r.fence {
-            return Err(Refusal::Fenced);
-        }
-        r.fence = h.fence;
-        r.lease = r.lease.max(h.until.unwrap_or(0));
-        for end in r.ends.iter().filter(|e| e.number <= h.acked && e.kind == EndKind::Done) {
-            self.done.insert(end.task, true);
-        }
-        r.ends.retain(|e| e.number > h.acked);
-        let active = r.running.iter().map(|(task, x)| Active {
-            task: *task,
-            attempt: x.attempt,
-            saved: String::new(),
-            percent: x.percent(),
-            load: 0.0,
-        });
-        Ok(Report { clock: r.clock(now), active: active.collect(), ends: r.ends.clone() })
-    }
-
-    /// Runners work: tasks end, leases lapse. Members of a gang work while all are there, and end
-    /// done together once the slowest is through; where one is gone the others break.
-    fn work(&mut self) {
-        let now = self.now;
-        let gangs = self.gangs();
-        let mut broken: BTreeSet<(StepId, Attempt)> = BTreeSet::new();
-        for r in self.runners.iter_mut().filter(|r| r.up) {
-            let lapsed = r.clock(now) > r.lease;
-            let tasks: Vec<TaskId> = r.running.keys().copied().collect();
-            for task in tasks {
-                let hangs = r.hangs;
-                let Some(x) = r.running.get_mut(&task) else { continue };
-                let key = (task.step, x.attempt);
-                let whole = x.gang.is_none_or(|n| gangs.get(&key).is_some_and(|g| g.present == n));
-                let through = x.gang.is_none() || gangs.get(&key).is_some_and(|g| g.through);
-                if whole && !hangs && x.stopping.is_none() {
-                    x.worked = (x.worked + STEP_MS).min(x.work);
-                }
-                let kind = if lapsed {
-                    EndKind::Lapsed
-                } else if x.stopping.is_some_and(|at| at <= now) {
-                    EndKind::Stopped
-                } else if x.worked >= x.work && (through || x.fails) && x.stopping.is_none() {
-                    if x.fails {
-                        EndKind::Failed
-                    } else {
-                        EndKind::Done
-                    }
-                } else if !whole && x.worked == 0 && x.began + GANG_WAIT_MS <= now {
-                    EndKind::Alone
-                } else {
-                    continue;
-                };
-                if x.gang.is_some() && kind != EndKind::Done {
-                    broken.insert(key);
-                }
-                r.end(task, kind);
-            }
-        }
-        self.break_gangs(&broken);
-    }
-
-    /// Members present of each gang that runs, and whether all are through with their work.
-    fn gangs(&self) -> BTreeMap<(StepId, Attempt), Gang> {
-        let mut out: BTreeMap<(StepId, Attempt), Gang> = BTreeMap::new();
-        let up = self.runners.iter().filter(|r| r.up);
-        for (task, x) in up.flat_map(|r| &r.running).filter(|(_, x)| x.gang.is_some()) {
-            let gang =
-                out.entry((task.step, x.attempt)).or_insert(Gang { present: 0, through: true });
-            gang.present += 1;
-            gang.through &= x.worked >= x.work;
-        }
-        out
-    }
-
-    fn break_gangs(&mut self, broken: &BTreeSet<(StepId, Attempt)>) {
-        for r in self.runners.iter_mut().filter(|r| r.up && !broken.is_empty()) {
-            let of = |(task, x): (&TaskId, &Running)| {
-                let hit = x.gang.is_some() && broken.contains(&(task.step, x.attempt));
-                hit.then_some(*task)
-            };
-            let tasks: Vec<TaskId> = r.running.iter().filter_map(of).collect();
-            tasks.into_iter().for_each(|t| r.end(t, EndKind::Broken));
-        }
-    }
-
-    /// A runner crashes: what ran there is gone and nobody answers.
-    pub fn crash(&mut self, i: usize) {
-        let of = |(task, x): (&TaskId, &Running)| x.gang.map(|_| (task.step, x.attempt));
-        let broken = self.runners[i].running.iter().filter_map(of).collect();
-        self.runners[i].up = false;
-        self.runners[i].running.clear();
-        self.break_gangs(&broken);
-    }
-
-    /// Ends what is left of a gang of which a member has ended.
-    pub fn break_off(&mut self, job: JobId, step: u32) {
-        let id = StepId { job, occurrence: 0, step };
-        let running = self.runners.iter().flat_map(|r| &r.running);
-        let of = |(task, x): (&TaskId, &Running)| (task.step == id).then_some((id, x.attempt));
-        let broken = running.filter_map(of).collect();
-        self.break_gangs(&broken);
-    }
-
     /// Panics if a promise was broken.
     pub fn check(&self) {
         assert!(self.broken.is_empty(), "{:#?}", self.broken);
--- /dev/null
+++ b/tests/common/control/calls.rs
@@ -0,0 +1,122 @@
+//! Calls of the scheduler on their way: delays, lost answers, orders carried out late.
+
+use super::{Cell, Event};
+use currantgw::control::engine::Action;
+use currantgw::control::ports::{Advice, AdviceError, Refusal, Ticket};
+use rand::Rng;
+
+/// Way of a call in one direction, ms.
+pub(super) const WAY_MS: u64 = 5;
+
+/// A call without an answer is given up after this long, ms.
+pub(super) const TIMEOUT_MS: u64 = 600;
+
+impl Cell {
+    /// Sends what the scheduler wants done on its way.
+    pub(super) fn send(&mut self, act: Action) {
+        let term = self.office;
+        match &act {
+            Action::Ask { step, ids, cost_ms } => {
+                self.asked.push(ids.len());
+                let ok = |id: &&String| (self.approves)(*step, id[1..].parse().unwrap());
+                let approved = ids
+                    .iter()
+                    .filter(ok)
+                    .map(|id| Ticket { id: id.clone(), ticket: "t".into() })
+                    .collect();
+                let advice = Advice { approved, valid_ms: 2_000 };
+                let (step, ids, cost) = (*step, ids.clone(), *cost_ms);
+                let now = self.now as f64;
+                if !self.lines.is_empty() && self.lines.iter().all(|l| l - now > self.depth * cost)
+                {
+                    self.refused += 1;
+                    let busy = Err(AdviceError::Busy);
+                    return self.engine.advised(step, &ids, busy, self.clocks());
+                }
+                if let Some(delay) = self.on_a_line(cost) {
+                    return self.at(delay, Event::Advised(step, ids, advice));
+                }
+                self.engine.advised(step, &ids, Ok(advice), self.clocks());
+            }
+            Action::Hold { .. } => self.at(WAY_MS, Event::Arrive { term, act, answered: true }),
+            Action::Start { after_ms, .. } => self.order(*after_ms, act),
+            Action::Stop { .. } => self.order(0, act),
+        }
+    }
+
+    /// Time until the line that is free first has answered a question, ms.
+    fn on_a_line(&mut self, cost: f64) -> Option<u64> {
+        let now = self.now as f64;
+        let line = self.lines.iter_mut().min_by(|a, b| a.total_cmp(b))?;
+        *line = line.max(now) + cost;
+        Some((*line - now) as u64 + 2 * WAY_MS)
+    }
+
+    fn order(&mut self, after: u64, act: Action) {
+        let term = self.office;
+        if self.rng.gen_bool(self.faults.late) {
+            self.no_answer(&act);
+            let delay = self.rng.gen_range(2_000..12_000);
+            return self.at(delay, Event::Arrive { term, act, answered: false });
+        }
+        let answered = !self.rng.gen_bool(self.faults.unanswered);
+        if !answered {
+            self.no_answer(&act);
+        }
+        self.at(after + WAY_MS, Event::Arrive { term, act, answered });
+    }
+
+    fn no_answer(&mut self, act: &Action) {
+        let e = match act {
+            Action::Start { runner, start, .. } => {
+                Event::Started(*runner, start.task, start.attempt, Err(Refusal::NoAnswer))
+            }
+            Action::Stop { runner, order, .. } => {
+                Event::Stopped(*runner, order.task, order.attempt, Err(Refusal::NoAnswer))
+            }
+            Action::Hold { runner, .. } => Event::Looked(*runner, Err(Refusal::NoAnswer)),
+            Action::Ask { .. } => return,
+        };
+        self.at(TIMEOUT_MS, e);
+    }
+
+    /// An order or a look reaches its runner, if anything does.
+    pub(super) fn arrive(&mut self, act: Action, answered: bool) {
+        let (k, id) = match &act {
+            Action::Start { runner, to, .. }
+            | Action::Stop { runner, to, .. }
+            | Action::Hold { runner, to, .. } => (*runner, to.id.clone()),
+            Action::Ask { .. } => return,
+        };
+        let Some(i) = self.runners.iter().position(|r| r.id == id) else { return };
+        let r = &self.runners[i];
+        let lost = r.cut_until > self.now || (!r.up && !r.replaced);
+        if lost {
+            if answered {
+                self.no_answer(&act);
+            }
+            return;
+        }
+        let other = r.replaced.then_some(Refusal::OtherLife);
+        let e = match act {
+            Action::Start { start, .. } => {
+                let res = other.map_or_else(|| self.start(i, &start), Err);
+                Event::Started(k, start.task, start.attempt, res)
+            }
+            Action::Stop { order, .. } => {
+                let res = other.map_or_else(|| self.stop(i, &order), Err);
+                Event::Stopped(k, order.task, order.attempt, res)
+            }
+            Action::Hold { hold, .. } => {
+                let res = other.map_or_else(|| self.hold(i, &hold), Err);
+                Event::Looked(k, res)
+            }
+            Action::Ask { .. } => return,
+        };
+        if answered {
+            let wait =
+                if matches!(e, Event::Looked(_, Ok(ref r)) if r.ends.is_empty()) { 50 } else { 0 };
+            self.at(WAY_MS + wait, e);
+        }
+    }
+}
--- /dev/null
+++ b/tests/common/control/work.rs
@@ -0,0 +1,101 @@
+//! Runners at work: tasks advance and end, gangs break, runners crash.
+
+use super::super::runner::Running;
+use super::{Cell, STEP_MS};
+use currantgw::control::model::{Attempt, EndKind, JobId, StepId, TaskId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A member of a gang waits this long for the others, ms.
+const GANG_WAIT_MS: u64 = 3_000;
+
+/// A gang that runs.
+struct Gang {
+    present: u32,
+    through: bool,
+}
+
+impl Cell {
+    /// Runners work: tasks end, leases lapse. Members of a gang work while all are there, and end
+    /// done together once the slowest is through; where one is gone the others break.
+    pub(super) fn work(&mut self) {
+        let now = self.now;
+        let gangs = self.gangs();
+        let mut broken: BTreeSet<(StepId, Attempt)> = BTreeSet::new();
+        for r in self.runners.iter_mut().filter(|r| r.up) {
+            let lapsed = r.clock(now) > r.lease;
+            let tasks: Vec<TaskId> = r.running.keys().copied().collect();
+            for task in tasks {
+                let hangs = r.hangs;
+                let Some(x) = r.running.get_mut(&task) else { continue };
+                let key = (task.step, x.attempt);
+                let whole = x.gang.is_none_or(|n| gangs.get(&key).is_some_and(|g| g.present == n));
+                let through = x.gang.is_none() || gangs.get(&key).is_some_and(|g| g.through);
+                if whole && !hangs && x.stopping.is_none() {
+                    x.worked = (x.worked + STEP_MS).min(x.work);
+                }
+                let kind = if lapsed {
+                    EndKind::Lapsed
+                } else if x.stopping.is_some_and(|at| at <= now) {
+                    EndKind::Stopped
+                } else if x.worked >= x.work && (through || x.fails) && x.stopping.is_none() {
+                    if x.fails {
+                        EndKind::Failed
+                    } else {
+                        EndKind::Done
+                    }
+                } else if !whole && x.worked == 0 && x.began + GANG_WAIT_MS <= now {
+                    EndKind::Alone
+                } else {
+                    continue;
+                };
+                if x.gang.is_some() && kind != EndKind::Done {
+                    broken.insert(key);
+                }
+                r.end(task, kind);
+            }
+        }
+        self.break_gangs(&broken);
+    }
+
+    /// Members present of each gang that runs, and whether all are through with their work.
+    fn gangs(&self) -> BTreeMap<(StepId, Attempt), Gang> {
+        let mut out: BTreeMap<(StepId, Attempt), Gang> = BTreeMap::new();
+        let up = self.runners.iter().filter(|r| r.up);
+        for (task, x) in up.flat_map(|r| &r.running).filter(|(_, x)| x.gang.is_some()) {
+            let gang =
+                out.entry((task.step, x.attempt)).or_insert(Gang { present: 0, through: true });
+            gang.present += 1;
+            gang.through &= x.worked >= x.work;
+        }
+        out
+    }
+
+    fn break_gangs(&mut self, broken: &BTreeSet<(StepId, Attempt)>) {
+        for r in self.runners.iter_mut().filter(|r| r.up && !broken.is_empty()) {
+            let of = |(task, x): (&TaskId, &Running)| {
+                let hit = x.gang.is_some() && broken.contains(&(task.step, x.attempt));
+                hit.then_some(*task)
+            };
+            let tasks: Vec<TaskId> = r.running.iter().filter_map(of).collect();
+            tasks.into_iter().for_each(|t| r.end(t, EndKind::Broken));
+        }
+    }
+
+    /// A runner crashes: what ran there is gone and nobody answers.
+    pub fn crash(&mut self, i: usize) {
+        let of = |(task, x): (&TaskId, &Running)| x.gang.map(|_| (task.step, x.attempt));
+        let broken = self.runners[i].running.iter().filter_map(of).collect();
+        self.runners[i].up = false;
+        self.runners[i].running.clear();
+        self.break_gangs(&broken);
+    }
+
+    /// Ends what is left of a gang of which a member has ended.
+    pub fn break_off(&mut self, job: JobId, step: u32) {
+        let id = StepId { job, occurrence: 0, step };
+        let running = self.runners.iter().flat_map(|r| &r.running);
+        let of = |(task, x): (&TaskId, &Running)| (task.step == id).then_some((id, x.attempt));
+        let broken = running.filter_map(of).collect();
+        self.break_gangs(&broken);
+    }
+}
