Jobs of the engine: data, life and stored rows in a file each

Cause: engine/jobs.rs had 411 lines and three jobs: what is known of a job, how jobs come and go, and the rows that a successor reads.

Job::new and Job::load are seen by the engine, nothing else changes.

--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -12,6 +12,7 @@
 mod forecast;
 mod gangs;
 mod jobs;
+mod lifecycle;
 mod plan;
 mod preempt;
 mod progress;
@@ -19,6 +20,7 @@
 mod reserve;
 mod runners;
 mod runs;
+mod stored;
 
 pub use commit::{Batch, Outcome, Write};
 pub use jobs::{Job, StepRun, Task};
--- /dev/null
+++ b/src/control/engine/stored.rs
@@ -0,0 +1,50 @@
+//! Progress of a job as it stands in the store: read by a successor, written with each commit.
+
+use super::runs::{Run, Stage};
+use super::{Job, RunnerKey, StepRun, Task};
+use crate::control::rows::{ProgressRow, StepRow, TaskRow};
+
+impl Job {
+    /// Takes over what the store knows; leases that a predecessor gave are over at `over`.
+    pub(super) fn load(
+        &mut self,
+        p: &ProgressRow,
+        over: u64,
+        runner: &mut impl FnMut(&str) -> RunnerKey,
+    ) {
+        self.state = p.state;
+        self.ended = p.ended;
+        if p.steps.is_empty() && p.state.ended() {
+            self.steps.clear();
+        }
+        for (step, row) in self.steps.iter_mut().zip(&p.steps) {
+            let StepRow(fails, attempt, tasks, unseen) = row;
+            step.unseen = unseen.iter().map(|a| (*a, over)).collect();
+            step.gang_fails = *fails;
+            step.failed_attempt = *attempt;
+            for (task, row) in step.tasks.iter_mut().zip(tasks) {
+                let TaskRow(attempt, fails, done, id, saved) = row;
+                task.attempt = *attempt;
+                task.fails = *fails;
+                task.done = *done;
+                task.saved.clone_from(saved);
+                task.run = (!id.is_empty()).then(|| Run::new(runner(id), Stage::Inherited));
+            }
+        }
+    }
+
+    /// The row to store.
+    pub(super) fn progress(&self, name: impl Fn(RunnerKey) -> String) -> ProgressRow {
+        let task = |t: &Task| {
+            let id = t.run.as_ref().map_or(String::new(), |r| name(r.runner));
+            TaskRow(t.attempt, t.fails, t.done, id, t.saved.clone())
+        };
+        let step = |s: &StepRun| {
+            let tasks = s.tasks.iter().map(task).collect();
+            let unseen = s.unseen.keys().copied().collect();
+            StepRow(s.gang_fails, s.failed_attempt, tasks, unseen)
+        };
+        let steps = self.steps.iter().map(step).collect();
+        ProgressRow { state: self.state, ended: self.ended, steps }
+    }
+}
