Stand-in's table: one piece charges reads, one walks a prefix

Cause: the four reads of the table each took the budget and counted by themselves, and scan and leases walked the keys of a prefix with the same lines.

Change: charge_read and under serve all of them; behaviour as before.

--- a/src/standin/table.rs
+++ b/src/standin/table.rs
@@ -213,6 +213,14 @@
     }
 }
 
+/// Entries of `map` whose key starts with `prefix`, in order.
+fn under<'a, T>(
+    map: &'a BTreeMap<String, T>,
+    prefix: &'a str,
+) -> impl Iterator<Item = (&'a String, &'a T)> {
+    map.range(prefix.to_string()..).take_while(move |(k, _)| k.starts_with(prefix))
+}
+
 /// The table: rows, leases, idempotency records, the budget and counters.
 #[derive(Debug, Default)]
 pub struct Table {
@@ -399,27 +407,28 @@
         Outcome::Committed { epochs, versions, replay: false }
     }
 
+    /// Takes one read of the budget.
+    fn charge_read(&mut self, now: Millis) -> Result<(), Throttled> {
+        self.budget.take(now, false)?;
+        self.counts.reads += 1;
+        Ok(())
+    }
+
     /// Reads the rows at `keys` (absent ones are left out); one read of the budget.
     pub fn get(
         &mut self,
         keys: &[String],
         now: Millis,
     ) -> Result<BTreeMap<String, Row>, Throttled> {
-        self.budget.take(now, false)?;
-        self.counts.reads += 1;
+        self.charge_read(now)?;
         Ok(keys.iter().filter_map(|k| self.rows.get(k).map(|r| (k.clone(), r.clone()))).collect())
     }
 
     /// Reads every row whose key starts with `prefix`; one read of the budget.
     pub fn scan(&mut self, prefix: &str, now: Millis) -> Result<BTreeMap<String, Row>, Throttled> {
-        self.budget.take(now, false)?;
-        self.counts.reads += 1;
-        Ok(self
-            .rows
-            .range(prefix.to_string()..)
-            .take_while(|(k, _)| k.starts_with(prefix))
-            .map(|(k, r)| (k.clone(), r.clone()))
-            .collect())
+        self.charge_read(now)?;
+        let found = under(&self.rows, prefix);
+        Ok(found.map(|(k, r)| (k.clone(), r.clone())).collect())
     }
 
     /// What changed under `prefix` since revision `since` (0: everything); one read of the
@@ -429,8 +438,7 @@
             let rows = self.scan(prefix, now)?;
             return Ok(Feed { revision: self.revision, reset: true, rows, gone: vec![] });
         }
-        self.budget.take(now, false)?;
-        self.counts.reads += 1;
+        self.charge_read(now)?;
         let mut out = Feed { revision: self.revision.max(since), ..Feed::default() };
         for key in self.changed.range(since + 1..).map(|(_, k)| k) {
             if !key.starts_with(prefix) {
@@ -452,15 +460,9 @@
         prefix: &str,
         now: Millis,
     ) -> Result<BTreeMap<String, Lease>, Throttled> {
-        self.budget.take(now, false)?;
-        self.counts.reads += 1;
-        Ok(self
-            .leases
-            .range(prefix.to_string()..)
-            .take_while(|(k, _)| k.starts_with(prefix))
-            .filter(|(_, l)| l.expires > now)
-            .map(|(k, l)| (k.clone(), l.clone()))
-            .collect())
+        self.charge_read(now)?;
+        let live = under(&self.leases, prefix).filter(|(_, l)| l.expires > now);
+        Ok(live.map(|(k, l)| (k.clone(), l.clone())).collect())
     }
 
     /// A row without charging the budget: for the platform's own checks.
