--- a/src/entry/ledger.rs
+++ b/src/entry/ledger.rs
@@ -11,7 +11,6 @@
 use crate::standin::table::{Cond, Op, Outcome, Txn};
 use async_std::channel;
 use futures::channel::oneshot;
-use futures::future::{self, Either};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
@@ -100,17 +99,13 @@
     /// Commits groups until `stop`, then what still waits.
     pub async fn run(self: Arc<Self>, stop: Stop) {
         loop {
-            let next = std::pin::pin!(self.rx.recv());
-            let halt = std::pin::pin!(stop.wait());
-            let first = match future::select(next, halt).await {
-                Either::Left((Ok(e), _)) => e,
-                Either::Left((Err(_), _)) => return,
-                Either::Right(_) => break,
+            let first = match stop.unless_fired(self.rx.recv()).await {
+                Some(Ok(e)) => e,
+                Some(Err(_)) => return,
+                None => break,
             };
             self.commit_waiting(Some(first)).await;
-            let nap = std::pin::pin!(self.clock.sleep(self.gap.load(Ordering::Relaxed)));
-            let halt = std::pin::pin!(stop.wait());
-            future::select(nap, halt).await;
+            stop.unless_fired(self.clock.sleep(self.gap.load(Ordering::Relaxed))).await;
         }
         while !self.rx.is_empty() {
             self.commit_waiting(None).await;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -157,9 +157,7 @@
 
     /// Sleeps `ms` or until the stop; false once stopped.
     async fn nap(&self, ms: u64) -> bool {
-        let nap = std::pin::pin!(self.clock.sleep(ms));
-        let halt = std::pin::pin!(self.stop.wait());
-        futures::future::select(nap, halt).await;
+        self.stop.unless_fired(self.clock.sleep(ms)).await;
         !self.stop.fired()
     }
 
--- a/src/entry/route/link.rs
+++ b/src/entry/route/link.rs
@@ -9,7 +9,6 @@
 use async_tungstenite::tungstenite::Message;
 use async_tungstenite::WebSocketStream;
 use futures::channel::oneshot;
-use futures::future::{self, Either};
 use futures::StreamExt;
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
@@ -82,9 +81,7 @@
                     self.serve_link(k, ws, &stop).await;
                 }
                 _ => {
-                    let nap = std::pin::pin!(self.clock.sleep(backoff));
-                    let halt = std::pin::pin!(stop.wait());
-                    future::select(nap, halt).await;
+                    stop.unless_fired(self.clock.sleep(backoff)).await;
                     backoff = (backoff * 2).min(RECONNECT_MAX_MS);
                 }
             }
@@ -113,12 +110,8 @@
         });
         let mut nonce = 0;
         loop {
-            let read = std::pin::pin!(self.clock.timeout(self.timing.ping_ms, source.next()));
-            let halt = std::pin::pin!(stop.wait());
-            let read = match future::select(read, halt).await {
-                Either::Left((r, _)) => r,
-                Either::Right(_) => break,
-            };
+            let read = self.clock.timeout(self.timing.ping_ms, source.next());
+            let Some(read) = stop.unless_fired(read).await else { break };
             let next = match read {
                 Err(_) => {
                     nonce += 1;
--- a/src/runner/conn.rs
+++ b/src/runner/conn.rs
@@ -157,11 +157,9 @@
                 Err(_) => continue,
             }
         } else {
-            let read = std::pin::pin!(source.next());
-            let halt = std::pin::pin!(stop.wait());
-            match futures::future::select(read, halt).await {
-                futures::future::Either::Left((n, _)) => n,
-                futures::future::Either::Right(_) => continue,
+            match stop.unless_fired(source.next()).await {
+                Some(n) => n,
+                None => continue,
             }
         };
         let Some(Ok(msg)) = next else { break };
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -8,7 +8,6 @@
 use crate::kernel::stop::Stop;
 use crate::options::{RunnerAddr, RunnerKnobs};
 use async_std::net::TcpListener;
-use futures::future::{self, Either};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -159,12 +158,8 @@
     async fn accept(self: Arc<Self>, listener: TcpListener, stop: Stop) -> eyre::Result<()> {
         let mut conns = Vec::new();
         loop {
-            let next = std::pin::pin!(listener.accept());
-            let stopped = std::pin::pin!(stop.wait());
-            let (stream, _) = match future::select(next, stopped).await {
-                Either::Left((res, _)) => res?,
-                Either::Right(_) => break,
-            };
+            let Some(accepted) = stop.unless_fired(listener.accept()).await else { break };
+            let (stream, _) = accepted?;
             if self.open.load(Ordering::SeqCst) >= self.knobs.connections as usize {
                 metrics::counter!("runner_connections_refused").increment(1);
                 continue;
