Entry's API: handlers take the body and give the answer

Cause: four handlers each read a JSON body, answered a malformed one and cloned the state with the same lines.

Change: post does it once; the handlers take the entry and the body, and return the answer itself. Behaviour as before.

--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -11,7 +11,9 @@
 use crate::entry::writes::WriteError;
 use crate::entry::Entry;
 use crate::standin::client::PlatformError;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::future::Future;
 use std::sync::Arc;
 use tide::{Request, Response};
 
@@ -65,18 +67,24 @@
 }
 
 /// Reads a JSON body; malformed JSON or unknown fields are a typed 400 and change nothing.
-async fn body<T: serde::de::DeserializeOwned>(req: &mut Request<State>) -> Result<T, Response> {
+async fn body<B: DeserializeOwned>(req: &mut Request<State>) -> Result<B, Response> {
     let text = req.body_string().await.map_err(|e| fail(400, "bad_request", e, None))?;
     serde_json::from_str(&text).map_err(|e| fail(400, "bad_request", e, None))
 }
 
-async fn edit(mut req: Request<State>) -> tide::Result {
-    let edit: catalogue::Edit = match body(&mut req).await {
-        Ok(e) => e,
-        Err(res) => return Ok(res),
-    };
-    let e = req.state().clone();
-    Ok(match catalogue::commit(&e.platform, &edit).await {
+/// A POST whose JSON body is a `B`, which `f` answers.
+async fn post<B: DeserializeOwned, F: Future<Output = Response>>(
+    mut req: Request<State>,
+    f: impl FnOnce(State, B) -> F,
+) -> tide::Result {
+    Ok(match body(&mut req).await {
+        Ok(b) => f(req.state().clone(), b).await,
+        Err(res) => res,
+    })
+}
+
+async fn edit(e: State, edit: catalogue::Edit) -> Response {
+    match catalogue::commit(&e.platform, &edit).await {
         Ok(version) => {
             // Bring this instance up to date at once; the others follow within watch_ms.
             e.refresh_catalogue().await;
@@ -93,18 +101,13 @@
         }
         Err(err @ EditError::Invalid { .. }) => fail(400, "invalid", err, None),
         Err(EditError::Platform(p)) => platform(&p),
-    })
+    }
 }
 
-async fn submit(mut req: Request<State>) -> tide::Result {
-    let spec: JobSpec = match body(&mut req).await {
-        Ok(s) => s,
-        Err(res) => return Ok(res),
-    };
-    let e = req.state().clone();
+async fn submit(e: State, spec: JobSpec) -> Response {
     let Some(inventory) = e.inventory.lock().unwrap().clone() else {
         let detail = "not run: the platform's worker list has not been read yet";
-        return Ok(fail(503, "unavailable", detail, Some(RETRY_MS)));
+        return fail(503, "unavailable", detail, Some(RETRY_MS));
     };
     let mut cat = e.catalogue();
     if !cat.entries.contains_key(&spec.entry) {
@@ -121,7 +124,7 @@
         rooms: &rooms,
         domain: &e.addr.domain,
     };
-    Ok(match jobs::submit(&accept, spec).await {
+    match jobs::submit(&accept, spec).await {
         Ok(row) if matches!(row.state, JobState::Refused { .. }) => not_run(row),
         Ok(row) => admin::json(200, &row),
         Err(err @ SubmitError::Invalid { .. }) => fail(400, "invalid", err, None),
@@ -130,7 +133,7 @@
         }
         Err(err @ SubmitError::KeyReused(_)) => fail(409, "conflict", err, None),
         Err(SubmitError::Platform(p)) => platform(&p),
-    })
+    }
 }
 
 fn not_run(row: JobRow) -> Response {
@@ -152,20 +155,15 @@
     pub ids: Vec<String>,
 }
 
-async fn status(mut req: Request<State>) -> tide::Result {
-    let q: StatusReq = match body(&mut req).await {
-        Ok(q) => q,
-        Err(res) => return Ok(res),
-    };
-    let e = req.state().clone();
-    let keys = q.ids.iter().map(|id| rows::job_key(id)).collect();
-    Ok(match e.platform.get(keys).await {
+async fn status(e: State, asked: StatusReq) -> Response {
+    let keys = asked.ids.iter().map(|id| rows::job_key(id)).collect();
+    match e.platform.get(keys).await {
         Ok(got) => {
             let jobs: Vec<JobRow> = got.values().filter_map(|r| rows::decode(&r.value)).collect();
             admin::json(200, &jobs)
         }
         Err(p) => platform(&p),
-    })
+    }
 }
 
 async fn job(req: Request<State>) -> tide::Result {
@@ -236,17 +234,12 @@
     pub body: String,
 }
 
-async fn write(mut req: Request<State>) -> tide::Result {
-    let w: WriteReq = match body(&mut req).await {
-        Ok(w) => w,
-        Err(res) => return Ok(res),
-    };
-    let e = req.state().clone();
+async fn write(e: State, w: WriteReq) -> Response {
     if w.id.is_empty() || w.id.len() > MAX_WRITE_ID || w.id.contains('/') {
         let detail = "id must be 1 to 128 bytes without a slash";
-        return Ok(fail(400, "invalid", detail, None));
+        return fail(400, "invalid", detail, None);
     }
-    Ok(match e.writes.run(&w.id, &w.body).await {
+    match e.writes.run(&w.id, &w.body).await {
         Ok(done) => admin::json(200, &done),
         Err(WriteError::Ledger(LedgerError::Platform(p))) => platform(&p),
         Err(err @ WriteError::Ledger(_)) => fail(503, "busy", err, Some(RETRY_MS)),
@@ -254,7 +247,7 @@
         Err(WriteError::Unknown { runner, retry_ms }) => {
             fail(504, "unknown", WriteError::Unknown { runner, retry_ms }, Some(retry_ms))
         }
-    })
+    }
 }
 
 async fn ready(req: Request<State>) -> tide::Result {
@@ -266,15 +259,15 @@
 pub fn app(e: Arc<Entry>) -> tide::Server<State> {
     let mut app = tide::with_state(e);
     app.at("/catalogue")
-        .post(edit)
+        .post(|r| post(r, edit))
         .get(|r: Request<State>| async move { Ok(admin::json(200, &*r.state().catalogue())) });
-    app.at("/jobs").post(submit);
-    app.at("/jobs/status").post(status);
+    app.at("/jobs").post(|r| post(r, submit));
+    app.at("/jobs/status").post(|r| post(r, status));
     app.at("/jobs/:id").get(job);
     app.at("/jobs/:id/cancel").post(cancel);
     app.at("/ready").get(ready);
     app.at("/lookup").get(lookup);
-    app.at("/write").post(write);
+    app.at("/write").post(|r| post(r, write));
     app.at("/debug/state")
         .get(|r: Request<State>| async move { Ok(admin::json(200, &r.state().dump().await)) });
     app.at("/metrics").get(|_| async { Ok(admin::render()) });
