One Retry-After for the entry and the stand-in

Cause: both wrote the header from milliseconds with the same lines, the entry with at least one second.

Change: admin::with_retry serves both. The stand-in's waits are a constant 1,000 ms or the rest of a window, which is at least one ms, so that the least of one second changes nothing there.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -142,3 +142,11 @@
     }
     res
 }
+
+/// The answer with a `Retry-After` of `retry_ms`, if there is one, in whole seconds and at least one.
+pub fn with_retry(mut res: tide::Response, retry_ms: Option<u64>) -> tide::Response {
+    if let Some(ms) = retry_ms {
+        res.insert_header("Retry-After", ms.div_ceil(1000).max(1).to_string());
+    }
+    res
+}
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -48,14 +48,7 @@
         retry_ms,
         ..ApiError::default()
     };
-    with_retry(admin::json(status, &body), retry_ms)
-}
-
-fn with_retry(mut res: Response, retry_ms: Option<u64>) -> Response {
-    if let Some(ms) = retry_ms {
-        res.insert_header("Retry-After", ms.div_ceil(1000).max(1).to_string());
-    }
-    res
+    admin::with_retry(admin::json(status, &body), retry_ms)
 }
 
 fn platform(e: &PlatformError) -> Response {
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -16,11 +16,8 @@
 type State = Arc<Platform>;
 
 fn error(status: u16, kind: &str, retry_ms: Option<u64>) -> Response {
-    let mut res = admin::json(status, &ErrorBody { error: kind.to_string(), retry_ms });
-    if let Some(ms) = retry_ms {
-        res.insert_header("Retry-After", ms.div_ceil(1000).to_string());
-    }
-    res
+    let body = ErrorBody { error: kind.to_string(), retry_ms };
+    admin::with_retry(admin::json(status, &body), retry_ms)
 }
 
 fn throttled(t: Throttled) -> Response {
