Markers, releases and unconditional transactions: one piece each

Cause: rows that say all by their key were written out as {} in six places, a lease's release in three and a transaction without conditions in four.

Change: rows::put_marker, Membership::release and Txn::of serve them. Behaviour as before; the operations of each transaction are the same, in the same order.

--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -214,7 +214,7 @@
         conds: vec![Cond::Version { key: rows::job_key(&id), version: 0 }],
         ops: vec![
             Op::Put { key: rows::job_key(&id), value: rows::encode(&row) },
-            Op::Put { key: note, value: serde_json::json!({}) },
+            rows::put_marker(note),
         ],
         // The row is part of the key: another entry's submission of the same key differs in
         // time or shard, and must meet the condition above, not this record.
@@ -273,12 +273,9 @@
         let mark = rows::pend_key(&domain, &row.shard, id);
         ops.push(match stops.is_empty() {
             true => Op::Delete { key: mark },
-            false => Op::Put { key: mark, value: serde_json::json!({}) },
-        });
-        ops.push(Op::Put {
-            key: rows::done_key(&domain, &row.shard, clock.now(), id),
-            value: serde_json::json!({}),
+            false => rows::put_marker(mark),
         });
+        ops.push(rows::put_marker(rows::done_key(&domain, &row.shard, clock.now(), id)));
         ops.push(Op::Put { key: rows::job_key(id), value: rows::encode(&row) });
         let txn = Txn {
             conds: vec![Cond::Version { key: rows::job_key(id), version }],
--- a/src/entry/ledger.rs
+++ b/src/entry/ledger.rs
@@ -160,8 +160,7 @@
         for e in group {
             ops.push(Op::Put { key: rows::write_key(&e.id), value: rows::encode(&e.row) });
             if e.expect == 0 {
-                let key = rows::wrote_key(&self.domain, now, &e.id);
-                ops.push(Op::Put { key, value: serde_json::json!({}) });
+                ops.push(rows::put_marker(rows::wrote_key(&self.domain, now, &e.id)));
             }
         }
         Txn { conds, ops, idem: Some(format!("ledger/{}/{:x}/{seq}", self.me, self.nonce)) }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -69,7 +69,7 @@
                 epoch: self.held[s].epoch,
                 ttl_ms: self.lease_ms,
             }));
-            match table.txn(&Txn { conds: vec![], ops, idem: None }).await? {
+            match table.txn(&Txn::of(ops)).await? {
                 Outcome::Committed { epochs, .. } => {
                     self.epoch = epochs.first().copied().unwrap_or_default();
                     self.held.values_mut().for_each(|h| h.renewed = now);
@@ -114,7 +114,7 @@
     ) -> Result<(), PlatformError> {
         let op =
             Op::Acquire { key: lease_key(shard), holder: self.me.clone(), ttl_ms: self.lease_ms };
-        let txn = Txn { conds: vec![], ops: vec![op], idem: None };
+        let txn = Txn::of(vec![op]);
         if let Outcome::Committed { epochs, .. } = table.txn(&txn).await? {
             let epoch = epochs[0];
             log::info!("took shard {shard} epoch {epoch}");
@@ -124,30 +124,25 @@
         Ok(())
     }
 
+    fn release(&self, key: String, epoch: u64) -> Op {
+        Op::Release { key, holder: self.me.clone(), epoch }
+    }
+
     /// Gives `shard` up to the member that now owns it.
     async fn give_up(&mut self, table: &Client, shard: &str, epoch: u64) {
         self.held.remove(shard);
         log::info!("gave up shard {shard} epoch {epoch}");
-        let op = Op::Release { key: lease_key(shard), holder: self.me.clone(), epoch };
+        let op = self.release(lease_key(shard), epoch);
         // A lost release costs the next holder one lease period, nothing more.
-        let _ = table.txn(&Txn { conds: vec![], ops: vec![op], idem: None }).await;
+        let _ = table.txn(&Txn::of(vec![op])).await;
     }
 
     /// Gives every lease up at shutdown, membership included, so that others take over at once.
     pub async fn leave(&mut self, table: &Client) {
-        let mut ops: Vec<Op> = std::mem::take(&mut self.held)
-            .into_iter()
-            .map(|(s, h)| Op::Release {
-                key: lease_key(&s),
-                holder: self.me.clone(),
-                epoch: h.epoch,
-            })
-            .collect();
-        ops.push(Op::Release {
-            key: rows::member_key(&self.domain, &self.me),
-            holder: self.me.clone(),
-            epoch: self.epoch,
-        });
-        let _ = table.txn(&Txn { conds: vec![], ops, idem: None }).await;
+        let held = std::mem::take(&mut self.held);
+        let shards = held.iter().map(|(s, h)| self.release(lease_key(s), h.epoch));
+        let member = self.release(rows::member_key(&self.domain, &self.me), self.epoch);
+        let ops = shards.chain([member]).collect();
+        let _ = table.txn(&Txn::of(ops)).await;
     }
 }
--- a/src/entry/rows.rs
+++ b/src/entry/rows.rs
@@ -18,6 +18,7 @@
 use crate::kernel::clock::Millis;
 use crate::kernel::res::{Class, Resources};
 use crate::standin::client::{Client, PlatformError};
+use crate::standin::table::Op;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -226,6 +227,11 @@
     pub runs: Option<u64>,
 }
 
+/// Writes a row that says all it has to by its key.
+pub fn put_marker(key: String) -> Op {
+    Op::Put { key, value: serde_json::json!({}) }
+}
+
 /// Splits a task id into its job id and task number.
 pub fn task_parts(task: &str) -> Option<(&str, usize)> {
     let (job, n) = task.rsplit_once('.')?;
--- a/src/entry/sched/commit.rs
+++ b/src/entry/sched/commit.rs
@@ -11,7 +11,6 @@
 use crate::standin::table::{Cond, Op, Outcome, Txn};
 use crate::standin::tasks::shard_of;
 use crate::standin::{lease_key, place_key, LEASE_PREFIX};
-use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// At most one worker in this many of a shard is avoided at once: a wave of jobs that fail
@@ -95,14 +94,14 @@
         ops.extend(plan.marks.iter().map(|((shard, id), set)| {
             let key = rows::pend_key(cx.domain, shard, id);
             match set {
-                true => Op::Put { key, value: json!({}) },
+                true => rows::put_marker(key),
                 false => Op::Delete { key },
             }
         }));
-        ops.extend(plan.done.iter().map(|(shard, id)| Op::Put {
-            key: rows::done_key(cx.domain, shard, plan.now, id),
-            value: json!({}),
-        }));
+        let done = |(shard, id): &(String, String)| {
+            rows::put_marker(rows::done_key(cx.domain, shard, plan.now, id))
+        };
+        ops.extend(plan.done.iter().map(done));
         let idem = Some(format!("round/{}/{:x}/{}", cx.me, self.nonce, self.seq));
         Txn { conds, ops, idem }
     }
--- a/src/standin/table.rs
+++ b/src/standin/table.rs
@@ -111,6 +111,13 @@
     pub idem: Option<String>,
 }
 
+impl Txn {
+    /// A transaction without conditions of its own; its lease operations have theirs.
+    pub fn of(ops: Vec<Op>) -> Self {
+        Self { ops, ..Self::default() }
+    }
+}
+
 /// What a transaction did.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "outcome", rename_all = "snake_case")]
