Submitting and cancelling a job in shorter functions

Change: Accept::row makes the row of a new job, usual_deadline the deadline of work that names none, withdraw the operations and stops of a cancellation. Behaviour as before.

--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -1,7 +1,7 @@
 //! Job submission and cancellation: each a conditional transaction on the job row, with an
 //! idempotency key so that a retry after a lost answer returns the first outcome.
 
-use crate::entry::catalogue::Catalogue;
+use crate::entry::catalogue::{CatEntry, Catalogue};
 use crate::entry::rows::{self, JobRow, JobSpec, JobState, TaskRow, TaskState};
 use crate::kernel::clock::Clock;
 use crate::kernel::res::{Class, Resources};
@@ -138,6 +138,43 @@
     pub domain: &'a str,
 }
 
+impl Accept<'_> {
+    /// The row of a new job: waiting on the shard chosen for it, or refused if it can never run.
+    fn row(&self, entry: &CatEntry, spec: JobSpec) -> JobRow {
+        let id = job_id(&spec.key);
+        let chosen = self.inventory.choose(&id, &spec, self.rooms);
+        let (shard, total, largest) = &self.inventory.shards[chosen];
+        let (state, task) = match never_runs(&spec, entry.class, total, largest) {
+            Some(r) => (JobState::Refused { reason: r.to_string() }, TaskState::Refused),
+            None => (JobState::Pending, TaskState::Pending),
+        };
+        JobRow {
+            id,
+            class: entry.class,
+            team: entry.team.clone(),
+            catalogue: self.cat.version,
+            shard: shard.clone(),
+            state,
+            tasks: vec![TaskRow { state: task, ..TaskRow::default() }; spec.tasks as usize],
+            submitted: self.clock.now(),
+            started: None,
+            moves: 0,
+            shun: BTreeSet::new(),
+            retry: 0,
+            spec,
+        }
+    }
+}
+
+/// Deadline of work that names none.
+fn usual_deadline(class: Class) -> Option<u64> {
+    match class {
+        Class::Urgent => Some(URGENT_DEADLINE_MS),
+        Class::Gang => Some(GANG_DEADLINE_MS),
+        Class::Service | Class::Batch => None,
+    }
+}
+
 /// Why a job that is well formed can never run, if so.
 fn never_runs(
     spec: &JobSpec,
@@ -177,48 +214,19 @@
     if !spec.demand.fits(&entry.limits) {
         return Err(SubmitError::OverLimits(spec.entry.clone()));
     }
-    if spec.deadline_ms.is_none() {
-        spec.deadline_ms = match entry.class {
-            Class::Urgent => Some(URGENT_DEADLINE_MS),
-            Class::Gang => Some(GANG_DEADLINE_MS),
-            Class::Service | Class::Batch => None,
-        };
-    }
-    let id = job_id(&spec.key);
-    let (shard, total, largest) = &a.inventory.shards[a.inventory.choose(&id, &spec, a.rooms)];
-    let never = never_runs(&spec, entry.class, total, largest);
-    let (state, task) = match never {
-        Some(r) => (JobState::Refused { reason: r.to_string() }, TaskState::Refused),
-        None => (JobState::Pending, TaskState::Pending),
-    };
-    let row = JobRow {
-        id: id.clone(),
-        class: entry.class,
-        team: entry.team.clone(),
-        catalogue: a.cat.version,
-        shard: shard.clone(),
-        state,
-        tasks: vec![TaskRow { state: task, ..TaskRow::default() }; spec.tasks as usize],
-        submitted: a.clock.now(),
-        started: None,
-        moves: 0,
-        shun: BTreeSet::new(),
-        retry: 0,
-        spec,
-    };
-    let note = match never {
-        Some(_) => rows::done_key(a.domain, shard, row.submitted, &id),
-        None => rows::pend_key(a.domain, shard, &id),
+    spec.deadline_ms = spec.deadline_ms.or(usual_deadline(entry.class));
+    let row = a.row(entry, spec);
+    let key = rows::job_key(&row.id);
+    let mark = match row.ended() {
+        true => rows::done_key(a.domain, &row.shard, row.submitted, &row.id),
+        false => rows::pend_key(a.domain, &row.shard, &row.id),
     };
     let txn = Txn {
-        conds: vec![Cond::Version { key: rows::job_key(&id), version: 0 }],
-        ops: vec![
-            Op::Put { key: rows::job_key(&id), value: rows::encode(&row) },
-            rows::put_marker(note),
-        ],
+        conds: vec![Cond::Version { key: key.clone(), version: 0 }],
+        ops: vec![Op::Put { key, value: rows::encode(&row) }, rows::put_marker(mark)],
         // The row is part of the key: another entry's submission of the same key differs in
         // time or shard, and must meet the condition above, not this record.
-        idem: Some(format!("submit/{id}/{:x}", rand::random::<u64>())),
+        idem: Some(format!("submit/{}/{:x}", row.id, rand::random::<u64>())),
     };
     match apply(a.table, a.clock, &txn).await? {
         Outcome::Committed { .. } => {
@@ -237,6 +245,28 @@
     }
 }
 
+/// Marks a job and its tasks that have not ended as cancelled. Returns the operations that withdraw
+/// their placements, and the stops of what may run.
+fn withdraw(row: &mut JobRow) -> (Vec<Op>, Vec<StopReq>) {
+    let mut ops = Vec::new();
+    let mut stops = Vec::new();
+    for n in 0..row.tasks.len() {
+        let task = row.task_id(n);
+        let t = &mut row.tasks[n];
+        if let (TaskState::Placed, Some(worker)) = (t.state, t.worker.clone()) {
+            let (attempt, demand) = (t.attempt, row.spec.demand);
+            let withdrawn = PlaceRow { worker: worker.clone(), epoch: 0, attempt, demand };
+            ops.push(Op::Put { key: place_key(&row.shard, &task), value: withdrawn.value() });
+            stops.push(StopReq { task, attempt, worker });
+        }
+        if !t.state.ended() {
+            t.state = TaskState::Cancelled;
+        }
+    }
+    row.state = JobState::Cancelled;
+    (ops, stops)
+}
+
 /// Cancels a job: tasks not yet ended are marked cancelled and their placements withdrawn in
 /// one transaction, so that a worker asked to start one later refuses. The job's mark tells the
 /// shard's holder to stop what runs and to release its room, also if this instance dies now.
@@ -253,22 +283,7 @@
         if row.ended() {
             return Ok((row, Vec::new()));
         }
-        let mut ops = Vec::new();
-        let mut stops = Vec::new();
-        for n in 0..row.tasks.len() {
-            let task = row.task_id(n);
-            let t = &mut row.tasks[n];
-            if let (TaskState::Placed, Some(worker)) = (t.state, t.worker.clone()) {
-                let (attempt, demand) = (t.attempt, row.spec.demand);
-                let withdrawn = PlaceRow { worker: worker.clone(), epoch: 0, attempt, demand };
-                ops.push(Op::Put { key: place_key(&row.shard, &task), value: withdrawn.value() });
-                stops.push(StopReq { task, attempt: t.attempt, worker });
-            }
-            if !t.state.ended() {
-                t.state = TaskState::Cancelled;
-            }
-        }
-        row.state = JobState::Cancelled;
+        let (mut ops, stops) = withdraw(&mut row);
         let domain = row.domain().to_string();
         let mark = rows::pend_key(&domain, &row.shard, id);
         ops.push(match stops.is_empty() {
