--- a/tests/common/control/calls.rs
+++ b/tests/common/control/calls.rs
@@ -2,6 +2,7 @@
 
 use super::{Cell, Event};
 use currantgw::control::engine::Action;
+use currantgw::control::model::StepId;
 use currantgw::control::ports::{Advice, AdviceError, Refusal, Ticket};
 use rand::Rng;
 
@@ -11,39 +12,40 @@
 /// A call without an answer is given up after this long, ms.
 pub(super) const TIMEOUT_MS: u64 = 600;
 
+/// A look at a runner where nothing has ended is answered this much later, ms.
+const IDLE_LOOK_MS: u64 = 50;
+
 impl Cell {
     /// Sends what the scheduler wants done on its way.
     pub(super) fn send(&mut self, act: Action) {
         let term = self.office;
         match &act {
-            Action::Ask { step, ids, cost_ms } => {
-                self.asked.push(ids.len());
-                let ok = |id: &&String| (self.approves)(*step, id[1..].parse().unwrap());
-                let approved = ids
-                    .iter()
-                    .filter(ok)
-                    .map(|id| Ticket { id: id.clone(), ticket: "t".into() })
-                    .collect();
-                let advice = Advice { approved, valid_ms: 2_000 };
-                let (step, ids, cost) = (*step, ids.clone(), *cost_ms);
-                let now = self.now as f64;
-                if !self.lines.is_empty() && self.lines.iter().all(|l| l - now > self.depth * cost)
-                {
-                    self.refused += 1;
-                    let busy = Err(AdviceError::Busy);
-                    return self.engine.advised(step, &ids, busy, self.clocks());
-                }
-                if let Some(delay) = self.on_a_line(cost) {
-                    return self.at(delay, Event::Advised(step, ids, advice));
-                }
-                self.engine.advised(step, &ids, Ok(advice), self.clocks());
-            }
+            Action::Ask { step, ids, cost_ms } => self.ask(*step, ids.clone(), *cost_ms),
             Action::Hold { .. } => self.at(WAY_MS, Event::Arrive { term, act, answered: true }),
             Action::Start { after_ms, .. } => self.order(*after_ms, act),
             Action::Stop { .. } => self.order(0, act),
         }
     }
 
+    /// Asks the approval service: refused at once if all lines are too long, answered at once if
+    /// there are none.
+    fn ask(&mut self, step: StepId, ids: Vec<String>, cost: f64) {
+        self.asked.push(ids.len());
+        let now = self.now as f64;
+        if !self.lines.is_empty() && self.lines.iter().all(|l| l - now > self.depth * cost) {
+            self.refused += 1;
+            return self.engine.advised(step, &ids, Err(AdviceError::Busy), self.clocks());
+        }
+        let ok = |id: &&String| (self.approves)(step, id[1..].parse().unwrap());
+        let ticket = |id: &String| Ticket { id: id.clone(), ticket: "t".into() };
+        let approved = ids.iter().filter(ok).map(ticket).collect();
+        let advice = Advice { approved, valid_ms: 2_000 };
+        match self.on_a_line(cost) {
+            Some(delay) => self.at(delay, Event::Advised(step, ids, advice)),
+            None => self.engine.advised(step, &ids, Ok(advice), self.clocks()),
+        }
+    }
+
     /// Time until the line that is free first has answered a question, ms.
     fn on_a_line(&mut self, cost: f64) -> Option<u64> {
         let now = self.now as f64;
@@ -114,8 +116,8 @@
             Action::Ask { .. } => return,
         };
         if answered {
-            let wait =
-                if matches!(e, Event::Looked(_, Ok(ref r)) if r.ends.is_empty()) { 50 } else { 0 };
+            let idle = matches!(e, Event::Looked(_, Ok(ref r)) if r.ends.is_empty());
+            let wait = if idle { IDLE_LOOK_MS } else { 0 };
             self.at(WAY_MS + wait, e);
         }
     }
--- a/tests/common/control/work.rs
+++ b/tests/common/control/work.rs
@@ -14,6 +14,23 @@
     through: bool,
 }
 
+/// How a run ends now whose lease goes on, if it does: `whole` if its gang is all there,
+/// `through` if all of it has done its work.
+fn end_of(x: &Running, whole: bool, through: bool, now: u64) -> Option<EndKind> {
+    let worked = x.worked >= x.work && x.stopping.is_none();
+    if x.stopping.is_some_and(|at| at <= now) {
+        Some(EndKind::Stopped)
+    } else if worked && x.fails {
+        Some(EndKind::Failed)
+    } else if worked && through {
+        Some(EndKind::Done)
+    } else if !whole && x.worked == 0 && x.began + GANG_WAIT_MS <= now {
+        Some(EndKind::Alone)
+    } else {
+        None
+    }
+}
+
 impl Cell {
     /// Runners work: tasks end, leases lapse. Members of a gang work while all are there, and end
     /// done together once the slowest is through; where one is gone the others break.
@@ -28,26 +45,15 @@
                 let hangs = r.hangs;
                 let Some(x) = r.running.get_mut(&task) else { continue };
                 let key = (task.step, x.attempt);
-                let whole = x.gang.is_none_or(|n| gangs.get(&key).is_some_and(|g| g.present == n));
-                let through = x.gang.is_none() || gangs.get(&key).is_some_and(|g| g.through);
+                let gang = gangs.get(&key);
+                let whole = x.gang.is_none_or(|n| gang.is_some_and(|g| g.present == n));
+                let through = x.gang.is_none() || gang.is_some_and(|g| g.through);
                 if whole && !hangs && x.stopping.is_none() {
                     x.worked = (x.worked + STEP_MS).min(x.work);
                 }
-                let kind = if lapsed {
-                    EndKind::Lapsed
-                } else if x.stopping.is_some_and(|at| at <= now) {
-                    EndKind::Stopped
-                } else if x.worked >= x.work && (through || x.fails) && x.stopping.is_none() {
-                    if x.fails {
-                        EndKind::Failed
-                    } else {
-                        EndKind::Done
-                    }
-                } else if !whole && x.worked == 0 && x.began + GANG_WAIT_MS <= now {
-                    EndKind::Alone
-                } else {
-                    continue;
-                };
+                let end =
+                    if lapsed { Some(EndKind::Lapsed) } else { end_of(x, whole, through, now) };
+                let Some(kind) = end else { continue };
                 if x.gang.is_some() && kind != EndKind::Done {
                     broken.insert(key);
                 }
