Rows of our own tables are checked when read, like submissions

Cause: a row that is well formed and cannot be true was taken at its word.

Change: JobRow, ProgressRow and HolderRow are read by wire types of their own, with a typed reason (Absurd) where the check of a submission, the bounds on moments, attempts, failures or size do not hold; bytes behind a row are an error (BadRow::Trailing). JobSpec::check has bounds on resources and times (Invalid::Need, Time, Schedule), so that sums over all that waits stay within 64 bits. Encodings are as they were.

Ruled out: a check in the mirror or the engine. Links hand on rows, too, and each place would need one.

Tests: tests/unreadable_rows.rs. A successor finds the 29 readable jobs among 9 unreadable job rows, 9 unreadable progress rows and keys that are none, by a read of the tables and by the feed; each field missing, null or of another type; bounds; bytes changed or cut (proptest).

Left, for the mirror and the engine: a job whose progress row cannot be read counts as one that has not begun, and its row is overwritten at the first conflict; an unreadable row is logged at each reading, without a bound and without a counter.

--- a/src/control/model.rs
+++ b/src/control/model.rs
@@ -17,6 +17,18 @@
 /// Most tasks of a job over all its occurrences, so that its progress fits one row of the store.
 const MAX_TASKS: u64 = 2_000;
 
+/// Longest time that a caller, the operator or a row may name, ms: 35 years. The sum of the times of
+/// all steps and occurrences of a job, and three objectives of it, stay far within 64 bits.
+pub const MAX_MS: u64 = 1 << 40;
+
+/// Latest moment that is believed, Unix ms: the year 10889.
+pub const MAX_MOMENT: u64 = 1 << 48;
+
+/// Most that a task may ask for of each resource, thousandths of a core and MiB: a thousand times
+/// the largest machines there are. What a million waiting jobs ask for together stays within 64
+/// bits; without a bound one absurd job would spoil the sum that all others are planned by.
+pub const MAX_NEED: u64 = 1 << 32;
+
 /// A job's id, chosen by its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct JobId(pub u64);
@@ -95,9 +107,30 @@
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
+#[serde(try_from = "u32")]
 pub struct Attempt(pub u32);
 
+/// A number that no start has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("attempt beyond {}", Attempt::LAST)]
+pub struct BadAttempt;
+
+impl TryFrom<u32> for Attempt {
+    type Error = BadAttempt;
+
+    fn try_from(n: u32) -> Result<Self, BadAttempt> {
+        match n <= Self::LAST {
+            true => Ok(Self(n)),
+            false => Err(BadAttempt),
+        }
+    }
+}
+
 impl Attempt {
+    /// Highest number read from outside. Beyond the numbers there are no more starts: a task whose
+    /// row said so would never run again.
+    pub const LAST: u32 = 1 << 31;
+
     /// The one after.
     pub fn next(self) -> Self {
         Self(self.0 + 1)
@@ -218,6 +251,15 @@
     /// A step waits for itself, for a later one or for one that does not exist.
     #[error("phases[{0}].after: must name earlier steps")]
     After(usize),
+    /// More of a resource than any machine has.
+    #[error("phases[{0}]: cpu, mem_mb and gpu must be at most {MAX_NEED}")]
+    Need(usize),
+    /// A duration that is too long.
+    #[error("phases[{0}]: times must be at most {MAX_MS} ms")]
+    Time(usize),
+    /// A schedule that reaches too far.
+    #[error("first_run_ms must be at most {MAX_MOMENT}, interval_ms at most {MAX_MS}")]
+    Schedule,
     /// Too many tasks altogether.
     #[error("more than {MAX_TASKS} tasks")]
     Tasks,
@@ -229,6 +271,25 @@
     TooLong(usize),
 }
 
+impl Step {
+    /// Checks the step at index `i` of its job.
+    fn check(&self, i: usize) -> Result<(), Invalid> {
+        if self.count == 0 || self.count > MAX_WIDTH {
+            return Err(Invalid::Count(i));
+        }
+        if self.after.iter().any(|&a| a as usize >= i) {
+            return Err(Invalid::After(i));
+        }
+        if self.need.cpu.max(self.need.mem).max(self.need.acc) > MAX_NEED {
+            return Err(Invalid::Need(i));
+        }
+        match self.estimate.max(self.tail_ms) > MAX_MS {
+            true => Err(Invalid::Time(i)),
+            false => Ok(()),
+        }
+    }
+}
+
 impl JobSpec {
     /// Number of occurrences.
     pub fn occurrences(&self) -> u32 {
@@ -251,12 +312,10 @@
             return Err(Invalid::Steps);
         }
         for (i, s) in self.steps.iter().enumerate() {
-            if s.count == 0 || s.count > MAX_WIDTH {
-                return Err(Invalid::Count(i));
-            }
-            if s.after.iter().any(|&a| a as usize >= i) {
-                return Err(Invalid::After(i));
-            }
+            s.check(i)?;
+        }
+        if self.first_ms > MAX_MOMENT || self.every_ms > MAX_MS {
+            return Err(Invalid::Schedule);
         }
         let tasks: u64 = self.steps.iter().map(|s| u64::from(s.count)).sum();
         match tasks * u64::from(self.occurrences()) > MAX_TASKS {
--- a/src/control/rows.rs
+++ b/src/control/rows.rs
@@ -8,7 +8,7 @@
 //! | `office` | `cell` | `holder` | who is the scheduler | whoever takes office |
 //! | `office` | `cell` | `beat` | a counter | the scheduler, with every commit |
 
-use super::model::{Attempt, JobId, JobSpec, JobState};
+use super::model::{Attempt, Invalid, JobId, JobSpec, JobState, MAX_MOMENT};
 use super::ports::Key;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -30,13 +30,57 @@
 /// Follows the id in the key of a cancellation.
 const CANCEL: &str = ".cancel";
 
-/// A row that cannot be read.
-#[derive(Debug, thiserror::Error)]
-#[error("row cannot be decoded: {0}")]
-pub struct BadRow(String);
+/// Most processor that a holder is believed to have, thousandths of a core: a thousand times the
+/// largest machines there are.
+const MAX_SIZE: u64 = 1 << 32;
+
+/// Why a row cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BadRow {
+    /// Not CBOR, a field is missing, of another type or out of bounds.
+    #[error("row cannot be decoded: {0}")]
+    Unreadable(String),
+    /// Bytes follow the value.
+    #[error("{0} bytes follow the row")]
+    Trailing(usize),
+}
+
+/// A row that is well formed and cannot be true. A later version or another program may have
+/// written it; taken at its word it would end one scheduler after the other, since each
+/// successor reads it, too.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Absurd {
+    /// A job that would not have been accepted.
+    #[error("not a job: {0}")]
+    Job(#[from] Invalid),
+    /// A moment too far away.
+    #[error("moment beyond {MAX_MOMENT}")]
+    Moment,
+    /// More failures than there are numbers of starts.
+    #[error("more than {} failures", Attempt::LAST)]
+    Fails,
+    /// More processor than any machine has.
+    #[error("size beyond {MAX_SIZE}")]
+    Size,
+}
+
+fn moment(at: u64) -> Result<u64, Absurd> {
+    match at <= MAX_MOMENT {
+        true => Ok(at),
+        false => Err(Absurd::Moment),
+    }
+}
+
+fn fails(n: u32) -> Result<(), Absurd> {
+    match n <= Attempt::LAST {
+        true => Ok(()),
+        false => Err(Absurd::Fails),
+    }
+}
 
 /// A job as accepted.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "WireJob")]
 pub struct JobRow {
     /// Its queue.
     pub queue: String,
@@ -46,8 +90,25 @@
     pub spec: JobSpec,
 }
 
+#[derive(Deserialize)]
+struct WireJob {
+    queue: String,
+    at: u64,
+    spec: JobSpec,
+}
+
+impl TryFrom<WireJob> for JobRow {
+    type Error = Absurd;
+
+    fn try_from(w: WireJob) -> Result<Self, Absurd> {
+        w.spec.check()?;
+        Ok(Self { queue: w.queue, at: moment(w.at)?, spec: w.spec })
+    }
+}
+
 /// Who holds the scheduler's office.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "WireHolder")]
 pub struct HolderRow {
     /// Its node; empty when the office was given up.
     pub node: String,
@@ -56,10 +117,29 @@
     /// Where other instances offer it help.
     pub links: Option<SocketAddr>,
     /// Thousandths of a processor that it may use; of the last holder once given up.
-    #[serde(default)]
     pub size: u64,
 }
 
+#[derive(Deserialize)]
+struct WireHolder {
+    node: String,
+    life: u64,
+    links: Option<SocketAddr>,
+    #[serde(default)]
+    size: u64,
+}
+
+impl TryFrom<WireHolder> for HolderRow {
+    type Error = Absurd;
+
+    fn try_from(w: WireHolder) -> Result<Self, Absurd> {
+        match w.size <= MAX_SIZE {
+            true => Ok(Self { node: w.node, life: w.life, links: w.links, size: w.size }),
+            false => Err(Absurd::Size),
+        }
+    }
+}
+
 /// A task's progress: attempt, failures, done, runner it may run on, checkpoint.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskRow(pub Attempt, pub u32, pub bool, pub String, pub String);
@@ -71,6 +151,7 @@
 
 /// A job's progress: its steps, occurrence by occurrence.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "WireProgress")]
 pub struct ProgressRow {
     /// State shown to callers.
     pub state: JobState,
@@ -80,6 +161,25 @@
     pub steps: Vec<StepRow>,
 }
 
+#[derive(Deserialize)]
+struct WireProgress {
+    state: JobState,
+    ended: u64,
+    steps: Vec<StepRow>,
+}
+
+impl TryFrom<WireProgress> for ProgressRow {
+    type Error = Absurd;
+
+    fn try_from(w: WireProgress) -> Result<Self, Absurd> {
+        for StepRow(gang, _, tasks, _) in &w.steps {
+            fails(*gang)?;
+            tasks.iter().try_for_each(|t| fails(t.1))?;
+        }
+        Ok(Self { state: w.state, ended: moment(w.ended)?, steps: w.steps })
+    }
+}
+
 /// Encodes a row.
 pub fn encode<T: Serialize>(v: &T) -> Vec<u8> {
     let mut out = Vec::new();
@@ -89,7 +189,12 @@
 
 /// Decodes a row.
 pub fn decode<T: DeserializeOwned>(v: &[u8]) -> Result<T, BadRow> {
-    ciborium::from_reader(v).map_err(|e| BadRow(e.to_string()))
+    let mut rest = v;
+    let row = ciborium::from_reader(&mut rest).map_err(|e| BadRow::Unreadable(e.to_string()))?;
+    match rest.len() {
+        0 => Ok(row),
+        n => Err(BadRow::Trailing(n)),
+    }
 }
 
 /// Number of parts of the jobs table, a power of two. A part takes one transaction at a time:
--- /dev/null
+++ b/tests/unreadable_rows.rs
@@ -0,0 +1,342 @@
+//! Rows of the control plane's own tables that cannot be read, or cannot be true: each is a typed
+//! error, and a scheduler that takes office finds all the others.
+
+use assert_matches::assert_matches;
+use ciborium::Value;
+use currantgw::control::mirror::{Mirror, Table};
+use currantgw::control::model::{self, Attempt, JobId, JobSpec, JobState, Step};
+use currantgw::control::ports::{
+    Change, Changes, Commit, CommitError, Key, Page, ReadError, Row, Store, Txn,
+};
+use currantgw::control::pulse::Pulse;
+use currantgw::control::rows::{self, BadRow, HolderRow, JobRow, ProgressRow, StepRow, TaskRow};
+use currantgw::kernel::clock::Clock;
+use proptest::prelude::*;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
+
+/// A store of fixed rows; changes are handed out once.
+#[derive(Default)]
+struct Fixed {
+    rows: Vec<Row>,
+    feed: Mutex<Vec<Change>>,
+}
+
+#[tide::utils::async_trait]
+impl Store for Fixed {
+    async fn commit(&self, _: &Txn, _: u64) -> Result<Commit, CommitError> {
+        Err(CommitError::NotDone("a store to read from".into()))
+    }
+
+    async fn page(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: Option<&str>,
+    ) -> Result<Page, ReadError> {
+        let within = |k: &Key| k.key.as_str() >= from && to.is_none_or(|t| k.key.as_str() < t);
+        let of = |r: &&Row| r.key.table == table && r.key.part == part && within(&r.key);
+        Ok(Page { rows: self.rows.iter().filter(of).cloned().collect(), more: false, version: 9 })
+    }
+
+    async fn changes(&self, table: &str, _: u64, _: u64) -> Result<Changes, ReadError> {
+        let of = |c: &Change| matches!(c, Change::Put(r) if r.key.table == table);
+        let mut feed = self.feed.lock().unwrap();
+        let (rows, rest) = std::mem::take(&mut *feed).into_iter().partition(of);
+        *feed = rest;
+        Ok(Changes { rows, version: 12 })
+    }
+}
+
+fn job() -> JobRow {
+    let step = Step { count: 2, estimate: 900, ..Step::default() };
+    let next = Step { count: 1, after: vec![0], ..Step::default() };
+    let spec = JobSpec { payload: "s".into(), steps: vec![step, next], ..JobSpec::default() };
+    JobRow { queue: "q".into(), at: 1_700_000_000_000, spec }
+}
+
+fn progress() -> ProgressRow {
+    let task = TaskRow(Attempt(2), 1, false, "runner".into(), "c".into());
+    let done = TaskRow(Attempt(1), 0, true, String::new(), String::new());
+    let first = StepRow(0, Attempt(0), vec![task, done.clone()], BTreeSet::from([Attempt(1)]));
+    let second = StepRow(0, Attempt(0), vec![done], BTreeSet::new());
+    ProgressRow { state: JobState::Running, ended: 0, steps: vec![first, second] }
+}
+
+fn holder() -> HolderRow {
+    let links = Some("127.0.0.1:9000".parse().unwrap());
+    HolderRow { node: "n".into(), life: 7, links, size: 250 }
+}
+
+/// Ids in parts of their own.
+fn id(n: u64) -> JobId {
+    JobId(n << 58 | n)
+}
+
+fn row(key: Key, value: Vec<u8>, version: u64) -> Row {
+    Row { key, value, version }
+}
+
+/// Rows that are none: empty, noise, cut short, with bytes behind, of another table, or absurd.
+fn bad_values(whole: &[u8]) -> Vec<Vec<u8>> {
+    let mut longer = whole.to_vec();
+    longer.push(0);
+    let deep = vec![0x81; 5_000];
+    vec![
+        Vec::new(),
+        b"junk".to_vec(),
+        vec![0xff; 40],
+        whole[..whole.len() - 1].to_vec(),
+        whole[..whole.len() / 2].to_vec(),
+        longer,
+        deep,
+        rows::encode(&7),
+        rows::encode(&holder()),
+    ]
+}
+
+async fn followed(store: Fixed) -> Mirror {
+    let clock = Clock::real();
+    let mirror = Mirror::new(Arc::new(store), Arc::new(Pulse::new(clock.clone())), clock);
+    for table in [Table::Jobs, Table::Progress] {
+        mirror.poll(table, 0).await.unwrap();
+    }
+    mirror
+}
+
+/// Symptom: no instance can take over, or it knows no job. Sequence: another program, or a version
+/// of this one, writes a row that cannot be read; a candidate reads the tables.
+/// Cause: none seen. What would be one is an error for the row that ends the read of the table.
+#[async_std::test]
+async fn a_successor_finds_every_readable_row_beside_unreadable_ones() {
+    let bad_jobs = bad_values(&rows::encode(&job()));
+    let bad_progress = bad_values(&rows::encode(&progress()));
+    let mut all = Vec::new();
+    for n in 0..20 {
+        all.push(row(rows::job_key(id(n)), rows::encode(&job()), n + 1));
+        all.push(row(rows::progress_key(id(n)), rows::encode(&progress()), n + 1));
+    }
+    for (n, value) in (20..).zip(&bad_jobs) {
+        all.push(row(rows::job_key(id(n)), value.clone(), n));
+        all.push(row(rows::progress_key(id(n)), rows::encode(&progress()), n));
+    }
+    for (n, value) in (40..).zip(&bad_progress) {
+        all.push(row(rows::job_key(id(n)), rows::encode(&job()), n));
+        all.push(row(rows::progress_key(id(n)), value.clone(), n));
+    }
+    for (key, value) in [("", b"".to_vec()), ("x.cancel", b"1".to_vec()), ("\u{1}", vec![255])] {
+        all.push(row(Key::new(rows::JOBS, "00", key), value.clone(), 3));
+        all.push(row(Key::new(rows::PROGRESS, rows::CELL, key), value, 3));
+    }
+    let mirror = followed(Fixed { rows: all, ..Fixed::default() }).await;
+    let found = mirror.snapshot();
+    let ids: BTreeSet<JobId> = found.iter().map(|f| f.id).collect();
+    let readable = (0..20).chain((40..).take(bad_progress.len()));
+    assert_eq!(ids, readable.map(id).collect());
+    for f in &found {
+        let with = f.id < id(20);
+        assert_eq!(f.progress.as_ref().map(|(_, p)| p), with.then(progress).as_ref(), "{}", f.id);
+        assert_eq!(*f.row, job());
+    }
+}
+
+/// The same by the feed: an unreadable row neither stops the rows behind it nor takes away what is
+/// known of its job.
+#[async_std::test]
+async fn the_feed_goes_on_past_rows_that_cannot_be_read() {
+    let known = vec![
+        row(rows::job_key(id(1)), rows::encode(&job()), 1),
+        row(rows::progress_key(id(1)), rows::encode(&progress()), 2),
+    ];
+    let put = |key, value, version| Change::Put(row(key, value, version));
+    let feed = vec![
+        put(rows::job_key(id(1)), b"junk".to_vec(), 10),
+        put(rows::job_key(id(2)), rows::encode(&job()), 11),
+        put(rows::progress_key(id(1)), b"junk".to_vec(), 11),
+        put(rows::progress_key(id(2)), rows::encode(&progress()), 12),
+    ];
+    let mirror = followed(Fixed { rows: known, feed: Mutex::new(feed) }).await;
+    for table in [Table::Jobs, Table::Progress] {
+        assert_eq!(mirror.poll(table, 0).await, Ok(2));
+        assert_eq!(mirror.followed(table), Some(12));
+    }
+    let found = mirror.snapshot();
+    let versions: Vec<Option<u64>> =
+        found.iter().map(|f| f.progress.as_ref().map(|(v, _)| *v)).collect();
+    assert_eq!(versions, [Some(2), Some(12)]);
+}
+
+fn refused<T: DeserializeOwned + std::fmt::Debug>(value: &impl Serialize, what: &str) {
+    match rows::decode::<T>(&rows::encode(value)) {
+        Err(BadRow::Unreadable(why)) => assert!(why.contains(what), "{why}"),
+        other => panic!("{what}: {other:?}"),
+    }
+}
+
+/// Symptom: each scheduler dies as it takes over, one after the other. Sequence: a row says that a
+/// step has four thousand million tasks, or waits for a step that does not exist. Cause: what a
+/// submission is checked for was not checked again when its row was read.
+#[test]
+fn a_job_that_would_not_be_accepted_is_not_read_either() {
+    let bent = |change: fn(&mut JobRow)| {
+        let mut row = job();
+        change(&mut row);
+        row
+    };
+    refused::<JobRow>(&bent(|r| r.spec.steps[0].count = u32::MAX), "count");
+    refused::<JobRow>(&bent(|r| r.spec.steps[0].count = 0), "count");
+    refused::<JobRow>(&bent(|r| r.spec.steps[1].after = vec![9]), "after");
+    refused::<JobRow>(&bent(|r| r.spec.steps[0].need.cpu = u64::MAX), "cpu");
+    refused::<JobRow>(&bent(|r| r.spec.steps[0].estimate = u64::MAX), "times");
+    refused::<JobRow>(&bent(|r| r.spec.steps[0].tail_ms = u64::MAX), "times");
+    refused::<JobRow>(&bent(|r| r.spec.first_ms = u64::MAX), "first_run_ms");
+    refused::<JobRow>(&bent(|r| r.spec.every_ms = u64::MAX), "interval_ms");
+    refused::<JobRow>(&bent(|r| r.spec.times = u32::MAX), "tasks");
+    refused::<JobRow>(&bent(|r| r.spec.steps.clear()), "phases");
+    refused::<JobRow>(&bent(|r| r.at = u64::MAX), "moment");
+}
+
+/// Symptom: the scheduler stops, or a task is started with a number it had before. Sequence: a row
+/// names the highest attempt there is, and the next one overflows; likewise failures, and the
+/// time until an ended job is forgotten. Cause: numbers of rows were taken as they are.
+#[test]
+fn progress_beyond_all_bounds_is_not_read() {
+    let bent = |change: fn(&mut ProgressRow)| {
+        let mut row = progress();
+        change(&mut row);
+        row
+    };
+    let beyond = Attempt(Attempt::LAST + 1);
+    assert_eq!(beyond.0 - 1, Attempt::try_from(Attempt::LAST).unwrap().0);
+    refused::<ProgressRow>(&bent(|r| r.steps[0].2[0].0 = Attempt(u32::MAX)), "attempt");
+    refused::<ProgressRow>(&bent(|r| r.steps[0].1 = Attempt(u32::MAX)), "attempt");
+    refused::<ProgressRow>(&bent(|r| r.steps[0].3.extend([Attempt(u32::MAX)])), "attempt");
+    refused::<ProgressRow>(&bent(|r| r.steps[0].2[0].1 = u32::MAX), "failures");
+    refused::<ProgressRow>(&bent(|r| r.steps[0].0 = u32::MAX), "failures");
+    refused::<ProgressRow>(&bent(|r| r.ended = u64::MAX), "moment");
+    refused::<HolderRow>(&HolderRow { size: u64::MAX, ..holder() }, "size");
+}
+
+/// The fields of a row as CBOR.
+fn fields(value: &impl Serialize) -> Vec<(Value, Value)> {
+    match ciborium::from_reader(rows::encode(value).as_slice()).unwrap() {
+        Value::Map(fields) => fields,
+        other => panic!("not a map: {other:?}"),
+    }
+}
+
+/// Decodes `whole` with each field in turn missing, null or of another type; `accepts` tells which of
+/// these are read all the same.
+fn bend<T: Serialize + DeserializeOwned>(whole: &T, accepts: &[(&str, Option<Value>)]) {
+    let values = [
+        None,
+        Some(Value::Null),
+        Some(Value::Bool(true)),
+        Some(Value::Integer((-1).into())),
+        Some(Value::Float(1e30)),
+        Some(Value::Text("READY".into())),
+        Some(Value::Bytes(vec![255])),
+        Some(Value::Array(vec![Value::Null])),
+        Some(Value::Map(Vec::new())),
+    ];
+    for at in 0..fields(whole).len() {
+        for value in &values {
+            let mut bent = fields(whole);
+            let name = bent[at].0.as_text().unwrap().to_string();
+            match value {
+                Some(v) => bent[at].1 = v.clone(),
+                None => drop(bent.remove(at)),
+            }
+            let got = rows::decode::<T>(&rows::encode(&Value::Map(bent)));
+            let fine = accepts.iter().any(|(n, v)| *n == name && v == value);
+            assert_eq!(got.is_ok(), fine, "{name} {value:?}");
+        }
+    }
+}
+
+#[test]
+fn every_field_of_a_row_is_of_its_type() {
+    let text = |name| (name, Some(Value::Text("READY".into())));
+    bend(&job(), &[text("queue")]);
+    bend(&progress(), &[]);
+    let links = [("links", None), ("links", Some(Value::Null))];
+    bend(&holder(), &[text("node"), links[0].clone(), links[1].clone(), ("size", None)]);
+    // Steps that were stored before attempts without an end were.
+    let old = (0u32, 0u32, Vec::<TaskRow>::new());
+    assert_eq!(rows::decode::<StepRow>(&rows::encode(&old)).unwrap().3, BTreeSet::new());
+}
+
+#[test]
+fn bytes_that_are_no_row_are_typed_errors() {
+    let whole = rows::encode(&progress());
+    for value in bad_values(&whole) {
+        assert!(rows::decode::<ProgressRow>(&value).is_err(), "{value:02x?}");
+    }
+    let mut longer = whole;
+    longer.extend([1, 2]);
+    assert_matches!(rows::decode::<ProgressRow>(&longer), Err(BadRow::Trailing(2)));
+}
+
+fn sound(p: &ProgressRow) -> bool {
+    let attempt = |a: &Attempt| a.0 <= Attempt::LAST;
+    let task = |t: &TaskRow| attempt(&t.0) && t.1 <= Attempt::LAST;
+    let step = |s: &StepRow| attempt(&s.1) && s.2.iter().all(task) && s.3.iter().all(attempt);
+    p.ended <= model::MAX_MOMENT && p.steps.iter().all(step)
+}
+
+/// `whole` with a byte changed, or cut off there.
+fn damaged(whole: Vec<u8>) -> impl Strategy<Value = Vec<u8>> {
+    let len = whole.len();
+    (0..len, any::<u8>(), any::<bool>()).prop_map(move |(at, b, cut)| {
+        let mut out = whole.clone();
+        out[at] = b;
+        out.truncate(if cut { at } else { len });
+        out
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn damaged_jobs_are_errors_or_jobs_that_would_be_accepted(
+        value in damaged(rows::encode(&job()))
+    ) {
+        if let Ok(row) = rows::decode::<JobRow>(&value) {
+            prop_assert_eq!(row.spec.check(), Ok(()));
+            prop_assert!(row.at <= model::MAX_MOMENT);
+        }
+    }
+
+    #[test]
+    fn damaged_progress_is_an_error_or_within_bounds(
+        value in damaged(rows::encode(&progress()))
+    ) {
+        prop_assert!(rows::decode::<ProgressRow>(&value).map_or(true, |p| sound(&p)));
+    }
+
+    #[test]
+    fn any_bytes_are_read_or_refused(value in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _ = rows::decode::<JobRow>(&value);
+        let _ = rows::decode::<ProgressRow>(&value);
+        let _ = rows::decode::<HolderRow>(&value);
+        let _ = rows::job_of(&String::from_utf8_lossy(&value));
+    }
+
+    #[test]
+    fn rows_survive_the_way_there_and_back(
+        at in 0..=model::MAX_MOMENT,
+        attempt in 0..=Attempt::LAST,
+        payload in ".{0,40}",
+    ) {
+        let mut row = job();
+        (row.at, row.spec.payload) = (at, payload);
+        prop_assert_eq!(&rows::decode::<JobRow>(&rows::encode(&row)).unwrap(), &row);
+        let mut p = progress();
+        p.steps[0].2[0].0 = Attempt(attempt);
+        prop_assert_eq!(&rows::decode::<ProgressRow>(&rows::encode(&p)).unwrap(), &p);
+    }
+}
