The adapter's decoders: an unreadable entry costs no other, and no number is taken unbounded

Decisions: - ends: an unreadable one says nothing, the others hold; they are taken in order of their numbers; if there is no readable one, the look takes 200 ms; - runs: what a runner does not list is written off and started elsewhere, so leaving a run out would start its task twice. An unreadable run makes the whole answer count as none (the lease is not extended); only a text that is no task's name is left out, since no order of ours carries it.

Ruled out: dropping unreadable runs like ends (twice-started tasks); reading the unknown way to end as "stopped" (a claim that nobody made).

Tests: tests/platform_decoders.rs, tables over every field in eleven ways of bending it, damage of each byte and JSON of any shape (proptest).

--- /dev/null
+++ b/tests/platform_decoders.rs
@@ -0,0 +1,721 @@
+//! What the adapter's decoders make of bytes that other programs have written: every field missing,
+//! null, of another type, negative, enormous or in other letters, and bytes that are cut or noise.
+//! Each case says what the decoder must answer: a typed error, or the part that can be read.
+
+use assert_matches::assert_matches;
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::TcpListener;
+use currantgw::control::model::{self, Attempt, Catalogue, EndKind, Invalid, JobSpec};
+use currantgw::control::ports::{AdviceError, Hold, Refusal, RunnerCall, Runners};
+use currantgw::http::Conns;
+use currantgw::kernel::clock::Clock;
+use currantgw::platform::advice::{self, BadApproval};
+use currantgw::platform::callers;
+use currantgw::platform::catalogue::{self, BadCatalogue, BadRoute};
+use currantgw::platform::runners::{self, BadItem, BadReport, RunnerCalls};
+use proptest::prelude::*;
+use serde_json::{json, Value};
+use std::time::{Duration, Instant};
+
+const TASK: &str = "5c0e7a21d94b36f8.0.1.17";
+const ENDED: &str = "5c0e7a21d94b36f8.0.1.9";
+
+/// Bytes that are no JSON object.
+const NOISE: [&[u8]; 7] = [b"", b"\xff\xfe", b"{", b"7", b"null", b"{\"version\":", &[0; 64]];
+
+/// A field's value is replaced by one of these.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Bent {
+    Missing,
+    Null,
+    Flag,
+    Text,
+    Other,
+    List,
+    Object,
+    Negative,
+    Fraction,
+    Past64,
+    Enormous,
+}
+
+const BENT: [Bent; 11] = [
+    Bent::Missing,
+    Bent::Null,
+    Bent::Flag,
+    Bent::Text,
+    Bent::Other,
+    Bent::List,
+    Bent::Object,
+    Bent::Negative,
+    Bent::Fraction,
+    Bent::Past64,
+    Bent::Enormous,
+];
+
+impl Bent {
+    fn value(self) -> Option<Value> {
+        Some(match self {
+            Self::Missing => return None,
+            Self::Null => Value::Null,
+            Self::Flag => json!(true),
+            Self::Text => json!(""),
+            Self::Other => json!("READY"),
+            Self::List => json!([[]]),
+            Self::Object => json!({"a": 1}),
+            Self::Negative => json!(-1),
+            Self::Fraction => json!(0.5),
+            Self::Past64 => json!(1e30),
+            Self::Enormous => json!(u64::MAX),
+        })
+    }
+
+    /// `whole` with the field at `path` bent.
+    fn apply(self, whole: &Value, path: &str) -> Vec<u8> {
+        let mut v = whole.clone();
+        let (parent, field) = path.rsplit_once('/').unwrap();
+        let inside = v.pointer_mut(parent).unwrap();
+        match (self.value(), inside) {
+            (Some(new), Value::Object(o)) => drop(o.insert(field.to_string(), new)),
+            (None, Value::Object(o)) => drop(o.remove(field)),
+            (Some(new), Value::Array(a)) => a[field.parse::<usize>().unwrap()] = new,
+            (None, Value::Array(a)) => a.truncate(field.parse().unwrap()),
+            (_, other) => panic!("{other} has no fields"),
+        }
+        v.to_string().into_bytes()
+    }
+}
+
+/// Calls `check` with each way of bending each of the fields.
+fn bend(whole: &Value, paths: &[&str], check: impl Fn(&str, Bent, &[u8])) {
+    for path in paths {
+        assert!(whole.pointer(path).is_some(), "{path}");
+        for bent in BENT {
+            check(path, bent, &bent.apply(whole, path));
+        }
+    }
+}
+
+fn bytes(v: &Value) -> Vec<u8> {
+    v.to_string().into_bytes()
+}
+
+/// A byte of `whole` changed, or all from there on cut off.
+fn damaged(whole: &Value) -> impl Strategy<Value = Vec<u8>> {
+    let whole = bytes(whole);
+    let len = whole.len();
+    (0..len, any::<u8>(), any::<bool>()).prop_map(move |(at, b, cut)| {
+        let mut out = whole.clone();
+        out[at] = b;
+        out.truncate(if cut { at } else { len });
+        out
+    })
+}
+
+/// JSON of any shape around the names that the decoders know.
+fn any_json() -> impl Strategy<Value = Value> {
+    let names = [
+        "version",
+        "routes",
+        "name",
+        "clock_ms",
+        "active",
+        "finished",
+        "approved",
+        "phases",
+        "count",
+        "after",
+        "spec",
+        "reason",
+        "validity_ms",
+        "cpu",
+        "estimate_ms",
+        "slack_factor",
+    ];
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<u64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        "[ -~]{0,20}".prop_map(Value::from),
+        Just(json!(TASK)),
+        Just(json!("done")),
+    ];
+    leaf.prop_recursive(4, 48, 6, move |inner| {
+        let field = (prop::sample::select(names.to_vec()), inner.clone());
+        let fields = prop::collection::vec(field, 0..6);
+        let named = |(name, v): (&str, Value)| (name.to_string(), v);
+        prop_oneof![
+            prop::collection::vec(inner, 0..6).prop_map(Value::from),
+            fields.prop_map(move |f| Value::Object(f.into_iter().map(named).collect())),
+        ]
+    })
+}
+
+mod the_catalogue {
+    use super::*;
+
+    fn good() -> Value {
+        json!({"version": 7, "routes": [
+            {"name": "a", "host": "h.example", "path_prefix": "/x/", "service": "s",
+             "priority": 0, "max_attempts": 3, "slack_factor": 2.2, "target_latency_ms": 250,
+             "timeout_ms": 3000,
+             "recommendation": {"decision_ms": 6.5, "per_item_ms": 0.1, "validity_ms": 2000}},
+            {"name": "b", "host": "h.example", "path_prefix": "/y/", "service": "s"},
+        ]})
+    }
+
+    fn bounded(cat: &Catalogue) -> bool {
+        let span = |ms: f64| (0.0..=model::MAX_MS as f64).contains(&ms);
+        cat.queues.iter().all(|(name, q)| {
+            let asked = q.approval.is_none_or(|a| span(a.base_ms) && span(a.each_ms));
+            let times = q.latency_ms.max(q.timeout_ms) <= model::MAX_MS;
+            let sound = (0.0..=1_000.0).contains(&q.slack) && q.max_fails > 0;
+            *name == q.name && !q.prefix.is_empty() && asked && times && sound
+        })
+    }
+
+    /// Symptom: all queues stay as they were, or one orders all others. Sequence: another program
+    /// writes one route with a field missing, of another type or absurd. Cause: the routes
+    /// were read all together, and any number was taken for a time or a factor.
+    #[test]
+    fn a_route_that_cannot_be_read_costs_no_other() {
+        let texts =
+            ["/routes/0/name", "/routes/0/host", "/routes/0/path_prefix", "/routes/0/service"];
+        bend(&good(), &texts, |path, bent, body| {
+            let read = catalogue::read(body).unwrap();
+            let names: Vec<&str> = read.catalogue.queues.keys().map(String::as_str).collect();
+            match bent {
+                Bent::Other if path.ends_with("name") => assert_eq!(names, ["READY", "b"]),
+                Bent::Other => assert_eq!(names, ["a", "b"], "{path}"),
+                Bent::Text => assert_matches!(read.bad[..], [BadRoute::Empty(_)]),
+                _ => assert_matches!(read.bad[..], [BadRoute::Unreadable(_)], "{path} {bent:?}"),
+            }
+            assert!(names.contains(&"b") && bounded(&read.catalogue));
+        });
+        let numbers = ["/routes/0/priority", "/routes/0/max_attempts"];
+        let factors = [
+            "/routes/0/slack_factor",
+            "/routes/0/target_latency_ms",
+            "/routes/0/timeout_ms",
+            "/routes/0/recommendation/decision_ms",
+            "/routes/0/recommendation/per_item_ms",
+            "/routes/0/recommendation/validity_ms",
+        ];
+        for (paths, fraction) in [(&numbers[..], false), (&factors[..], true)] {
+            bend(&good(), paths, |path, bent, body| {
+                let read = catalogue::read(body).unwrap();
+                let holds = bent == Bent::Missing || (fraction && bent == Bent::Fraction);
+                assert_eq!(read.bad.is_empty(), holds, "{path} {bent:?}");
+                assert_eq!(read.catalogue.queues.len(), if holds { 2 } else { 1 });
+                assert!(bounded(&read.catalogue), "{path} {bent:?}");
+            });
+        }
+        bend(&good(), &["/routes/0/recommendation"], |_, bent, body| {
+            let queues = catalogue::read(body).unwrap().catalogue.queues;
+            match bent {
+                Bent::Missing | Bent::Null => assert_eq!(queues["a"].approval, None),
+                // A policy whose costs are all left out.
+                Bent::Object => assert_eq!(queues["a"].approval.map(|a| a.valid_ms), Some(0)),
+                _ => assert!(!queues.contains_key("a"), "{bent:?}"),
+            }
+        });
+        bend(&good(), &["/routes/0"], |_, bent, body| {
+            let read = catalogue::read(body).unwrap();
+            // Cutting the list at the first route leaves none, which a configuration may have.
+            let left = if bent == Bent::Missing { (0, 0) } else { (1, 1) };
+            assert_eq!((read.catalogue.queues.len(), read.bad.len()), left, "{bent:?}");
+        });
+    }
+
+    #[test]
+    fn the_first_of_two_routes_of_one_name_holds() {
+        let mut two = good();
+        two["routes"][1]["name"] = json!("a");
+        let read = catalogue::read(&bytes(&two)).unwrap();
+        assert_eq!(read.bad, [BadRoute::Twice("a".into())]);
+        assert_eq!(read.catalogue.queues["a"].prefix, "/x/");
+    }
+
+    /// Symptom: no request finds its queue, or no later configuration comes into force.
+    /// Sequence: a row that is no configuration, or with a version that nothing exceeds, is
+    /// taken for the newest one. Cause: no bound, and no difference between empty and unreadable.
+    #[test]
+    fn a_configuration_that_cannot_be_read_leaves_the_last_one_in_force() {
+        bend(&good(), &["/version"], |_, bent, body| match bent {
+            Bent::Enormous => assert_matches!(catalogue::read(body), Err(BadCatalogue::Version(_))),
+            _ => {
+                assert_matches!(catalogue::read(body), Err(BadCatalogue::Unreadable(_)), "{bent:?}")
+            }
+        });
+        bend(&good(), &["/routes"], |_, bent, body| match bent {
+            Bent::Missing => assert!(catalogue::read(body).unwrap().catalogue.queues.is_empty()),
+            Bent::List => {
+                assert_matches!(catalogue::read(body), Err(BadCatalogue::Routes { count: 1, .. }));
+            }
+            _ => {
+                assert_matches!(catalogue::read(body), Err(BadCatalogue::Unreadable(_)), "{bent:?}")
+            }
+        });
+        for body in NOISE {
+            assert_matches!(catalogue::decode(body), Err(BadCatalogue::Unreadable(_)));
+        }
+        let other = good().to_string().replace("version", "Version").into_bytes();
+        assert_matches!(catalogue::read(&other), Err(BadCatalogue::Unreadable(_)));
+    }
+
+    proptest! {
+        #[test]
+        fn damage_yields_an_error_or_queues_within_bounds(body in damaged(&good())) {
+            if let Ok(read) = catalogue::read(&body) {
+                prop_assert!(bounded(&read.catalogue));
+            }
+            let _ = catalogue::decode(&body);
+        }
+
+        #[test]
+        fn any_json_yields_an_error_or_queues_within_bounds(v in any_json()) {
+            for body in [v.clone(), json!({"version": 1, "routes": [v]})] {
+                if let Ok(read) = catalogue::read(&bytes(&body)) {
+                    prop_assert!(bounded(&read.catalogue));
+                }
+            }
+        }
+    }
+}
+
+mod a_submission {
+    use super::*;
+
+    fn good() -> Value {
+        json!({"spec": "s", "first_run_ms": 1_700_000_000_000u64, "interval_ms": 500,
+            "repeat_count": 2, "phases": [
+            {"count": 2, "cpu": 500, "mem_mb": 256, "gpu": 1, "estimate_ms": 900},
+            {"count": 1, "cpu": 1, "mem_mb": 1, "gpu": 0, "estimate_ms": 9.5, "after": [0],
+             "checkpointing": true, "gang": true, "rack_local": true, "requires": "a",
+             "data_locality": "r1-3", "anti_affinity": 1, "speculative": true,
+             "long_running": true, "image": "i", "target_ms": 80, "fill_count": true,
+             "max_unavailable": 1},
+        ]})
+    }
+
+    fn bounded(job: &JobSpec) -> bool {
+        let need = |s: &model::Step| s.need.cpu.max(s.need.mem).max(s.need.acc);
+        let step = |s: &model::Step| {
+            need(s) <= model::MAX_NEED && s.estimate.max(s.tail_ms) <= model::MAX_MS
+        };
+        let last = job.due(job.occurrences()).is_none_or(|due| due < 1 << 60);
+        job.check().is_ok() && job.steps.iter().all(step) && last
+    }
+
+    /// Symptom: one caller's job stops the scheduler, or throws the order of all others over.
+    /// Sequence: a job asks for 2^64 - 1 thousandths of a core, or is estimated at 10^30 ms or at
+    /// -1 ms; sums over what waits overflow. Cause: any number was taken, negative times for 0.
+    #[test]
+    fn every_field_is_refused_or_within_bounds() {
+        let good = good();
+        let texts = ["/spec", "/phases/1/requires", "/phases/1/data_locality", "/phases/1/image"];
+        let flags =
+            ["checkpointing", "gang", "rack_local", "speculative", "long_running", "fill_count"];
+        let flags = flags.map(|f| format!("/phases/1/{f}"));
+        let flags: Vec<&str> = flags.iter().map(String::as_str).collect();
+        let counts = [
+            "/first_run_ms",
+            "/interval_ms",
+            "/repeat_count",
+            "/phases/1/anti_affinity",
+            "/phases/1/max_unavailable",
+            "/phases/1/cpu",
+            "/phases/1/mem_mb",
+            "/phases/1/gpu",
+        ];
+        let times = ["/phases/1/estimate_ms", "/phases/1/target_ms"];
+        let kinds: [(&[&str], &[Bent]); 4] = [
+            (&texts, &[Bent::Missing, Bent::Text, Bent::Other]),
+            (&flags, &[Bent::Missing, Bent::Flag]),
+            (&counts, &[Bent::Missing]),
+            (&times, &[Bent::Missing, Bent::Fraction]),
+        ];
+        for (paths, accepted) in kinds {
+            bend(&good, paths, |path, bent, body| {
+                let got = callers::job(body);
+                assert_eq!(got.is_ok(), accepted.contains(&bent), "{path} {bent:?} {got:?}");
+                assert!(got.is_ok_and(|job| bounded(&job)) || !accepted.contains(&bent));
+            });
+        }
+        bend(&good, &["/phases/1/after"], |_, bent, body| {
+            assert_eq!(callers::job(body).is_ok(), bent == Bent::Missing, "{bent:?}");
+        });
+        bend(&good, &["/phases/1/count", "/phases/1", "/phases"], |path, bent, body| {
+            let left = path == "/phases/1" && bent == Bent::Missing;
+            assert_eq!(callers::job(body).is_ok(), left, "{path} {bent:?}");
+        });
+    }
+
+    #[test]
+    fn what_is_wrong_is_named() {
+        let with = |path: &str, v: Value| {
+            let mut body = good();
+            *body.pointer_mut(path).unwrap() = v;
+            callers::job(&bytes(&body))
+        };
+        let need = model::MAX_NEED;
+        assert_matches!(with("/phases/1/cpu", json!(need)), Ok(_));
+        assert_matches!(with("/phases/1/cpu", json!(need + 1)), Err(Invalid::Need(1)));
+        assert_matches!(with("/phases/0/gpu", json!(u64::MAX)), Err(Invalid::Need(0)));
+        assert_matches!(with("/first_run_ms", json!(u64::MAX)), Err(Invalid::Schedule));
+        assert_matches!(with("/interval_ms", json!(model::MAX_MS + 1)), Err(Invalid::Schedule));
+        assert_matches!(with("/phases/1/after", json!([1])), Err(Invalid::After(1)));
+        assert_matches!(with("/phases/1/after", json!([u32::MAX])), Err(Invalid::After(1)));
+        assert_matches!(with("/phases/0/count", json!(1_001)), Err(Invalid::Count(0)));
+        assert_matches!(with("/phases/0/count", json!(u32::MAX)), Err(Invalid::Count(0)));
+        assert_matches!(with("/repeat_count", json!(u32::MAX)), Err(Invalid::Tasks));
+        let why = with("/phases/0/estimate_ms", json!(-1)).unwrap_err().to_string();
+        assert!(why.contains("-1.0 ms is not between"), "{why}");
+        let mut stored = callers::job(&bytes(&good())).unwrap();
+        stored.steps[1].estimate = model::MAX_MS + 1;
+        assert_eq!(stored.check(), Err(Invalid::Time(1)));
+        for body in NOISE {
+            assert_matches!(callers::job(body), Err(Invalid::Body(_)));
+        }
+        // Names are read as they are written: a field in other letters is one that is not known.
+        let other = good().to_string().replace("phases", "Phases");
+        assert_matches!(callers::job(other.as_bytes()), Err(Invalid::Steps));
+        let twice = br#"{"phases":[{"count":1,"count":2}]}"#;
+        assert_matches!(callers::job(twice), Err(Invalid::Body(_)));
+        let not_text = b"{\"spec\":\"\xff\",\"phases\":[{\"count\":1}]}";
+        assert_matches!(callers::job(not_text), Err(Invalid::Body(_)));
+    }
+
+    proptest! {
+        #[test]
+        fn damage_yields_an_error_or_a_job_within_bounds(body in damaged(&good())) {
+            prop_assert!(callers::job(&body).map_or(true, |job| bounded(&job)));
+        }
+
+        #[test]
+        fn any_json_yields_an_error_or_a_job_within_bounds(v in any_json()) {
+            for body in [v.clone(), json!({"phases": [v]})] {
+                prop_assert!(callers::job(&bytes(&body)).map_or(true, |job| bounded(&job)));
+            }
+        }
+    }
+}
+
+mod a_runners_answer {
+    use super::*;
+
+    fn good() -> Value {
+        json!({"clock_ms": 482_113,
+            "active": [[TASK, 2, "00000bb87a21d94b", 41, 0.5]],
+            "finished": [[58, ENDED, 1, "done", ""], [59, TASK, 1, "failed", "c"]]})
+    }
+
+    fn bounded(read: &runners::Read) -> bool {
+        let r = &read.report;
+        let runs = r.active.iter().all(|a| {
+            let percent = a.percent == 0.0 || (0.01..=100.0).contains(&a.percent);
+            a.attempt > Attempt(0) && a.attempt.0 <= Attempt::LAST && percent && a.load >= 0.0
+        });
+        let numbers: Vec<u64> = r.ends.iter().map(|e| e.number).collect();
+        let rising = numbers.is_sorted_by(|a, b| a < b);
+        runs && rising && r.clock < 1 << 50 && numbers.iter().all(|n| (1..=1 << 32).contains(n))
+    }
+
+    #[test]
+    fn a_whole_answer_is_read() {
+        let read = runners::report(&bytes(&good())).unwrap();
+        assert_eq!((read.report.clock, read.bad.len()), (482_113, 0));
+        let run = &read.report.active[0];
+        assert_eq!((run.attempt, run.percent, run.load), (Attempt(2), 41.0, 0.5));
+        let kinds: Vec<EndKind> = read.report.ends.iter().map(|e| e.kind).collect();
+        assert_eq!(kinds, [EndKind::Done, EndKind::Failed]);
+        let bare =
+            json!({"clock_ms": 1, "active": [[TASK, 1]], "finished": [[1, TASK, 1, "done"]]});
+        let read = runners::report(&bytes(&bare)).unwrap();
+        assert_eq!((read.report.active.len(), read.report.ends.len()), (1, 1));
+        // A later version of the protocol may add figures to an entry.
+        let more = json!({"clock_ms": 1, "active": [[TASK, 1, "", 3, 0.1, "new"]]});
+        assert_eq!(runners::report(&bytes(&more)).unwrap().report.active.len(), 1);
+    }
+
+    /// Symptom: a task runs twice. Sequence: a runner lists a run in a way that cannot be read; the
+    /// run is left out of the list; what is not listed counts as gone and is started elsewhere.
+    /// Cause: entries that could not be read were dropped without a word. Now the whole
+    /// answer counts as none, but for runs of tasks that cannot be ours.
+    #[test]
+    fn a_run_that_cannot_be_read_is_never_left_out() {
+        bend(&good(), &["/active/0/0", "/active/0/1"], |path, bent, body| {
+            let got = runners::report(body);
+            match bent {
+                Bent::Text | Bent::Other if path.ends_with("/0") => {
+                    let read = got.unwrap();
+                    assert!(read.report.active.is_empty() && read.report.ends.len() == 2);
+                    assert_matches!(read.bad[..], [BadItem::Task(_)]);
+                }
+                _ => assert_matches!(got, Err(BadReport::Active(_)), "{path} {bent:?}"),
+            }
+        });
+        for attempt in [json!(0), json!(Attempt::LAST + 1), json!(u32::MAX), json!(1u64 << 32)] {
+            let body = json!({"clock_ms": 1, "active": [[TASK, attempt, "", 1]]});
+            let got = runners::report(&bytes(&body));
+            assert_matches!(got, Err(BadReport::Active(BadItem::Attempt)));
+        }
+        for row in [json!(null), json!(7), json!("x"), json!({}), json!([])] {
+            let got = runners::report(&bytes(&json!({"clock_ms": 1, "active": [row]})));
+            assert_matches!(got, Err(BadReport::Active(BadItem::NoTask)));
+        }
+    }
+
+    /// What is only said of a run besides does not cost the run.
+    #[test]
+    fn checkpoint_progress_and_load_are_read_as_far_as_they_can_be() {
+        bend(&good(), &["/active/0/2", "/active/0/3", "/active/0/4"], |path, bent, body| {
+            let read = runners::report(body).unwrap();
+            assert!(bounded(&read) && read.bad.is_empty(), "{path} {bent:?}");
+            assert_eq!(read.report.active.len(), 1, "{path} {bent:?}");
+        });
+        let percent = |p: Value| {
+            let body = json!({"clock_ms": 1, "active": [[TASK, 1, "", p]]});
+            runners::report(&bytes(&body)).unwrap().report.active[0].percent
+        };
+        let given = [json!(-3), json!("9"), json!(1e-300), json!(0.5), json!(100.5), json!(1e300)];
+        assert_eq!(given.map(percent), [0.0, 0.0, 0.0, 0.5, 100.0, 100.0]);
+    }
+
+    /// Symptom: the end of one task is lost, or those of all others with it. Sequence: one entry
+    /// of the ends has a field missing, of another type or absurd. Cause: such an entry either
+    /// failed the whole answer or vanished without a line in the log.
+    #[test]
+    fn an_end_that_cannot_be_read_costs_no_other() {
+        let paths = ["/finished/0/0", "/finished/0/1", "/finished/0/2", "/finished/0/3"];
+        bend(&good(), &paths, |path, bent, body| {
+            let read = runners::report(body).unwrap();
+            assert!(bounded(&read));
+            // Cutting the entry short at its last field but one leaves none of those checked.
+            assert_eq!(read.bad.len(), 1, "{path} {bent:?}");
+            assert_eq!(read.report.ends.len(), 1, "{path} {bent:?}");
+            assert_eq!(read.report.ends[0].number, 59);
+            assert_eq!(read.report.active.len(), 1);
+        });
+        bend(&good(), &["/finished/0/4"], |_, bent, body| {
+            let read = runners::report(body).unwrap();
+            assert_eq!((read.report.ends.len(), read.bad.len()), (2, 0), "{bent:?}");
+        });
+        bend(&good(), &["/finished/0"], |_, bent, body| {
+            let read = runners::report(body).unwrap();
+            let left = if bent == Bent::Missing { (0, 0) } else { (1, 1) };
+            assert_eq!((read.report.ends.len(), read.bad.len()), left, "{bent:?}");
+        });
+        for how in ["DONE", "Done", "finished", " done"] {
+            let body = json!({"clock_ms": 1, "finished": [[1, TASK, 1, how, ""]]});
+            assert_eq!(runners::report(&bytes(&body)).unwrap().bad, [BadItem::How]);
+        }
+    }
+
+    /// Symptom: the scheduler looks at one runner a thousand times a second. Sequence: the runner
+    /// lists one end, which cannot be read; it is not acknowledged, so that the runner answers each
+    /// look at once. Cause: nothing stood between two looks that brought no end.
+    #[test]
+    fn a_look_that_shows_only_unreadable_ends_takes_its_time() {
+        async_std::task::block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let addr = listener.local_addr().unwrap();
+            let server = async_std::task::spawn(async move {
+                let (mut conn, _) = listener.accept().await.unwrap();
+                let mut buf = vec![0; 4_096];
+                let _ = conn.read(&mut buf).await.unwrap();
+                let body = json!({"clock_ms": 1, "finished": [[1, TASK, 1, "ended"]]}).to_string();
+                let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+                conn.write_all((head + &body).as_bytes()).await.unwrap();
+            });
+            let calls = RunnerCalls::new(Conns::new(Clock::real()));
+            let to = RunnerCall { addr, id: "r".into() };
+            let hold = Hold { fence: 1, acked: 0, until: None, wait_ms: 1_000 };
+            let began = Instant::now();
+            let report = calls.hold(&to, &hold).await.unwrap();
+            server.await;
+            assert!(report.ends.is_empty());
+            assert!(began.elapsed() >= Duration::from_millis(200));
+        });
+    }
+
+    /// Symptom: ends are never taken in. Sequence: ends are listed out of order, or two with one
+    /// number; those at or below the highest number seen count as known. Cause: the list was
+    /// taken to be in order.
+    #[test]
+    fn ends_are_read_in_the_order_of_their_numbers() {
+        let list = [7, 5, 6, 6, 0].map(|n| json!([n, TASK, n + 1, "failed", ""]));
+        let read = runners::report(&bytes(&json!({"clock_ms": 1, "finished": list}))).unwrap();
+        let numbers: Vec<u64> = read.report.ends.iter().map(|e| e.number).collect();
+        assert_eq!((numbers, read.bad), (vec![5, 6, 7], vec![BadItem::Number; 2]));
+    }
+
+    #[test]
+    fn an_answer_without_a_clock_or_lists_is_none() {
+        bend(&good(), &["/clock_ms"], |_, bent, body| match bent {
+            Bent::Enormous => assert_matches!(runners::report(body), Err(BadReport::Clock)),
+            _ => assert_matches!(runners::report(body), Err(BadReport::Unreadable(_)), "{bent:?}"),
+        });
+        bend(&good(), &["/active", "/finished"], |path, bent, body| match bent {
+            Bent::Missing => assert!(runners::report(body).is_ok()),
+            Bent::List if path == "/active" => {
+                assert_matches!(runners::report(body), Err(BadReport::Active(BadItem::NoTask)));
+            }
+            Bent::List => assert_eq!(runners::report(body).unwrap().bad, [BadItem::Number]),
+            _ => assert_matches!(
+                runners::report(body),
+                Err(BadReport::Unreadable(_)),
+                "{path} {bent:?}"
+            ),
+        });
+        for body in NOISE {
+            assert_matches!(runners::report(body), Err(BadReport::Unreadable(_)));
+        }
+    }
+
+    /// A refusal that is not understood must not pass for one after which nothing runs.
+    #[test]
+    fn answers_to_orders_are_known_or_count_as_none() {
+        assert_eq!(runners::order(200, br#"{"clock_ms":5}"#), Ok(5));
+        let known = [
+            ("fence", Refusal::Fenced),
+            ("old", Refusal::Superseded),
+            ("late", Refusal::Expired),
+            ("room", Refusal::NoRoom),
+            ("ticket", Refusal::Ticket),
+        ];
+        for (reason, refusal) in known {
+            let body = json!({"clock_ms": 5, "reason": reason});
+            assert_eq!(runners::order(409, &bytes(&body)), Err(refusal));
+            let other = json!({"clock_ms": 5, "reason": reason.to_uppercase()});
+            assert_eq!(runners::order(409, &bytes(&other)), Err(Refusal::NoAnswer));
+        }
+        bend(&json!({"clock_ms": 5}), &["/clock_ms"], |_, bent, body| {
+            assert_eq!(runners::order(200, body), Err(Refusal::NoAnswer), "{bent:?}");
+        });
+        let refused = json!({"clock_ms": 5, "reason": "room"});
+        bend(&refused, &["/reason"], |_, bent, body| {
+            assert_eq!(runners::order(409, body), Err(Refusal::NoAnswer), "{bent:?}");
+        });
+        bend(&refused, &["/clock_ms"], |_, bent, body| {
+            assert_eq!(runners::order(409, body), Err(Refusal::NoRoom), "{bent:?}");
+        });
+        for body in NOISE {
+            assert_eq!(runners::order(200, body), Err(Refusal::NoAnswer));
+            assert_eq!(runners::order(409, body), Err(Refusal::NoAnswer));
+        }
+    }
+
+    proptest! {
+        #[test]
+        fn damage_yields_an_error_or_a_report_within_bounds(body in damaged(&good())) {
+            if let Ok(read) = runners::report(&body) {
+                prop_assert!(bounded(&read));
+            }
+            for status in [200, 409] {
+                let _ = runners::order(status, &body);
+            }
+        }
+
+        #[test]
+        fn any_json_yields_an_error_or_a_report_within_bounds(v in any_json()) {
+            let run = json!({"clock_ms": 1, "active": [v.clone()], "finished": [v.clone()]});
+            let lists = json!({"clock_ms": 1, "active": v.clone(), "finished": v.clone()});
+            for body in [v, run, lists] {
+                if let Ok(read) = runners::report(&bytes(&body)) {
+                    prop_assert!(bounded(&read));
+                }
+            }
+        }
+    }
+}
+
+mod an_approval {
+    use super::*;
+
+    fn asked() -> Vec<String> {
+        ["w1", "w2", "w3"].map(String::from).to_vec()
+    }
+
+    fn good() -> Value {
+        json!({"approved": [["w1", "t1"], ["w2", "t2"]], "validity_ms": 1500})
+    }
+
+    fn read(body: &[u8]) -> Result<advice::Read, AdviceError> {
+        advice::decode(body, &asked())
+    }
+
+    fn bounded(read: &advice::Read) -> bool {
+        let known = |t: &currantgw::control::ports::Ticket| asked().contains(&t.id);
+        let approved = &read.advice.approved;
+        approved.iter().all(|t| known(t) && !t.ticket.is_empty())
+            && approved.is_sorted_by(|a, b| a.id < b.id)
+            && read.advice.valid_ms <= model::MAX_MS
+    }
+
+    #[test]
+    fn a_row_that_cannot_be_read_approves_nothing_and_the_others_hold() {
+        bend(&good(), &["/approved/0/0", "/approved/0/1", "/approved/0"], |path, bent, body| {
+            let got = read(body).unwrap();
+            assert!(bounded(&got));
+            match (path, bent) {
+                ("/approved/0/1", Bent::Other) => assert_eq!(got.advice.approved.len(), 2),
+                // Cutting the list at its first row leaves an answer that approves none.
+                ("/approved/0", Bent::Missing) => assert!(got.advice.approved.is_empty()),
+                ("/approved/0/0", Bent::Other) => assert_eq!(got.bad, [BadApproval::NotAsked]),
+                _ => assert_eq!(got.bad, [BadApproval::Unreadable], "{path} {bent:?}"),
+            }
+        });
+        bend(&good(), &["/approved"], |_, bent, body| match bent {
+            Bent::Missing => assert!(read(body).unwrap().advice.approved.is_empty()),
+            _ => assert_eq!(read(body), Err(AdviceError::Malformed), "{bent:?}"),
+        });
+        for body in NOISE {
+            assert_eq!(read(body), Err(AdviceError::Malformed));
+        }
+    }
+
+    /// Symptom: the list of runners grows with names that are no runner's, and more runners are
+    /// approved than were asked about. Sequence: the service names others, or one twice. Cause: rows
+    /// were taken as they came.
+    #[test]
+    fn only_runners_that_were_asked_about_are_approved_each_once() {
+        let rows = json!({"approved": [["w9", "t"], ["w2", "a"], ["w2", "b"], ["W1", "t"]]});
+        let got = read(&bytes(&rows)).unwrap();
+        assert_eq!(got.bad, [BadApproval::NotAsked; 2]);
+        assert_eq!(got.advice.approved.len(), 1);
+        let none = json!({"approved": [["w9", "t"]]});
+        assert_eq!(read(&bytes(&none)), Err(AdviceError::Malformed));
+    }
+
+    /// Symptom: the scheduler stops, or a ticket never ends. Sequence: the service says that
+    /// tickets are good for 10^30 ms, and the end of that time overflows. Cause: any number was taken.
+    #[test]
+    fn a_life_of_tickets_that_makes_no_sense_counts_as_not_given() {
+        bend(&good(), &["/validity_ms"], |_, bent, body| {
+            let got = read(body).unwrap();
+            assert_eq!(got.advice.approved.len(), 2, "{bent:?}");
+            assert_eq!(got.advice.valid_ms, 0, "{bent:?}");
+        });
+    }
+
+    proptest! {
+        #[test]
+        fn damage_yields_an_error_or_approvals_within_bounds(body in damaged(&good())) {
+            if let Ok(got) = read(&body) {
+                prop_assert!(bounded(&got));
+            }
+        }
+
+        #[test]
+        fn any_json_yields_an_error_or_approvals_within_bounds(v in any_json()) {
+            for body in [v.clone(), json!({"approved": [v.clone()], "validity_ms": v})] {
+                if let Ok(got) = read(&bytes(&body)) {
+                    prop_assert!(bounded(&got));
+                }
+            }
+        }
+    }
+}
