--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -12,7 +12,8 @@
 use currantgw::platform::advice::{self, BadApproval};
 use currantgw::platform::callers;
 use currantgw::platform::catalogue::{self, BadCatalogue, BadRoute};
-use currantgw::platform::runners::{self, BadItem, BadReport, RunnerCalls};
+use currantgw::platform::reports::{self, BadItem, BadReport};
+use currantgw::platform::runners::RunnerCalls;
 use proptest::prelude::*;
 use serde_json::{json, Value};
 use std::time::{Duration, Instant};
@@ -412,7 +413,7 @@
             "finished": [[58, ENDED, 1, "done", ""], [59, TASK, 1, "failed", "c"]]})
     }
 
-    fn bounded(read: &runners::Read) -> bool {
+    fn bounded(read: &reports::Read) -> bool {
         let r = &read.report;
         let runs = r.active.iter().all(|a| {
             let percent = a.percent == 0.0 || (0.01..=100.0).contains(&a.percent);
@@ -425,7 +426,7 @@
 
     #[test]
     fn a_whole_answer_is_read() {
-        let read = runners::report(&bytes(&good())).unwrap();
+        let read = reports::report(&bytes(&good())).unwrap();
         assert_eq!((read.report.clock, read.bad.len()), (482_113, 0));
         let run = &read.report.active[0];
         assert_eq!((run.attempt, run.percent, run.load), (Attempt(2), 41.0, 0.5));
@@ -433,11 +434,11 @@
         assert_eq!(kinds, [EndKind::Done, EndKind::Failed]);
         let bare =
             json!({"clock_ms": 1, "active": [[TASK, 1]], "finished": [[1, TASK, 1, "done"]]});
-        let read = runners::report(&bytes(&bare)).unwrap();
+        let read = reports::report(&bytes(&bare)).unwrap();
         assert_eq!((read.report.active.len(), read.report.ends.len()), (1, 1));
         // A later version of the protocol may add figures to an entry.
         let more = json!({"clock_ms": 1, "active": [[TASK, 1, "", 3, 0.1, "new"]]});
-        assert_eq!(runners::report(&bytes(&more)).unwrap().report.active.len(), 1);
+        assert_eq!(reports::report(&bytes(&more)).unwrap().report.active.len(), 1);
     }
 
     /// Symptom: a task runs twice. Sequence: a runner lists a run in a way that cannot be read; the
@@ -447,7 +448,7 @@
     #[test]
     fn a_run_that_cannot_be_read_is_never_left_out() {
         bend(&good(), &["/active/0/0", "/active/0/1"], |path, bent, body| {
-            let got = runners::report(body);
+            let got = reports::report(body);
             match bent {
                 Bent::Text | Bent::Other if path.ends_with("/0") => {
                     let read = got.unwrap();
@@ -459,11 +460,11 @@
         });
         for attempt in [json!(0), json!(Attempt::LAST + 1), json!(u32::MAX), json!(1u64 << 32)] {
             let body = json!({"clock_ms": 1, "active": [[TASK, attempt, "", 1]]});
-            let got = runners::report(&bytes(&body));
+            let got = reports::report(&bytes(&body));
             assert_matches!(got, Err(BadReport::Active(BadItem::Attempt)));
         }
         for row in [json!(null), json!(7), json!("x"), json!({}), json!([])] {
-            let got = runners::report(&bytes(&json!({"clock_ms": 1, "active": [row]})));
+            let got = reports::report(&bytes(&json!({"clock_ms": 1, "active": [row]})));
             assert_matches!(got, Err(BadReport::Active(BadItem::NoTask)));
         }
     }
@@ -472,13 +473,13 @@
     #[test]
     fn checkpoint_progress_and_load_are_read_as_far_as_they_can_be() {
         bend(&good(), &["/active/0/2", "/active/0/3", "/active/0/4"], |path, bent, body| {
-            let read = runners::report(body).unwrap();
+            let read = reports::report(body).unwrap();
             assert!(bounded(&read) && read.bad.is_empty(), "{path} {bent:?}");
             assert_eq!(read.report.active.len(), 1, "{path} {bent:?}");
         });
         let percent = |p: Value| {
             let body = json!({"clock_ms": 1, "active": [[TASK, 1, "", p]]});
-            runners::report(&bytes(&body)).unwrap().report.active[0].percent
+            reports::report(&bytes(&body)).unwrap().report.active[0].percent
         };
         let given = [json!(-3), json!("9"), json!(1e-300), json!(0.5), json!(100.5), json!(1e300)];
         assert_eq!(given.map(percent), [0.0, 0.0, 0.0, 0.5, 100.0, 100.0]);
@@ -491,7 +492,7 @@
     fn an_end_that_cannot_be_read_costs_no_other() {
         let paths = ["/finished/0/0", "/finished/0/1", "/finished/0/2", "/finished/0/3"];
         bend(&good(), &paths, |path, bent, body| {
-            let read = runners::report(body).unwrap();
+            let read = reports::report(body).unwrap();
             assert!(bounded(&read));
             // Cutting the entry short at its last field but one leaves none of those checked.
             assert_eq!(read.bad.len(), 1, "{path} {bent:?}");
@@ -500,17 +501,17 @@
             assert_eq!(read.report.active.len(), 1);
         });
         bend(&good(), &["/finished/0/4"], |_, bent, body| {
-            let read = runners::report(body).unwrap();
+            let read = reports::report(body).unwrap();
             assert_eq!((read.report.ends.len(), read.bad.len()), (2, 0), "{bent:?}");
         });
         bend(&good(), &["/finished/0"], |_, bent, body| {
-            let read = runners::report(body).unwrap();
+            let read = reports::report(body).unwrap();
             let left = if bent == Bent::Missing { (0, 0) } else { (1, 1) };
             assert_eq!((read.report.ends.len(), read.bad.len()), left, "{bent:?}");
         });
         for how in ["DONE", "Done", "finished", " done"] {
             let body = json!({"clock_ms": 1, "finished": [[1, TASK, 1, how, ""]]});
-            assert_eq!(runners::report(&bytes(&body)).unwrap().bad, [BadItem::How]);
+            assert_eq!(reports::report(&bytes(&body)).unwrap().bad, [BadItem::How]);
         }
     }
 
@@ -547,7 +548,7 @@
     #[test]
     fn ends_are_read_in_the_order_of_their_numbers() {
         let list = [7, 5, 6, 6, 0].map(|n| json!([n, TASK, n + 1, "failed", ""]));
-        let read = runners::report(&bytes(&json!({"clock_ms": 1, "finished": list}))).unwrap();
+        let read = reports::report(&bytes(&json!({"clock_ms": 1, "finished": list}))).unwrap();
         let numbers: Vec<u64> = read.report.ends.iter().map(|e| e.number).collect();
         assert_eq!((numbers, read.bad), (vec![5, 6, 7], vec![BadItem::Number; 2]));
     }
@@ -555,30 +556,30 @@
     #[test]
     fn an_answer_without_a_clock_or_lists_is_none() {
         bend(&good(), &["/clock_ms"], |_, bent, body| match bent {
-            Bent::Enormous => assert_matches!(runners::report(body), Err(BadReport::Clock)),
-            _ => assert_matches!(runners::report(body), Err(BadReport::Unreadable(_)), "{bent:?}"),
+            Bent::Enormous => assert_matches!(reports::report(body), Err(BadReport::Clock)),
+            _ => assert_matches!(reports::report(body), Err(BadReport::Unreadable(_)), "{bent:?}"),
         });
         bend(&good(), &["/active", "/finished"], |path, bent, body| match bent {
-            Bent::Missing => assert!(runners::report(body).is_ok()),
+            Bent::Missing => assert!(reports::report(body).is_ok()),
             Bent::List if path == "/active" => {
-                assert_matches!(runners::report(body), Err(BadReport::Active(BadItem::NoTask)));
+                assert_matches!(reports::report(body), Err(BadReport::Active(BadItem::NoTask)));
             }
-            Bent::List => assert_eq!(runners::report(body).unwrap().bad, [BadItem::Number]),
+            Bent::List => assert_eq!(reports::report(body).unwrap().bad, [BadItem::Number]),
             _ => assert_matches!(
-                runners::report(body),
+                reports::report(body),
                 Err(BadReport::Unreadable(_)),
                 "{path} {bent:?}"
             ),
         });
         for body in NOISE {
-            assert_matches!(runners::report(body), Err(BadReport::Unreadable(_)));
+            assert_matches!(reports::report(body), Err(BadReport::Unreadable(_)));
         }
     }
 
     /// A refusal that is not understood must not pass for one after which nothing runs.
     #[test]
     fn answers_to_orders_are_known_or_count_as_none() {
-        assert_eq!(runners::order(200, br#"{"clock_ms":5}"#), Ok(5));
+        assert_eq!(reports::order(200, br#"{"clock_ms":5}"#), Ok(5));
         let known = [
             ("fence", Refusal::Fenced),
             ("old", Refusal::Superseded),
@@ -588,34 +589,34 @@
         ];
         for (reason, refusal) in known {
             let body = json!({"clock_ms": 5, "reason": reason});
-            assert_eq!(runners::order(409, &bytes(&body)), Err(refusal));
+            assert_eq!(reports::order(409, &bytes(&body)), Err(refusal));
             let other = json!({"clock_ms": 5, "reason": reason.to_uppercase()});
-            assert_eq!(runners::order(409, &bytes(&other)), Err(Refusal::NoAnswer));
+            assert_eq!(reports::order(409, &bytes(&other)), Err(Refusal::NoAnswer));
         }
         bend(&json!({"clock_ms": 5}), &["/clock_ms"], |_, bent, body| {
-            assert_eq!(runners::order(200, body), Err(Refusal::NoAnswer), "{bent:?}");
+            assert_eq!(reports::order(200, body), Err(Refusal::NoAnswer), "{bent:?}");
         });
         let refused = json!({"clock_ms": 5, "reason": "room"});
         bend(&refused, &["/reason"], |_, bent, body| {
-            assert_eq!(runners::order(409, body), Err(Refusal::NoAnswer), "{bent:?}");
+            assert_eq!(reports::order(409, body), Err(Refusal::NoAnswer), "{bent:?}");
         });
         bend(&refused, &["/clock_ms"], |_, bent, body| {
-            assert_eq!(runners::order(409, body), Err(Refusal::NoRoom), "{bent:?}");
+            assert_eq!(reports::order(409, body), Err(Refusal::NoRoom), "{bent:?}");
         });
         for body in NOISE {
-            assert_eq!(runners::order(200, body), Err(Refusal::NoAnswer));
-            assert_eq!(runners::order(409, body), Err(Refusal::NoAnswer));
+            assert_eq!(reports::order(200, body), Err(Refusal::NoAnswer));
+            assert_eq!(reports::order(409, body), Err(Refusal::NoAnswer));
         }
     }
 
     proptest! {
         #[test]
         fn damage_yields_an_error_or_a_report_within_bounds(body in damaged(&good())) {
-            if let Ok(read) = runners::report(&body) {
+            if let Ok(read) = reports::report(&body) {
                 prop_assert!(bounded(&read));
             }
             for status in [200, 409] {
-                let _ = runners::order(status, &body);
+                let _ = reports::order(status, &body);
             }
         }
 
@@ -624,7 +625,7 @@
             let run = json!({"clock_ms": 1, "active": [v.clone()], "finished": [v.clone()]});
             let lists = json!({"clock_ms": 1, "active": v.clone(), "finished": v.clone()});
             for body in [v, run, lists] {
-                if let Ok(read) = runners::report(&bytes(&body)) {
+                if let Ok(read) = reports::report(&bytes(&body)) {
                     prop_assert!(bounded(&read));
                 }
             }
