--- a/tests/unreadable_rows.rs
+++ b/tests/unreadable_rows.rs
@@ -36,6 +36,7 @@
         part: &str,
         from: &str,
         to: Option<&str>,
+        _: usize,
     ) -> Result<Page, ReadError> {
         let within = |k: &Key| k.key.as_str() >= from && to.is_none_or(|t| k.key.as_str() < t);
         let of = |r: &&Row| r.key.table == table && r.key.part == part && within(&r.key);
