--- a/src/control/links/desk.rs
+++ b/src/control/links/desk.rs
@@ -1,7 +1,8 @@
 //! The accepting side of links: lines to the advice service, states for every instance, and
 //! writes on behalf of instances that the store turns away.
 
-use super::{decode, pump, Frame, Relay, QUEUE, SILENT_MS};
+use super::lines::{self, Load};
+use super::{decode, encode, pump, Frame, Relay, QUEUE, SILENT_MS};
 use crate::control::intake::Intake;
 use crate::control::mirror::Mirror;
 use crate::control::model::{JobId, JobState, StepId};
@@ -12,6 +13,7 @@
 use crate::kernel::clock::Clock;
 use async_std::channel::{self, Sender};
 use async_std::net::{TcpListener, TcpStream};
+use async_tungstenite::tungstenite::Message;
 use futures::channel::oneshot;
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
@@ -20,19 +22,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
-/// Questions that take the service longer than this are kept off the scheduler's own line, where
-/// lookups' questions of some 10 ms would wait behind them, ms.
-const LONG_MS: f64 = 50.0;
-
-/// Lines kept free of long questions while there are twice as many.
-const SHORT_LINES: usize = 2;
-
 /// Margin over the computed time of an answer before it is given up, ms.
 const MARGIN_MS: u64 = 800;
 
-/// Questions that may wait on one line; the service refuses more than 32.
-const LINE_DEPTH: usize = 30;
-
 /// A write for another instance is given up after this long, ms: before that instance gives up
 /// waiting, so that it hears whether the write was sent at all.
 const RELAY_MS: u64 = 700;
@@ -49,12 +41,24 @@
 #[derive(Default)]
 struct Line {
     /// None for the instance's own line.
-    tx: Option<Sender<Frame>>,
+    tx: Option<Sender<Message>>,
     /// The other side does not hear of the store.
     deaf: bool,
-    /// When the service will have answered all that waits on it, local ms.
-    free_at: f64,
-    waiting: BTreeMap<u64, oneshot::Sender<Result<Advice, AdviceError>>>,
+    waiting: BTreeMap<u64, Question>,
+}
+
+/// A question under way.
+struct Question {
+    /// Time of service, ms.
+    cost: f64,
+    done: oneshot::Sender<Result<Advice, AdviceError>>,
+}
+
+impl Line {
+    fn load(&self) -> Load {
+        let cost = self.waiting.values().map(|q| q.cost).sum();
+        Load { waiting: self.waiting.len(), cost }
+    }
 }
 
 /// Lines to the advice service: this instance's own, and one for each linked instance.
@@ -79,21 +83,6 @@
     }
 }
 
-/// Picks the line that answers first among those that take a question of this length.
-fn pick(lines: &BTreeMap<u64, Line>, cost: f64, now: f64) -> Option<u64> {
-    let long = cost > LONG_MS && lines.len() > 1;
-    let spared = if lines.len() >= 2 * SHORT_LINES { SHORT_LINES } else { 1 };
-    let open = lines
-        .iter()
-        .enumerate()
-        .filter(|(n, _)| !long || *n >= spared)
-        .map(|(_, l)| l)
-        .filter(|(_, l)| l.waiting.len() < LINE_DEPTH);
-    let at = |l: &Line| l.free_at.max(now) as u64;
-    // Short questions prefer the lines that take no long ones when both are free.
-    open.min_by_key(|(k, l)| (at(l), **k)).map(|(k, _)| *k)
-}
-
 impl Desk {
     /// A desk with this instance's own line, if there is an advice service.
     pub fn new(own: Option<Arc<dyn Advisor>>, clock: Clock) -> Self {
@@ -118,18 +107,17 @@
         let (done, answer) = oneshot::channel();
         let (key, tx, ms) = {
             let mut lines = self.lines.lock().unwrap();
-            let now = self.clock.mono() as f64;
-            let key = pick(&lines, cost, now).ok_or(AdviceError::Busy)?;
-            let Some(line) = lines.get_mut(&key) else { return Err(AdviceError::Busy) };
-            line.free_at = line.free_at.max(now) + cost;
-            line.waiting.insert(id, done);
-            (key, line.tx.clone(), (line.free_at - now) as u64 + MARGIN_MS)
+            let loads: Vec<Load> = lines.values().map(Line::load).collect();
+            let picked = lines::pick(&loads, cost).and_then(|n| lines.iter_mut().nth(n));
+            let (key, line) = picked.ok_or(AdviceError::Busy)?;
+            line.waiting.insert(id, Question { cost, done });
+            (*key, line.tx.clone(), line.load().cost as u64 + MARGIN_MS)
         };
         let _waiting = Waiting { desk: self, key, id };
         match tx {
             None => own.ask(step, &ids, ms).await,
             Some(tx) => {
-                let sent = tx.try_send(Frame::Ask { id, step, ids, ms }).is_ok();
+                let sent = tx.try_send(encode(&Frame::Ask { id, step, ids, ms })).is_ok();
                 match self.clock.timeout(ms + MARGIN_MS, answer).await {
                     Ok(Ok(res)) if sent => res,
                     _ => Err(AdviceError::Unreachable),
@@ -154,23 +142,20 @@
     fn done(&self, key: u64, id: u64) {
         if let Some(line) = self.lines.lock().unwrap().get_mut(&key) {
             line.waiting.remove(&id);
-            if line.waiting.is_empty() {
-                line.free_at = 0.0;
-            }
         }
     }
 
     fn answered(&self, key: u64, id: u64, res: Result<Advice, AdviceError>) {
         let waiting = self.lines.lock().unwrap().get_mut(&key).and_then(|l| l.waiting.remove(&id));
-        if let Some(done) = waiting {
-            let _ = done.send(res);
+        if let Some(question) = waiting {
+            let _ = question.done.send(res);
         }
     }
 
     /// Tells every linked instance of states that have been stored. A link that cannot take it
     /// is closed: its instance reads what it missed from the store.
     pub fn publish(&self, list: &[(JobId, u64, JobState)]) {
-        let frame = Frame::States { list: list.to_vec() };
+        let frame = encode(&Frame::States { list: list.to_vec() });
         let takes = |l: &Line| l.tx.as_ref().is_none_or(|tx| tx.try_send(frame.clone()).is_ok());
         self.lines.lock().unwrap().retain(|_, l| takes(l));
     }
@@ -215,12 +200,12 @@
     /// scheduler for alive that has been replaced behind a cut. The link stays open: questions
     /// to the advice service go on, and an instance that dialled anew would take the greeting of
     /// each link for a sign that its writes are welcome, so that they ended in doubt.
-    async fn tell_silence(&self, tx: &Sender<Frame>) {
+    async fn tell_silence(&self, tx: &Sender<Message>) {
         let mut was = false;
         loop {
             let silent = self.pulse.silent();
             if silent != was {
-                let _ = tx.try_send(self.greeting());
+                let _ = tx.try_send(encode(&self.greeting()));
             }
             was = silent;
             self.clock.sleep(DEAF_MS).await;
@@ -244,7 +229,7 @@
         let Ok(Ok(ws)) = self.clock.timeout(SILENT_MS, shake).await else { return };
         let key = self.desk.next.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = channel::bounded(QUEUE);
-        let _ = tx.try_send(self.greeting());
+        let _ = tx.try_send(encode(&self.greeting()));
         let line = Line { tx: Some(tx.clone()), ..Line::default() };
         self.desk.lines.lock().unwrap().insert(key, line);
         log::info!(peer:% = from, line = key; "instance linked");
@@ -266,7 +251,7 @@
                             _ => return,
                         },
                         done = writes.next() => if let Some(frame) = done {
-                            let _ = tx.try_send(frame);
+                            let _ = tx.try_send(encode(&frame));
                         }
                     }
                 }
