Advice: questions about patient steps are held back while the lines are busy

Cause: gangs asked 4.6 to 4.8 questions of 0.74 s a step, more than all lines answer.

Change: at most 0.8 s of such questions for each line are on their way; what waits goes by rank. Urgent queues and gangs with booked room are not held back.

--- a/src/control/engine/advice.rs
+++ b/src/control/engine/advice.rs
@@ -29,6 +29,12 @@
     wait / 2 + drawn % (wait / 2 + 1)
 }
 
+/// Time of the questions about patient steps that may be on their way, for each line, ms: one of a
+/// gang's, or a few others. More would only wait, and all questions with them: on a cell that needs
+/// more answers than its lines give, gangs waited 3.4 s for each, longer than a booking or a ticket
+/// lasts, and asked anew. What waits here goes by rank instead.
+const LINE_MS: f64 = 800.0;
+
 /// Weight of a new answer in a queue's share, per mille: an average over some ten answers.
 const SHARE_WEIGHT: u64 = 100;
 
@@ -59,6 +65,17 @@
 }
 
 impl Engine {
+    /// Whether another question about a patient step would only wait for its line.
+    pub(super) fn lines_busy(&self) -> bool {
+        let under_way: f64 = self.questions.values().sum();
+        self.lines > 0 && under_way >= LINE_MS * self.lines as f64
+    }
+
+    /// Notes that a question about a patient step is on its way.
+    pub(super) fn note_question(&mut self, step: StepId, cost_ms: f64) {
+        self.questions.insert(step, cost_ms);
+    }
+
     /// Asks about runners for a step.
     pub(super) fn ask(&mut self, step: StepId, ids: Vec<String>, cost_ms: f64, now: Now) {
         let Some(s) = self.step_mut(step) else { return };
@@ -78,6 +95,7 @@
         res: Result<Advice, AdviceError>,
         now: Now,
     ) {
+        self.questions.remove(&step);
         let Some(job) = self.jobs.get(&step.job) else { return };
         let queue = job.row.queue.clone();
         let approval = self.cat.queues.get(&queue).and_then(|q| q.approval);
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -139,6 +139,8 @@
     pub deposed: bool,
     /// Counts.
     pub counts: Counts,
+    /// Lines to the advice service; 0 if their number is not known.
+    pub lines: usize,
     cat: Arc<Catalogue>,
     runners: Arena<RunnerKey, Runner>,
     by_id: BTreeMap<String, RunnerKey>,
@@ -168,6 +170,8 @@
     bookings: BTreeMap<StepId, booking::Booking>,
     /// Steps of which a member ended because another had.
     torn: BTreeSet<StepId>,
+    /// Questions about steps of patient queues that are on their way, and the time each takes, ms.
+    questions: BTreeMap<StepId, f64>,
     /// What queues' policies approve on average.
     shares: BTreeMap<String, advice::Share>,
     /// What queues' estimates are worth.
@@ -185,6 +189,7 @@
             since: now.mono,
             deposed: false,
             counts: Counts::default(),
+            lines: 0,
             cat: Arc::default(),
             runners: Arena::default(),
             by_id: BTreeMap::new(),
@@ -202,6 +207,7 @@
             acts: Vec::new(),
             bookings: BTreeMap::new(),
             torn: BTreeSet::new(),
+            questions: BTreeMap::new(),
             shares: BTreeMap::new(),
             paces: BTreeMap::new(),
             racks: BTreeMap::new(),
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -420,7 +420,8 @@
     /// ones with room whose tickets have run out.
     fn ask_for(&mut self, v: &View<'_>, claims: &Claims, missing: usize, now: Now) {
         let Some(a) = self.step(v.id).map(|s| &s.approvals) else { return };
-        if v.queue.approval.is_none() || a.asking || a.retry_at > now.mono {
+        let held_back = v.patient && self.lines_busy();
+        if v.queue.approval.is_none() || a.asking || a.retry_at > now.mono || held_back {
             return;
         }
         // A gang with room on approved runners has booked it and does not come here.
@@ -472,6 +473,9 @@
     fn ask_about(&mut self, v: &View<'_>, runners: Vec<RunnerKey>, now: Now) {
         let Some(approval) = v.queue.approval.filter(|_| !runners.is_empty()) else { return };
         let cost = approval.cost_ms(runners.len());
+        if v.patient {
+            self.note_question(v.id, cost);
+        }
         let ids = runners.into_iter().map(|k| self.runners.get(k).id.clone()).collect();
         self.ask(v.id, ids, cost, now);
     }
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -208,6 +208,7 @@
             } else if duty.over(now.mono) {
                 return "no sign of life stored";
             }
+            engine.lines = self.desk.lines();
             engine.tick(now);
             engine.plan(now);
             while duty.may_commit(now.mono) && engine.wants_commit() {
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -89,6 +89,8 @@
     pub approves: fn(StepId, usize) -> bool,
     /// When each line to the approval service is free again, ms; none for answers at once.
     pub lines: Vec<f64>,
+    /// Of these the first take no questions of more than 50 ms.
+    pub spared: usize,
     /// Questions that may wait on a line; more are refused.
     pub depth: f64,
     /// Questions refused.
@@ -183,6 +185,7 @@
             asked: Vec::new(),
             approves: |_, _| true,
             lines: Vec::new(),
+            spared: 0,
             depth: f64::INFINITY,
             refused: 0,
             truth: BTreeMap::new(),
@@ -381,7 +384,8 @@
     /// Time until the line that is free first has answered a question, ms.
     fn on_a_line(&mut self, cost: f64) -> Option<u64> {
         let now = self.now as f64;
-        let line = self.lines.iter_mut().min_by(|a, b| a.total_cmp(b))?;
+        let spared = if cost > 50.0 { self.spared } else { 0 };
+        let line = self.lines.iter_mut().skip(spared).min_by(|a, b| a.total_cmp(b))?;
         *line = line.max(now) + cost;
         Some((*line - now) as u64 + 2 * WAY_MS)
     }
--- a/tests/common/load.rs
+++ b/tests/common/load.rs
@@ -83,6 +83,8 @@
     pub bursts: Vec<Burst>,
     /// Instances that can ask the approval service.
     pub lines: usize,
+    /// Of these, lines that take no long questions.
+    pub spared: usize,
     /// Real work against the estimate: least and most.
     truth: (f64, f64),
     /// Most by which the work of a step's tasks differs from their mean, per cent.
@@ -174,6 +176,7 @@
             times: 1.0,
             bursts: Vec::new(),
             lines: 7,
+            spared: 0,
             truth: (0.8, 1.25),
             uneven: 0,
         }
@@ -252,6 +255,7 @@
         urgent.asks = (9.36, 0.13);
         urgent.worth = 0.39;
         load.lines = 29;
+        load.spared = 7;
         load.times("many runners, calm", runners as f64 / 350.0)
     }
 
@@ -374,6 +378,8 @@
     let mut cell = Cell::with(rules, load.runners, load.room, load.queues(), seed);
     cell.approves = approves;
     cell.lines = vec![0.0; load.lines];
+    cell.spared = load.spared;
+    cell.engine.lines = load.lines;
     cell.own_faults = OWN_FAULTS;
     cell.uneven = load.uneven;
     cell.run(200);
--- a/tests/control_engine.rs
+++ b/tests/control_engine.rs
@@ -492,3 +492,25 @@
         assert_eq!(cell.stored(id), JobState::Completed, "{id}");
     }
 }
+
+/// Symptom: on a cell that needs more answers than its lines to the approval service give, each question
+/// waits 3 s, tickets and bookings run out meanwhile, and steps ask anew.
+/// Cause: every waiting step asked at once, and questions queued without a limit.
+#[test]
+fn questions_about_patient_steps_do_not_pile_up_on_their_lines() {
+    let mut cell = Cell::new(350, 1);
+    cell.lines = vec![0.0; 4];
+    cell.engine.lines = 4;
+    cell.run(300);
+    let jobs: Vec<JobId> =
+        (1..=600).map(|id| cell.submit(id, "asked", vec![step(3, 2_000, 400)])).collect();
+    while cell.now < 20_000 {
+        cell.run(STEP_MS);
+        let longest = cell.lines.iter().fold(0.0, |most: f64, l| most.max(l - cell.now as f64));
+        assert!(longest <= 1_000.0, "{} ms: a line is busy for {longest} ms", cell.now);
+    }
+    cell.check();
+    for id in jobs {
+        assert_eq!(cell.stored(id), JobState::Completed, "{id}");
+    }
+}
