--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -216,6 +216,7 @@
             } else if duty.over(now.mono) {
                 return "no sign of life stored";
             }
+            engine.lines = self.desk.lines();
             engine.tick(now);
             engine.plan(now);
             planned_ms = self.clock.mono().saturating_sub(now.mono).min(LONGEST_ROUND_MS);
--- a/src/control/links/lines.rs
+++ b/src/control/links/lines.rs
@@ -41,15 +41,19 @@
     }
 }
 
+/// Lines that take no long questions, of `lines`.
+pub fn short_lines(lines: usize) -> usize {
+    match lines < 2 * SHORT_LINES {
+        true => 1,
+        false => SHORT_LINES.max(lines / SHORT_PART),
+    }
+}
+
 /// Picks the line that answers a question of `cost` ms first; none if its answer would come too late
 /// on all. `loads` are in the order of the lines' age; the first is the instance's own.
 pub fn pick(loads: &[Load], cost: f64) -> Option<usize> {
     let long = cost > LONG_MS && loads.len() > 1;
-    let spared = match loads.len() {
-        few if few < 2 * SHORT_LINES => 1,
-        many => SHORT_LINES.max(many / SHORT_PART),
-    };
-    let first = if long { spared } else { 0 };
+    let first = if long { short_lines(loads.len()) } else { 0 };
     let open = loads.iter().enumerate().skip(first).filter(|(_, l)| l.takes(cost));
     // Among equals short questions prefer the lines that take no long ones.
     open.min_by(|(_, a), (_, b)| a.cost.total_cmp(&b.cost)).map(|(n, _)| n)
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -82,6 +82,8 @@
     pub approves: fn(StepId, usize) -> bool,
     /// When each line to the approval service is free again, ms; none for answers at once.
     pub lines: Vec<f64>,
+    /// Of these the first take no questions of more than 50 ms.
+    pub spared: usize,
     /// Questions that may wait on a line; more are refused.
     pub depth: f64,
     /// Questions refused.
@@ -164,6 +166,7 @@
             asked: Vec::new(),
             approves: |_, _| true,
             lines: Vec::new(),
+            spared: 0,
             depth: f64::INFINITY,
             refused: 0,
             truth: BTreeMap::new(),
--- a/tests/common/control/calls.rs
+++ b/tests/common/control/calls.rs
@@ -49,7 +49,8 @@
     /// Time until the line that is free first has answered a question, ms.
     fn on_a_line(&mut self, cost: f64) -> Option<u64> {
         let now = self.now as f64;
-        let line = self.lines.iter_mut().min_by(|a, b| a.total_cmp(b))?;
+        let spared = if cost > 50.0 { self.spared } else { 0 };
+        let line = self.lines.iter_mut().skip(spared).min_by(|a, b| a.total_cmp(b))?;
         *line = line.max(now) + cost;
         Some((*line - now) as u64 + 2 * WAY_MS)
     }
