Gangs leave a quarter of the lines to other patient steps

Cause: questions about patient steps are held back while 0.8 s of them wait for each line, and go by rank; gangs come first and their questions are long.

Ruled out: lines too few for all (the service answers; the cell is empty), tickets that ran out.

Test, in memory: 20 jobs beside gangs that fill four lines: none had begun after 6 s, now 15 or more.

--- a/tests/control_engine.rs
+++ b/tests/control_engine.rs
@@ -6,9 +6,10 @@
     pub mod runner;
 }
 
-use common::control::{step, Cell, Faults, STEP_MS};
+use common::control::{queue, step, Cell, Faults, RULES, STEP_MS};
 use currantgw::control::engine::MOST_LOOKS;
-use currantgw::control::model::{EndKind, JobId, JobState, Step, StepId, TaskId};
+use currantgw::control::model::{Approval, EndKind, JobId, JobState, Step, StepId, TaskId};
+use currantgw::kernel::res::Resources;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -534,6 +535,36 @@
     }
 }
 
+/// Symptom: after a power loss patient tasks that are no gangs wait to the end of the day, with most of
+/// the cell empty. Sequence: all waiting steps have to be asked about anew; gangs come first by rank, and
+/// their long questions fill the lines as fast as they come free. Cause: what waits for a line went by
+/// rank alone.
+#[test]
+fn gangs_leave_lines_to_other_patient_steps() {
+    let slow = Approval { base_ms: 455.0, each_ms: 6.5, valid_ms: 2_000 };
+    let quick = Approval { base_ms: 156.0, each_ms: 2.34, valid_ms: 2_000 };
+    let queues = vec![queue("gangs", 1, 3, Some(slow)), queue("others", 2, 3, Some(quick))];
+    let room = Resources { cpu: 16_000, mem: 64_000, acc: 0 };
+    let mut cell = Cell::with(RULES, 100, room, queues, 3);
+    cell.lines = vec![0.0; 4];
+    cell.engine.lines = 4;
+    cell.run(300);
+    let others: Vec<JobId> =
+        (1..=20).map(|id| cell.submit(id, "others", vec![step(2, 1_000, 20_000)])).collect();
+    for n in 0..80 {
+        cell.submit(1_000 + n, "gangs", vec![Step { gang: true, ..step(6, 3_000, 300) }]);
+    }
+    for n in 0..60 {
+        cell.run(100);
+        let gang = Step { gang: true, ..step(6, 3_000, 300) };
+        cell.submit(2_000 + n, "gangs", vec![gang.clone()]);
+        cell.submit(3_000 + n, "gangs", vec![gang]);
+    }
+    let begun = others.iter().filter(|id| cell.stored(**id) != JobState::Queued).count();
+    assert!(begun >= 15, "{begun} of 20 begun");
+    cell.check();
+}
+
 /// Symptom: on a cell that needs more answers than its lines to the approval service give, each question
 /// waits 3 s, tickets and bookings run out meanwhile, and steps ask anew.
 /// Cause: every waiting step asked at once, and questions queued without a limit.
