--- a/src/control/front.rs
+++ b/src/control/front.rs
@@ -5,6 +5,7 @@
 use super::links::peer::Peer;
 use super::mirror::{Mirror, Table};
 use super::model::{Catalogue, Invalid, JobId, JobState, Queue};
+use super::ports::ReadError;
 use super::pulse::Pulse;
 use super::rows::{self, JobRow};
 use crate::kernel::clock::Clock;
@@ -22,7 +23,7 @@
 /// Kept back of a caller's deadline for the answer's way, ms.
 const ANSWER_MS: u64 = 200;
 
-/// Longest wait for the catalogue where a queue is not known, ms.
+/// Longest wait for what is not known here, ms: the catalogue, a job, a count.
 const RENEW_MS: u64 = 1_000;
 
 /// A count of waiting jobs is given from what was known to be true this long ago at most, ms: the
@@ -218,7 +219,8 @@
             log::info!(job:% = id; "unknown job, and the store is silent");
             return Err(later(503, "the store cannot be read"));
         }
-        match self.mirror.find_job(id).await {
+        let found = self.clock.timeout(RENEW_MS, self.mirror.find_job(id)).await;
+        match found.unwrap_or_else(|_| Err(ReadError::Unreachable("not found in time".into()))) {
             Ok(true) => Ok(Some(self.mirror.job_state(id).unwrap_or_default())),
             Ok(false) => Ok(None),
             Err(e) => {
--- a/src/control/mirror/mod.rs
+++ b/src/control/mirror/mod.rs
@@ -31,6 +31,9 @@
 /// history that a store keeps.
 const FOLLOW_MS: u64 = 1_000;
 
+/// A feed that failed after this long, ms, was still arriving: one that stands still is given up sooner.
+const FEED_MS: u64 = 5_000;
+
 /// Most rows that one job has in a table.
 const FOUND_ROWS: usize = 8;
 
@@ -302,8 +305,11 @@
         let res = self.store.changes(table.name(), after, wait_ms).await;
         let mut st = self.state.lock().unwrap();
         let changes = res.inspect_err(|e| {
+            // A feed that has more to say than the link carries in the time of an answer would only
+            // be asked for more: the table is read in slices instead.
+            let too_much = self.clock.mono() - asked >= FEED_MS;
             // Unless another caller has begun to read it anew meanwhile.
-            if *e == ReadError::HistoryGone && st.at.get(&table) == Some(&after) {
+            if (*e == ReadError::HistoryGone || too_much) && st.at.get(&table) == Some(&after) {
                 st.forget(table);
             }
         })?;
@@ -320,6 +326,9 @@
         let at = st.at.entry(table).or_default();
         *at = (*at).max(changes.version);
         st.checked.insert(table, asked);
+        if let Some(reading) = st.readings.get_mut(&table) {
+            reading.followed = asked;
+        }
         Ok(n)
     }
 
@@ -332,20 +341,25 @@
             return self.follow(table, 0).await;
         }
         self.begin(table);
-        let mut followed = self.clock.mono();
         loop {
+            if self.feed_due(table) {
+                self.follow(table, 0).await?;
+            }
             let rest = self.read_slice(table).await?;
             if let Some(rows) = self.ended(table) {
                 return Ok(rows);
             }
-            if followed + FOLLOW_MS <= self.clock.mono() {
-                followed = self.clock.mono();
-                self.follow(table, 0).await?;
-            }
             self.clock.sleep(rest).await;
         }
     }
 
+    /// Whether the feed of a table that is being read has not been followed for [`FOLLOW_MS`].
+    fn feed_due(&self, table: Table) -> bool {
+        let st = self.state.lock().unwrap();
+        let reading = st.readings.get(&table).filter(|r| r.started);
+        reading.is_some_and(|r| r.followed + FOLLOW_MS <= self.clock.mono())
+    }
+
     fn begin(&self, table: Table) {
         let mut st = self.state.lock().unwrap();
         let now = self.clock.mono();
@@ -375,12 +389,20 @@
                     rows += page.rows.len();
                     st.take_page(table, part, page);
                 }
-                Err(e) => failed = Some(e),
+                Err(e) => {
+                    if let Some(reading) = st.readings.get_mut(&table) {
+                        reading.put_back(part);
+                    }
+                    failed = Some(e);
+                }
             }
         }
         st.sliced(table);
         if let Some(why) = failed {
-            st.pace.shrink();
+            // A store that refuses says nothing of what the link carries.
+            if matches!(why, ReadError::Unreachable(_)) {
+                st.pace.shrink();
+            }
             let left = st.readings.get(&table).map_or(0, |r| r.todo.len());
             log::warn!(table = name, rows = rows, parts_left = left, ms = ms, why:% = why;
                 "part of a table not read");
--- a/src/control/mirror/reading.rs
+++ b/src/control/mirror/reading.rs
@@ -104,6 +104,9 @@
     pub rows: usize,
     /// Its first slice has been read, and the feed is followed from there.
     pub started: bool,
+    /// When the feed was last followed, local ms. Kept here, and not by whoever reads: each failure
+    /// ends a try, and a feed that is not followed between tries loses its history.
+    pub followed: u64,
     /// When it began, local ms.
     pub began: u64,
     /// Keys of the registry's rows, for whoever has to forget the others.
@@ -114,7 +117,16 @@
     /// Reads all of `parts`.
     pub fn new(parts: Vec<String>, now: u64) -> Self {
         let todo = parts.into_iter().map(|p| (p, String::new())).collect();
-        Self { todo, began: now, ..Self::default() }
+        Self { todo, followed: now, began: now, ..Self::default() }
+    }
+
+    /// Puts a part that was not read behind the others: one that is away for long must not keep the
+    /// rest of the table unread.
+    pub fn put_back(&mut self, part: &str) {
+        if let Some(at) = self.todo.iter().position(|(p, _)| p == part) {
+            let left = self.todo.remove(at);
+            self.todo.extend(left);
+        }
     }
 
     /// Notes a page of a part; `next` is the key of its last row if more follow.
--- a/src/control/mirror/state.rs
+++ b/src/control/mirror/state.rs
@@ -154,7 +154,12 @@
                 self.tell(News::Runner(key.key.clone(), None));
             }
             (Table::Jobs, Some(JobKey::Job(id))) => drop(self.jobs.remove(&id)),
-            (Table::Progress, Some(JobKey::Job(id))) => drop(self.progress.remove(&id)),
+            // A job's own row is removed before that of its progress. Without its progress a job that
+            // was kept, because this instance missed the first, would pass for one that waits.
+            (Table::Progress, Some(JobKey::Job(id))) => {
+                self.progress.remove(&id);
+                self.jobs.remove(&id);
+            }
             _ => {}
         }
     }
--- a/src/http.rs
+++ b/src/http.rs
@@ -113,10 +113,7 @@
         self.idle.lock().unwrap().remove(&addr);
     }
 
-    /// Calls `addr`, waiting at most `ms` for the head of the answer, and as long for each further
-    /// piece of it. A time for the whole would depend on its size and on the link: over a link of
-    /// 10 Mbit/s an answer of 2 MB takes 1.6 s, and one that is given up before is asked for again,
-    /// which fills the link with answers that nobody takes.
+    /// Calls `addr`, waiting at most `ms` for the whole answer.
     pub async fn call(
         &self,
         addr: SocketAddr,
@@ -125,15 +122,34 @@
         head: &[(&str, &str)],
         body: Option<Vec<u8>>,
         ms: u64,
+    ) -> Result<Reply, CallError> {
+        let req = request(addr, method, path, head, body);
+        self.send(addr, req.map_err(|e| CallError::Connect(e.to_string()))?, ms, ms).await
+    }
+
+    /// Asks `addr` for something large, waiting at most `ms` for the head of the answer, and as long
+    /// for each further piece of it. A time for the whole would depend on its size and on the link:
+    /// over a link of 10 Mbit/s an answer of 2 MB takes 1.6 s, and one that is given up before is
+    /// asked for again, which fills the link with answers that nobody takes.
+    pub async fn fetch(&self, addr: SocketAddr, path: &str, ms: u64) -> Result<Reply, CallError> {
+        let req = request(addr, Method::Get, path, &[], None);
+        let req = req.map_err(|e| CallError::Connect(e.to_string()))?;
+        self.send(addr, req, ms, ms * MOST_WAITS).await
+    }
+
+    async fn send(
+        &self,
+        addr: SocketAddr,
+        req: http::Request,
+        ms: u64,
+        whole_ms: u64,
     ) -> Result<Reply, CallError> {
         let stream = match self.take(addr) {
             Some(s) => s,
             None => self.open(addr, ms).await?,
         };
-        let req = request(addr, method, path, head, body)
-            .map_err(|e| CallError::Connect(e.to_string()))?;
         let whole = self.exchange(stream.clone(), req, ms);
-        let sent = self.clock.timeout(ms * MOST_WAITS, whole).await;
+        let sent = self.clock.timeout(whole_ms, whole).await;
         match sent.unwrap_or(Err(CallError::Timeout)) {
             Ok((reply, again)) => {
                 if again {
--- a/tests/control_views.rs
+++ b/tests/control_views.rs
@@ -18,7 +18,7 @@
 use currantgw::control::model::{JobId, JobState};
 use currantgw::control::pulse::Pulse;
 use currantgw::control::rows;
-use currantgw::http::{CallError, Conns, Method};
+use currantgw::http::{CallError, Conns};
 use currantgw::kernel::clock::Clock;
 use currantgw::platform::store::RowStore;
 use futures::AsyncReadExt;
@@ -214,11 +214,11 @@
 async fn an_answer_is_given_up_when_it_stands_still() {
     let conns = Conns::new(Clock::real());
     let slow = dribbles(8, 150, 8).await;
-    let reply = conns.call(slow, Method::Get, "/", &[], None, 1_000).await.unwrap();
+    let reply = conns.fetch(slow, "/", 1_000).await.unwrap();
     assert_eq!(reply.body.len(), 8);
     let stops = dribbles(3, 150, 8).await;
     let began = Instant::now();
-    let given_up = conns.call(stops, Method::Get, "/", &[], None, 1_000).await;
+    let given_up = conns.fetch(stops, "/", 1_000).await;
     assert_eq!(given_up.unwrap_err(), CallError::Timeout);
     assert!(began.elapsed() < Duration::from_millis(3_000), "{:?}", began.elapsed());
 }
