--- a/src/control/engine/advice.rs
+++ b/src/control/engine/advice.rs
@@ -6,13 +6,18 @@
 
 use super::{Action, Engine, Now, RunnerKey};
 use crate::control::model::StepId;
+use crate::control::parts::Part;
 use crate::control::ports::{Advice, AdviceError, Ticket};
+use crate::kernel::res::Resources;
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3;
 
-/// A ticket must be good for this much longer when a placement is decided, ms: storing the
-/// placement and sending the start take some 10 ms on a calm day, a few times that under load.
-pub const TICKET_MARGIN_MS: u64 = 250;
+/// A ticket must be good for this much longer than storing takes when a placement is decided, ms: the
+/// way of the start, and rounds that take long under load.
+const TICKET_MARGIN_MS: u64 = 250;
+
+/// Longest time of storing that is allowed for, ms: half of a ticket's life.
+const STORING_MS: u64 = 1_000;
 
 /// Wait before asking again after a failure, ms; doubles with each further refusal. Questions that
 /// were refused because too many wait add to the load if they come again at once, all together: 300
@@ -55,7 +60,7 @@
     Patient,
 }
 
-/// Questions about a patient step that are on their way.
+/// Questions about a step that are on their way.
 #[derive(Clone, Copy, Debug)]
 struct Asked {
     kind: Kind,
@@ -64,50 +69,78 @@
     cost: f64,
 }
 
-/// All questions about patient steps that are on their way.
+/// All questions that are on their way.
 #[derive(Debug, Default)]
 pub(super) struct Questions {
     by_step: BTreeMap<StepId, Asked>,
-    /// Time that the service takes for those about gangs, ms.
+    /// Runners named in questions about steps whose tasks start one by one, and the room that each of
+    /// them will lose to it.
+    wanted: BTreeMap<StepId, (Vec<RunnerKey>, Resources)>,
+    /// Steps that are asked about, by part and whether their queue is patient.
+    steps: BTreeMap<(Part, bool), usize>,
+    /// Time that the service takes for questions about patient steps that are gangs, ms.
     gangs: f64,
-    /// ... and about others, ms.
+    /// ... and about other patient steps, ms.
     others: f64,
 }
 
+/// What steps asked about are counted by.
+fn key(step: StepId, kind: Kind) -> (Part, bool) {
+    (Part::of(step.job), kind != Kind::Urgent)
+}
+
 impl Questions {
-    fn sum(&mut self, kind: Kind) -> &mut f64 {
+    /// Adds to the time of questions of a kind.
+    fn add(&mut self, kind: Kind, cost: f64) {
         match kind {
-            Kind::Gang => &mut self.gangs,
-            Kind::Urgent | Kind::Patient => &mut self.others,
+            Kind::Urgent => {}
+            Kind::Gang => self.gangs += cost,
+            Kind::Patient => self.others += cost,
         }
     }
 
     fn ask(&mut self, step: StepId, kind: Kind, cost: f64) {
-        if kind == Kind::Urgent {
-            return;
-        }
         let asked = self.by_step.entry(step).or_insert(Asked { kind, questions: 0, cost: 0.0 });
+        if asked.questions == 0 {
+            *self.steps.entry(key(step, kind)).or_default() += 1;
+        }
         asked.questions += 1;
         asked.cost += cost;
-        *self.sum(kind) += cost;
+        self.add(kind, cost);
     }
 
     fn answered(&mut self, step: StepId) {
         let Some(asked) = self.by_step.get_mut(&step) else { return };
-        let cost = asked.cost / f64::from(asked.questions);
-        let kind = asked.kind;
+        let (kind, cost) = (asked.kind, asked.cost / f64::from(asked.questions));
         asked.questions -= 1;
         asked.cost -= cost;
         if asked.questions == 0 {
             self.by_step.remove(&step);
+            self.steps.entry(key(step, kind)).and_modify(|n| *n -= 1);
         }
-        *self.sum(kind) -= cost;
+        self.add(kind, -cost);
         if self.by_step.is_empty() {
             // Rounding leaves a little.
             (self.gangs, self.others) = (0.0, 0.0);
         }
     }
 
+    /// Notes the room that a step will take of runners named in its question.
+    pub fn want(&mut self, step: StepId, named: Vec<RunnerKey>, each: Resources) {
+        self.wanted.insert(step, (named, each));
+    }
+
+    /// Runners named in a question that is answered, and the room of each that it wanted.
+    fn unwanted(&mut self, step: StepId) -> impl Iterator<Item = (RunnerKey, Resources)> {
+        let (named, each) = self.wanted.remove(&step).unwrap_or_default();
+        named.into_iter().map(move |k| (k, each))
+    }
+
+    /// Steps of a part that are asked about, of urgent queues or of patient ones.
+    pub fn steps(&self, part: Part, patient: bool) -> usize {
+        self.steps.get(&(part, patient)).copied().unwrap_or(0)
+    }
+
     /// Whether another question of this kind would only wait for one of `lines`.
     fn full(&self, kind: Kind, lines: usize) -> bool {
         let most = LINE_MS * lines as f64;
@@ -173,6 +206,12 @@
         self.acts.push(Action::Ask { step, ids, cost_ms: cost });
     }
 
+    /// How much longer a ticket must be good when a placement of a step is decided, ms. What is decided
+    /// with less is stored in vain, and asked about again.
+    pub(super) fn ticket_margin(&self, step: StepId) -> u64 {
+        TICKET_MARGIN_MS + self.storing.took(Part::of(step.job)).min(STORING_MS)
+    }
+
     /// The advice service answered about `ids`.
     pub fn advised(
         &mut self,
@@ -182,6 +221,10 @@
         now: Now,
     ) {
         self.questions.answered(step);
+        for (k, each) in self.questions.unwanted(step) {
+            let r = self.runners.get_mut(k);
+            r.wanted = r.wanted.sub(&each);
+        }
         let Some(job) = self.jobs.get(&step.job) else { return };
         let queue = job.row.queue.clone();
         let approval = self.cat.queues.get(&queue).and_then(|q| q.approval);
--- a/src/control/engine/ask.rs
+++ b/src/control/engine/ask.rs
@@ -14,6 +14,7 @@
 use super::reserve::Claims;
 use super::{Engine, Now, RunnerKey};
 use crate::control::place::{self, Place, Placement};
+use crate::kernel::res::Resources;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::SeedableRng;
@@ -63,9 +64,29 @@
         if picked.is_empty() {
             picked = self.strangers(v, claims, missing, now);
         }
+        if v.kind() == Kind::Urgent {
+            self.want(v, &picked, missing);
+        }
         self.ask_about(v, &picked, now);
     }
 
+    /// Notes the room that `missing` tasks will take of the runners named until the answer is there. In a
+    /// burst of lookups all questions would name the same runners otherwise, whose room is gone with the
+    /// first answers, and the others ask again, and again. Patient steps, whose questions take long,
+    /// would spread lookups over the cell instead.
+    fn want(&mut self, v: &View<'_>, named: &[RunnerKey], missing: usize) {
+        let share = self.shares.get(&v.queue.name).copied().unwrap_or_default();
+        let approved = share.of(named.len() as u64 * 100).max(100);
+        let part = |all: u64| all * missing as u64 * 100 / approved;
+        let need = v.step.demand();
+        let each = Resources { cpu: part(need.cpu), mem: part(need.mem), acc: part(need.acc) };
+        for k in named {
+            let r = self.runners.get_mut(*k);
+            r.wanted = r.wanted.add(&each);
+        }
+        self.questions.want(v.id, named.to_vec(), each);
+    }
+
     /// Approved runners with room, whether or not their tickets have run out.
     fn held_with_room(&mut self, v: &View<'_>, claims: &Claims, now: Now) -> Vec<RunnerKey> {
         let need = v.step.demand();
@@ -97,7 +118,8 @@
         match v.kind() {
             Kind::Gang => self.names_of_gang(v, places, missing),
             Kind::Urgent | Kind::Patient => {
-                let (mut fit, full): (Vec<_>, Vec<_>) = places.partition(|p| need.fits(&p.free));
+                let left = |p: &Place<RunnerKey>| p.free.sub(&self.runners.get(p.key).wanted);
+                let (mut fit, full): (Vec<_>, Vec<_>) = places.partition(|p| need.fits(&left(p)));
                 self.order(v, &mut fit);
                 self.names(v, fit.into_iter().chain(full), missing)
             }
--- a/src/control/engine/commit.rs
+++ b/src/control/engine/commit.rs
@@ -7,6 +7,7 @@
 use super::runs::Stage;
 use super::{Engine, Now};
 use crate::control::model::{JobId, JobState, StepId};
+use crate::control::parts::{self, Part, Scope};
 use crate::control::ports::Row;
 use crate::control::rows;
 
@@ -50,6 +51,8 @@
 /// Writes of one transaction.
 #[derive(Clone, Debug, Default)]
 pub struct Batch {
+    /// When they were taken, local ms.
+    pub at: u64,
     /// The writes.
     pub writes: Vec<Write>,
 }
@@ -66,9 +69,9 @@
 }
 
 impl Engine {
-    /// Takes the next writes, at most `max`.
-    pub fn take_batch(&mut self, max: usize) -> Batch {
-        let ids = self.next_ids(max);
+    /// Takes the next writes of a scope, at most `max`.
+    pub fn take_batch(&mut self, scope: Scope, max: usize, now: Now) -> Batch {
+        let ids = self.next_ids(scope, max);
         let mut writes = Vec::with_capacity(ids.len());
         for id in ids {
             self.dirty.remove(&id);
@@ -84,14 +87,13 @@
                 state: job.state,
             });
         }
-        Batch { writes }
+        Batch { at: now.mono, writes }
     }
 
     /// Jobs to store next. On a store that takes few rows a second more wait than fit: in no
     /// order a lookup's start waited seconds behind ends of batch tasks.
-    fn next_ids(&self, max: usize) -> Vec<JobId> {
-        let free = |id: &JobId| self.jobs.get(id).is_some_and(|j| j.storing.is_none());
-        let waiting = self.dirty.iter().filter(|(id, _)| free(id)).map(|(id, at)| (*at, *id));
+    fn next_ids(&self, scope: Scope, max: usize) -> Vec<JobId> {
+        let waiting = self.unstored(scope).map(|(id, at)| (at, id));
         let mut oldest: Vec<(u64, JobId)> = waiting.collect();
         if oldest.len() > max {
             oldest.sort_unstable();
@@ -138,9 +140,16 @@
         }
     }
 
-    /// Whether there is anything to store that is not on its way.
-    pub fn wants_commit(&self) -> bool {
-        self.dirty.keys().any(|id| self.jobs.get(id).is_some_and(|j| j.storing.is_none()))
+    /// Whether there is anything to store in a part that is not on its way.
+    pub fn wants_commit(&self, part: Part) -> bool {
+        self.unstored(Scope::One(part)).next().is_some()
+    }
+
+    /// Jobs to be stored of which nothing is on its way, and since when.
+    fn unstored(&self, scope: Scope) -> impl Iterator<Item = (JobId, u64)> + '_ {
+        let free = |id: &JobId| self.jobs.get(id).is_some_and(|j| j.storing.is_none());
+        let dirty = self.dirty.range(scope.jobs());
+        dirty.filter(move |(id, _)| free(id)).map(|(id, at)| (*id, *at))
     }
 
     /// The store answered, or did not.
@@ -153,11 +162,18 @@
     }
 
     fn stored(&mut self, batch: &Batch, version: u64, now: Now) {
+        let mut rows = [0; parts::COUNT];
+        batch.writes.iter().for_each(|w| rows[Part::of(w.job).index()] += 1);
+        for part in Part::all().filter(|p| rows[p.index()] > 0) {
+            self.storing.note(part, rows[part.index()], batch.at, now.mono);
+        }
         for w in &batch.writes {
             let Some(job) = self.jobs.get_mut(&w.job) else { continue };
             job.version = version;
             job.stored = w.rev;
             job.storing = None;
+            self.note_stored(w.job, w.rev, now);
+            let Some(job) = self.jobs.get(&w.job) else { continue };
             let steps: Vec<StepId> = job.steps.iter().map(|s| s.id).collect();
             for step in steps {
                 self.start_stored(step, w.rev, now);
--- a/src/control/engine/jobs.rs
+++ b/src/control/engine/jobs.rs
@@ -1,7 +1,8 @@
 //! What is known of a job: its steps, their tasks and where they run.
 
 use super::gangs::Broken;
-use super::runs::Run;
+use super::runs::{Run, Stage};
+use super::storing::Unstored;
 use super::RunnerKey;
 use crate::control::model::{Attempt, JobId, JobState, Queue, Step, StepId, TaskId};
 use crate::control::rows::JobRow;
@@ -125,6 +126,8 @@
     pub stored: u64,
     /// Revision being stored.
     pub storing: Option<u64>,
+    /// Its placements that are not stored.
+    pub unstored: Option<Unstored>,
     /// Version of its row in the store.
     pub version: u64,
     /// Longest chain of work expected from each step on, ms.
@@ -152,6 +155,7 @@
             rev: 0,
             stored: 0,
             storing: None,
+            unstored: None,
             version: 0,
             tails: Vec::new(),
             longest: 0,
@@ -184,6 +188,16 @@
         after.iter().all(|&step| self.step(StepId { step, ..id }).is_some_and(StepRun::done))
     }
 
+    /// Revision that stores the last of its placements that are not stored, if there are any.
+    pub fn newest_placement(&self) -> Option<u64> {
+        let runs = self.steps.iter().flat_map(|s| &s.tasks).filter_map(|t| t.run.as_ref());
+        let unstored = runs.filter_map(|r| match r.stage {
+            Stage::Storing { rev } => Some(rev),
+            _ => None,
+        });
+        unstored.max()
+    }
+
     /// Whether any task runs or may run.
     pub fn runs(&self) -> bool {
         self.steps.iter().any(|s| s.tasks.iter().any(|t| t.run.is_some()))
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -23,6 +23,7 @@
 mod runners;
 mod runs;
 mod stored;
+mod storing;
 
 pub use commit::{Batch, Outcome, Write};
 pub use jobs::{Job, StepRun, Task};
@@ -175,6 +176,8 @@
     torn: BTreeSet<StepId>,
     /// Questions about steps of patient queues that are on their way.
     questions: advice::Questions,
+    /// Placements that wait for the store.
+    storing: storing::Storing,
     /// What queues' policies approve on average.
     shares: BTreeMap<String, advice::Share>,
     /// What queues' estimates are worth.
@@ -211,6 +214,7 @@
             bookings: BTreeMap::new(),
             torn: BTreeSet::new(),
             questions: advice::Questions::default(),
+            storing: storing::Storing::default(),
             shares: BTreeMap::new(),
             paces: BTreeMap::new(),
             racks: BTreeMap::new(),
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -1,6 +1,6 @@
 //! A planning round: which waiting tasks go where.
 
-use super::advice::{Kind, TICKET_MARGIN_MS};
+use super::advice::Kind;
 use super::reserve::{Backlog, Claims};
 use super::round::{Round, Sweep, MOST_AHEAD, MOST_LOOKS};
 use super::runs::{Run, Stage};
@@ -96,6 +96,9 @@
             self.open.remove(&id);
             return;
         }
+        if self.store_busy(id.job, rank.patient, now) {
+            return;
+        }
         let Some(queue) = cat.queues.get(&row.queue) else { return };
         let step = &row.spec.steps[id.step as usize];
         let view = View { id, step, queue, waiting: self.waiting(id), patient: rank.patient };
@@ -107,9 +110,10 @@
 
     /// Whether a step has no good ticket, though it needs one.
     fn unticketed(&self, v: &View<'_>, now: Now) -> bool {
+        let margin = self.ticket_margin(v.id);
         let tickets = self.step(v.id).into_iter().flat_map(|s| s.approvals.tickets.values());
         let mut ends = tickets.map(|(_, end)| *end);
-        v.queue.approval.is_some() && !ends.any(|end| end > now.mono + TICKET_MARGIN_MS)
+        v.queue.approval.is_some() && !ends.any(|end| end > now.mono + margin)
     }
 
     /// Whether a question about a step is on its way.
@@ -235,10 +239,11 @@
         known: &[Place<RunnerKey>],
         now: Now,
     ) -> Vec<Place<RunnerKey>> {
+        let margin = self.ticket_margin(v.id);
         let tickets = self.step(v.id).map(|s| &s.approvals.tickets);
         let good = |p: &&Place<RunnerKey>| {
             let ticket = tickets.and_then(|t| t.get(&p.key));
-            ticket.is_some_and(|(_, end)| *end > now.mono + TICKET_MARGIN_MS)
+            ticket.is_some_and(|(_, end)| *end > now.mono + margin)
         };
         let all = v.queue.approval.is_none();
         known.iter().filter(|p| all || good(p)).cloned().collect()
@@ -285,7 +290,7 @@
             let Some(k) = chosen else { break };
             budget -= ask.need.cpu;
             left -= 1;
-            self.commit_place(v, id, k);
+            self.commit_place(v, id, k, now);
         }
         if left > 0 {
             self.ask_for(v, claims, left, now);
@@ -311,7 +316,7 @@
         let avoid = self.avoided(v.id);
         let mut good = self.ticketed(v, &known, now);
         if let Some(keys) = place::all(&mut good, &ask, count, &avoid) {
-            self.commit_gang(v, &keys);
+            self.commit_gang(v, &keys, now);
             return;
         }
         if !self.asking(v.id) {
@@ -339,16 +344,16 @@
             return;
         };
         let Some(a) = self.step(v.id).map(|s| &s.approvals) else { return };
-        let good = |k: &RunnerKey| {
-            a.tickets.get(k).is_some_and(|(_, end)| *end > now.mono + TICKET_MARGIN_MS)
-        };
+        let margin = self.ticket_margin(v.id);
+        let good =
+            |k: &RunnerKey| a.tickets.get(k).is_some_and(|(_, end)| *end > now.mono + margin);
         if v.queue.approval.is_none() || runners.iter().all(good) {
             // Tasks that make room may still be there.
             if !runners.iter().all(|k| self.runners.get(*k).clear()) {
                 return;
             }
             if let Some(b) = self.unbook(v.id) {
-                self.commit_gang(v, &b.keys);
+                self.commit_gang(v, &b.keys, now);
             }
             return;
         }
@@ -364,7 +369,7 @@
     }
 
     /// Decides a placement; its start goes out once it is stored.
-    fn commit_place(&mut self, v: &View<'_>, id: TaskId, k: RunnerKey) {
+    fn commit_place(&mut self, v: &View<'_>, id: TaskId, k: RunnerKey, now: Now) {
         let need = v.step.demand();
         let name = self.runners.get(k).id.clone();
         let free = self.runners.get(k).free();
@@ -383,10 +388,11 @@
         log::info!(task:% = id, attempt = attempt.0, runner = name, free_cpu = free.cpu,
             free_mem = free.mem, cat = self.cat.version; "task placed");
         self.touch(id.step.job);
+        self.note_unstored(id.step.job, rev, v.patient, now);
     }
 
     /// Decides the placements of a gang: one attempt number, one checkpoint for all.
-    fn commit_gang(&mut self, v: &View<'_>, keys: &[RunnerKey]) {
+    fn commit_gang(&mut self, v: &View<'_>, keys: &[RunnerKey], now: Now) {
         let Some(step) = self.step_mut(v.id) else { return };
         let last = step.tasks.iter().map(|t| t.attempt).max().unwrap_or_default();
         let saved = step.tasks.iter().map(|t| t.saved.clone()).max().unwrap_or_default();
@@ -396,7 +402,7 @@
         }
         let ids: Vec<TaskId> = step.ids().collect();
         for (id, k) in ids.into_iter().zip(keys) {
-            self.commit_place(v, id, *k);
+            self.commit_place(v, id, *k, now);
         }
     }
 }
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -83,6 +83,8 @@
     pub used: Resources,
     /// Room booked for gangs whose tickets are being asked for.
     pub booked: Resources,
+    /// Room that steps whose questions name it will take in all likelihood.
+    pub wanted: Resources,
     /// What runs or may run there, and its room.
     pub tasks: BTreeMap<(TaskId, Attempt), Resources>,
     /// Its clock and the local time when that was read, ms.
@@ -118,6 +120,7 @@
             rack: 0,
             used: Resources::ZERO,
             booked: Resources::ZERO,
+            wanted: Resources::ZERO,
             tasks: BTreeMap::new(),
             clock: None,
             heard_at: 0,
--- a/src/control/leader/calls.rs
+++ b/src/control/leader/calls.rs
@@ -5,9 +5,11 @@
 use crate::control::mirror::Table;
 use crate::control::model::JobId;
 use crate::control::office::Term;
-use crate::control::ports::{Commit, Txn};
+use crate::control::parts::{Part, Scope};
+use crate::control::ports::{Commit, Key, Txn};
 use crate::control::rows;
 use futures::future::{BoxFuture, FutureExt};
+use std::collections::BTreeSet;
 
 /// A commit is waited for at least this long, ms: see the intake's.
 const COMMIT_MS: u64 = 900;
@@ -80,13 +82,12 @@
         .boxed()
     }
 
-    pub(super) fn commit(&self, term: Term, batch: Batch) -> BoxFuture<'_, Event> {
+    pub(super) fn commit(&self, term: Term, scope: Scope, batch: Batch) -> BoxFuture<'_, Event> {
         async move {
-            let mut txn = Txn {
-                expect: vec![(rows::holder_key(), term.fence)],
-                put: vec![(rows::beat_key(), rows::encode(&self.clock.wall()))],
-                remove: Vec::new(),
-            };
+            let parts: BTreeSet<Part> = batch.writes.iter().map(|w| Part::of(w.job)).collect();
+            let fence = |p: &Part| (rows::fence_key(*p), term.parts[p.index()]);
+            let expect = parts.iter().map(fence).collect();
+            let mut txn = Txn { expect, ..Txn::default() };
             for w in &batch.writes {
                 let key = rows::progress_key(w.job);
                 txn.expect.push((key.clone(), w.version));
@@ -99,8 +100,10 @@
             let out = match res {
                 Ok(Commit::Done(version)) => Outcome::Done(version),
                 Ok(Commit::Conflict(found)) => {
-                    let holder = found.iter().find(|r| r.key == rows::holder_key());
-                    if holder.is_none_or(|r| r.version != term.fence) {
+                    let holds = |(key, version): (Key, u64)| {
+                        found.iter().any(|r| r.key == key && r.version == version)
+                    };
+                    if !parts.iter().map(fence).all(holds) {
                         return Event::Deposed;
                     }
                     log::info!(rows = batch.writes.len(); "commit met an earlier write of ours");
@@ -111,7 +114,7 @@
                     Outcome::Unknown
                 }
             };
-            Event::Committed(batch, out, sent)
+            Event::Committed(scope, batch, out, sent)
         }
         .boxed()
     }
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -14,6 +14,7 @@
 use super::mirror::{Mirror, News, Table};
 use super::model::{Attempt, JobId, JobState, StepId, TaskId};
 use super::office::{Office, Term, BEAT_MS};
+use super::parts::{self, Scope};
 use super::ports::{Advice, AdviceError, CommitError, Refusal, Report, Runners, Store};
 use crate::kernel::clock::Clock;
 use crate::kernel::stop::Stop;
@@ -33,8 +34,8 @@
 const LONGEST_ROUND_MS: u64 = 120;
 
 /// Writes of one transaction: each needs a condition and a write, and the store takes 100
-/// entries, of which one checks the office and one is a sign of life.
-const BATCH: usize = 48;
+/// entries, of which one for each part checks its fence.
+const BATCH: usize = (100 - parts::COUNT) / 2;
 
 /// Wait after a call to the store without success, ms.
 const RETRY_MS: u64 = 60;
@@ -63,7 +64,7 @@
     Stopped(RunnerKey, TaskId, Attempt, Result<u64, Refusal>),
     Looked(RunnerKey, Result<Report, Refusal>),
     Advised(StepId, Vec<String>, Result<Advice, AdviceError>),
-    Committed(Batch, Outcome, u64),
+    Committed(Scope, Batch, Outcome, u64),
     Deposed,
     BeatDue,
     Beat(Result<bool, CommitError>, u64),
@@ -86,6 +87,8 @@
     pub clock: Clock,
     /// Limits.
     pub rules: Rules,
+    /// Whether one transaction of the store may take rows of several parts.
+    pub cross_part: bool,
     /// For the state dump.
     pub view: Arc<Mutex<serde_json::Value>>,
 }
@@ -133,7 +136,7 @@
         let until = self.clock.mono() + YIELD_MS / 2;
         let read = |table, version| self.read_up_to(table, version, until);
         let (progress, jobs, registry) = futures::join!(
-            read(Table::Progress, term.fence),
+            read(Table::Progress, term.version()),
             read(Table::Jobs, term.fence),
             read(Table::Registry, 0),
         );
@@ -171,16 +174,16 @@
         work.push(self.beat_later());
         work.push(self.sweep_later());
         let writes = Dependency::new("store, commits", self.clock.clone());
-        let mut duty = Duty::new(self.clock.mono());
+        let mut duty = Duty::new(self.cross_part, self.clock.mono());
         let mut planned_ms = 0;
         loop {
             // With thousands of steps open a round takes many times [`ROUND_MS`]: events get as much time
             // as planning, or answers would wait for several rounds until they are taken in.
             let round_ms = ROUND_MS.max(planned_ms);
             self.wait(round_ms, engine, &mut work, news, &mut |event, engine, work| match event {
-                Event::Committed(batch, out, sent) => {
+                Event::Committed(scope, batch, out, sent) => {
                     let stored = matches!(out, Outcome::Done(_));
-                    duty.committed(stored, sent, self.clock.mono());
+                    duty.committed(scope, stored, sent, self.clock.mono());
                     match stored {
                         true => writes.works(),
                         false => writes.fails(&"a commit without success"),
@@ -196,9 +199,7 @@
                     }
                 }
                 Event::BeatDue => {
-                    if duty.must_sign(self.clock.mono()) {
-                        work.push(self.beat(term));
-                    }
+                    work.push(self.beat(term));
                     work.push(self.beat_later());
                 }
                 Event::Swept => {
@@ -220,9 +221,9 @@
             engine.tick(now);
             engine.plan(now);
             planned_ms = self.clock.mono().saturating_sub(now.mono).min(LONGEST_ROUND_MS);
-            while duty.may_commit(now.mono) && engine.wants_commit() {
-                duty.commits(now.mono);
-                work.push(self.commit(term, engine.take_batch(BATCH)));
+            while let Some(scope) = duty.next(|p| engine.wants_commit(p), now.mono) {
+                duty.commits(scope, now.mono);
+                work.push(self.commit(term, scope, engine.take_batch(scope, BATCH, now)));
             }
             for act in engine.take_actions() {
                 work.push(self.perform(act));
--- a/src/control/mirror/mod.rs
+++ b/src/control/mirror/mod.rs
@@ -9,6 +9,7 @@
 
 use super::health::Dependency;
 use super::model::{Catalogue, JobId, JobState};
+use super::parts::Part;
 use super::ports::{Change, Page, ReadError, RunnerEntry, Store};
 use super::pulse::Pulse;
 use super::rows::{self, JobRow, ProgressRow};
@@ -100,7 +101,7 @@
             // All there can be: a part first written to between a listing of the parts and the
             // first read would be in neither, and its jobs lost to this instance.
             Self::Jobs => (0..rows::JOB_PARTS).map(rows::part_name).collect(),
-            Self::Progress => vec![rows::CELL.to_string()],
+            Self::Progress => Part::all().map(Part::name).collect(),
             Self::Config | Self::Registry => vec![String::new()],
         }
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,7 +4,7 @@
 //! `engine` decides without I/O; `leader` drives it; `office` elects who does; `mirror` keeps
 //! what the store says of jobs; `intake` writes submissions in groups; `front` answers callers;
 //! `links` connects the other instances with the scheduler's; `pulse` knows whether the store answers;
-//! `evict` picks tasks that make room; `pace` learns what estimates are worth; `health` logs dependencies lost and regained.
+//! `evict` picks tasks that make room; `pace` learns what estimates are worth; `parts` spreads progress over the store; `health` logs dependencies lost and regained.
 
 pub mod engine;
 pub mod evict;
@@ -18,6 +18,7 @@
 pub mod node;
 pub mod office;
 pub mod pace;
+pub mod parts;
 pub mod place;
 pub mod ports;
 pub mod pulse;
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -131,6 +131,7 @@
             office: self.office.clone(),
             clock: self.clock.clone(),
             rules,
+            cross_part: self.settings.cross_part,
             view: self.view.clone(),
         };
         let read = |t| self.mirror.followed(t).is_some();
--- a/src/control/office.rs
+++ b/src/control/office.rs
@@ -6,12 +6,20 @@
 //! holder's row is the fencing token. A predecessor that does not know yet that it was replaced
 //! cannot commit (its commits have the row as a condition) and is refused by every runner that
 //! its successor has looked at.
+//!
+//! Progress is stored in several parts, whose transactions cannot all check the holder's row. So each
+//! part has a fence row with the token of the scheduler that may write there. What goes wrong without:
+//! a predecessor stores a placement after its successor has read that part, and the successor starts
+//! the task a second time. A term begins once its token stands in every part, so that whatever it reads
+//! after that is all there will be of its predecessors.
 
 use super::health::Dependency;
+use super::parts::{self, Part};
 use super::ports::{Change, Commit, CommitError, ReadError, Row, Store, Txn};
-use super::rows::{self, HolderRow};
+use super::rows::{self, FenceRow, HolderRow};
 use super::settings::NodeSettings;
 use crate::kernel::clock::Clock;
+use futures::future;
 use rand::Rng;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -69,14 +77,29 @@
 /// Longest an attempt to take the office is waited for, ms.
 const TAKE_MS: u64 = 900;
 
-/// Rows of the office's table: holder and sign of life.
+/// Longest that the parts are tried to be fenced in one go, ms: some tries on a slow store.
+const FENCE_MS: u64 = 2_000;
+
+/// Wait after a part could not be fenced, ms.
+const RETRY_MS: u64 = 60;
+
+/// Rows of the office's own part: holder and sign of life.
 const ROWS: usize = 2;
 
 /// A term of office.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Term {
-    /// Version of the holder's row: the condition of every commit and the fencing token.
+    /// Version of the holder's row: the fencing token.
     pub fence: u64,
+    /// Versions of the fence rows: conditions of every commit.
+    pub parts: [u64; parts::COUNT],
+}
+
+impl Term {
+    /// The version up to which rows have to be read to know all that predecessors have stored.
+    pub fn version(&self) -> u64 {
+        self.parts.iter().copied().max().unwrap_or(0).max(self.fence)
+    }
 }
 
 /// The office as one instance sees it.
@@ -96,12 +119,21 @@
     holder: Option<HolderRow>,
     holder_version: u64,
     beat: u64,
+    /// Versions of the fence rows as far as they were heard of.
+    fences: [u64; parts::COUNT],
     /// Since when the sign of life has been the same, local ms.
     since: u64,
     /// Nobody listens at the holder's address.
     dead: bool,
 }
 
+/// The token in a fence row; none if nobody can have written it, which must not keep a part from
+/// everybody for good: a token is the version of an earlier write.
+fn token(row: &Row) -> Option<u64> {
+    let FenceRow(token) = rows::decode(&row.value).ok()?;
+    (token < row.version).then_some(token)
+}
+
 impl Office {
     /// The office for the instance of `settings`.
     pub fn new(store: Arc<dyn Store>, clock: Clock, settings: &NodeSettings) -> Self {
@@ -181,7 +213,11 @@
             let seen = self.seen.lock().unwrap().clone();
             let now = self.clock.mono();
             if seen.holder.as_ref() == Some(&self.me) {
-                return Term { fence: seen.holder_version };
+                // Taken by a write without an answer, or not all parts could be fenced.
+                if let Some(term) = self.fence(seen.holder_version).await {
+                    return term;
+                }
+                continue;
             }
             let silent = now.saturating_sub(seen.since);
             let patience = self.patience(&seen);
@@ -276,6 +312,9 @@
                 seen.beat = row.version;
                 seen.since = now;
                 seen.dead = false;
+            } else if let Some(part) = Part::all().find(|p| row.key == rows::fence_key(*p)) {
+                let known = &mut seen.fences[part.index()];
+                *known = row.version.max(*known);
             }
         }
     }
@@ -294,7 +333,7 @@
                     Row { key: rows::holder_key(), value: rows::encode(&self.me), version: fence };
                 self.note(vec![row], fence);
                 log::info!(fence = fence, silent_ms = silent; "office taken");
-                Some(Term { fence })
+                self.fence(fence).await
             }
             Ok(Commit::Conflict(found)) => {
                 self.note(found, seen.at.unwrap_or(0));
@@ -307,6 +346,45 @@
         }
     }
 
+    /// Fences every part of the progress, so that no predecessor stores anything there any more.
+    async fn fence(&self, fence: u64) -> Option<Term> {
+        let until = self.clock.mono() + FENCE_MS;
+        let all = Part::all().map(|part| self.fence_part(part, fence, until));
+        let versions: Option<Vec<u64>> = future::join_all(all).await.into_iter().collect();
+        let parts = versions?.try_into().ok()?;
+        Some(Term { fence, parts })
+    }
+
+    /// Fences a part, and returns the version of its row; none if that was not possible until `until`,
+    /// or a successor has fenced it.
+    async fn fence_part(&self, part: Part, fence: u64, until: u64) -> Option<u64> {
+        let key = rows::fence_key(part);
+        let mut version = self.seen.lock().unwrap().fences[part.index()];
+        loop {
+            let put = vec![(key.clone(), rows::encode(&FenceRow(fence)))];
+            let txn = Txn { expect: vec![(key.clone(), version)], put, remove: Vec::new() };
+            let why = match self.store.commit(&txn, TAKE_MS).await {
+                Ok(Commit::Done(version)) => return Some(version),
+                Ok(Commit::Conflict(found)) => {
+                    let row = found.into_iter().find(|r| r.key == key);
+                    version = row.as_ref().map_or(0, |r| r.version);
+                    match row.and_then(|r| token(&r)) {
+                        Some(token) if token > fence => return None,
+                        // An earlier try of ours that had no answer.
+                        Some(token) if token == fence => return Some(version),
+                        _ => continue,
+                    }
+                }
+                Err(e) => e,
+            };
+            if self.clock.mono() >= until {
+                log::warn!(part = part.name(), fence = fence, why:% = why; "part not fenced");
+                return None;
+            }
+            self.clock.sleep(RETRY_MS).await;
+        }
+    }
+
     /// Signs of life under the term's condition. False once somebody else holds the office.
     pub async fn beat(&self, term: Term) -> Result<bool, CommitError> {
         let txn = Txn {
--- a/src/control/rows.rs
+++ b/src/control/rows.rs
@@ -4,11 +4,13 @@
 //! |---|---|---|---|---|
 //! | `jobs` | leading bits of the id | id | the job as submitted | the instance that accepts it, once |
 //! | `jobs` | leading bits of the id | id`.cancel` | when it was cancelled | any instance |
-//! | `progress` | `cell` | id | state, attempts, placements, ends | the scheduler in office |
+//! | `progress` | `p0` to `p7` | id | state, attempts, placements, ends | the scheduler in office |
 //! | `office` | `cell` | `holder` | who is the scheduler | whoever takes office |
-//! | `office` | `cell` | `beat` | a counter | the scheduler, with every commit |
+//! | `office` | `cell` | `beat` | a counter | the scheduler |
+//! | `office` | `p0` to `p7` | `fence` | token of the scheduler that may write there | whoever takes office |
 
 use super::model::{Attempt, Invalid, JobId, JobSpec, JobState, MAX_MOMENT};
+use super::parts::Part;
 use super::ports::Key;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -24,7 +26,7 @@
 /// Table of the scheduler's office.
 pub const OFFICE: &str = "office";
 
-/// Part shared by progress and office, so that one transaction can check the office.
+/// Part of the holder's row and of its sign of life.
 pub const CELL: &str = "cell";
 
 /// Follows the id in the key of a cancellation.
@@ -140,6 +142,10 @@
     }
 }
 
+/// Fencing token of the scheduler that may store progress in a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FenceRow(pub u64);
+
 /// A task's progress: attempt, failures, done, runner it may run on, checkpoint.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskRow(pub Attempt, pub u32, pub bool, pub String, pub String);
@@ -230,7 +236,7 @@
 
 /// Key of a job's progress.
 pub fn progress_key(id: JobId) -> Key {
-    Key::new(PROGRESS, CELL, &id.to_string())
+    Key::new(PROGRESS, &Part::of(id).name(), &id.to_string())
 }
 
 /// Key of the row that names the scheduler.
@@ -243,6 +249,11 @@
     Key::new(OFFICE, CELL, "beat")
 }
 
+/// Key of the row that says which scheduler may store progress in a part.
+pub fn fence_key(part: Part) -> Key {
+    Key::new(OFFICE, &part.name(), "fence")
+}
+
 /// What a key of the jobs table stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum JobKey {
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -27,6 +27,9 @@
     pub share: f64,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Whether one transaction of the store may take rows of several parts.
+    #[serde(default)]
+    pub cross_part: bool,
     /// The service that knows queues' policies, if there is one.
     pub advice: Option<SocketAddr>,
     /// Longest lease that a runner grants, ms.
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -15,11 +15,12 @@
 mod work;
 
 use super::runner::FakeRunner;
-use calls::WAY_MS;
 use currantgw::control::engine::{Action, Batch, Engine, Now, Outcome, Rules, RunnerKey};
+use currantgw::control::leader::Duty;
 use currantgw::control::model::{
     Approval, Attempt, Catalogue, JobId, JobSpec, JobState, Queue, Step, StepId, TaskId,
 };
+use currantgw::control::parts::{self, Part, Scope};
 use currantgw::control::place::Placement;
 use currantgw::control::ports::{Advice, Refusal, Report, RunnerEntry};
 use currantgw::control::rows::{self, JobRow};
@@ -49,6 +50,15 @@
     pub store_down: bool,
 }
 
+/// How long the store takes: each part carries out one transaction at a time.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreTimes {
+    /// A transaction of one part, ms; one of several parts takes twice as long.
+    pub txn: u64,
+    /// Way of a call, there and back, ms.
+    pub way: u64,
+}
+
 #[derive(Clone, Debug)]
 enum Event {
     Arrive { term: u64, act: Action, answered: bool },
@@ -56,8 +66,8 @@
     Stopped(RunnerKey, TaskId, Attempt, Result<u64, Refusal>),
     Looked(RunnerKey, Result<Report, Refusal>),
     Advised(StepId, Vec<String>, Advice),
-    Apply { term: u64, batch: Batch, answered: bool },
-    Committed(Batch, Outcome),
+    Apply { term: u64, scope: Scope, batch: Batch, answered: bool, way: u64 },
+    Committed(Scope, Batch, Outcome),
 }
 
 /// The cell.
@@ -88,6 +98,10 @@
     pub depth: f64,
     /// Questions refused.
     pub refused: usize,
+    /// A part of the store that takes nothing.
+    pub away: Option<Part>,
+    /// How long the store takes, where that matters.
+    pub times: Option<StoreTimes>,
     /// Real work of a job's tasks, per cent of their estimate, where they differ.
     pub truth: BTreeMap<JobId, u64>,
     /// Share of runs that fail by their own fault.
@@ -106,6 +120,9 @@
     cancelled: BTreeSet<JobId>,
     store: BTreeMap<JobId, (u64, Vec<u8>)>,
     version: u64,
+    duty: Duty,
+    /// When each part of the store is free again, ms.
+    free: [u64; parts::COUNT],
     office: u64,
     events: BTreeMap<(u64, u64), (u64, Event)>,
     seq: u64,
@@ -169,6 +186,8 @@
             spared: 0,
             depth: f64::INFINITY,
             refused: 0,
+            away: None,
+            times: None,
             truth: BTreeMap::new(),
             own_faults: 0.0,
             uneven: 0,
@@ -180,6 +199,8 @@
             cancelled: BTreeSet::new(),
             store: BTreeMap::new(),
             version: 1,
+            duty: Duty::new(true, now),
+            free: [0; parts::COUNT],
             office: 1,
             events: BTreeMap::new(),
             seq: 0,
@@ -267,6 +288,7 @@
             }
         }
         self.engine = next;
+        self.duty = Duty::new(true, self.now);
         for i in 0..self.runners.len() {
             if self.runners[i].up {
                 self.register(i, true);
@@ -310,10 +332,10 @@
         let (now, current) = (self.clocks(), office == self.office);
         match e {
             Event::Arrive { act, answered, .. } => self.arrive(act, answered && current),
-            Event::Apply { term, batch, answered } => {
+            Event::Apply { term, scope, batch, answered, way } => {
                 let out = self.apply(term, &batch);
                 if answered && current {
-                    self.at(WAY_MS, Event::Committed(batch, out));
+                    self.at(way, Event::Committed(scope, batch, out));
                 }
             }
             _ if !current => {}
@@ -321,7 +343,7 @@
             Event::Stopped(k, id, attempt, res) => self.engine.stopped(k, id, attempt, res, now),
             Event::Looked(k, res) => self.engine.looked(k, res, now),
             Event::Advised(step, ids, a) => self.engine.advised(step, &ids, Ok(a), now),
-            Event::Committed(batch, out) => self.engine.committed(&batch, &out, now),
+            Event::Committed(scope, batch, out) => self.answered(scope, &batch, &out),
         }
     }
 
--- a/tests/common/control/store.rs
+++ b/tests/common/control/store.rs
@@ -2,33 +2,65 @@
 
 use super::calls::{TIMEOUT_MS, WAY_MS};
 use super::{Cell, Event};
-use currantgw::control::engine::{Batch, Outcome};
+use currantgw::control::engine::{Batch, Engine, Outcome};
 use currantgw::control::model::{JobId, JobState};
+use currantgw::control::parts::{Part, Scope};
 use currantgw::control::ports;
 use currantgw::control::rows::{self, ProgressRow};
 use rand::Rng;
 
+/// Most writes of one transaction.
+const BATCH: usize = 46;
+
 impl Cell {
     /// Sends what the scheduler wants stored.
     pub(super) fn commit(&mut self) {
-        if !self.engine.wants_commit() {
-            return;
+        let wants = |engine: &Engine, p: Part| engine.wants_commit(p);
+        while let Some(scope) = self.duty.next(|p| wants(&self.engine, p), self.now) {
+            self.duty.commits(scope, self.now);
+            let batch = self.engine.take_batch(scope, BATCH, self.clocks());
+            self.send_batch(scope, batch);
         }
-        let batch = self.engine.take_batch(48);
+    }
+
+    fn send_batch(&mut self, scope: Scope, batch: Batch) {
         let term = self.office;
-        if self.faults.store_down {
-            return self.at(TIMEOUT_MS, Event::Committed(batch, Outcome::Unknown));
+        let away = self.away.is_some_and(|p| scope == Scope::All || scope == Scope::One(p));
+        if self.faults.store_down || away {
+            return self.at(TIMEOUT_MS, Event::Committed(scope, batch, Outcome::Unknown));
         }
+        let (wait, way) = self.store_time(scope);
         if !self.rng.gen_bool(self.faults.commits) {
-            return self.at(WAY_MS, Event::Apply { term, batch, answered: true });
+            return self.at(wait, Event::Apply { term, scope, batch, answered: true, way });
         }
-        self.at(TIMEOUT_MS, Event::Committed(batch.clone(), Outcome::Unknown));
+        self.at(TIMEOUT_MS, Event::Committed(scope, batch.clone(), Outcome::Unknown));
         if self.rng.gen_bool(0.75) {
-            let late = if self.rng.gen() { WAY_MS } else { self.rng.gen_range(1_000..6_000) };
-            self.at(late, Event::Apply { term, batch, answered: false });
+            let late = if self.rng.gen() { wait } else { self.rng.gen_range(1_000..6_000) };
+            self.at(late, Event::Apply { term, scope, batch, answered: false, way });
         }
     }
 
+    /// Time until a transaction sent now is carried out, and from then until its answer, ms.
+    fn store_time(&mut self, scope: Scope) -> (u64, u64) {
+        let Some(times) = self.times else { return (WAY_MS, WAY_MS) };
+        let half = times.way / 2;
+        let (parts, takes): (Vec<Part>, u64) = match scope {
+            Scope::All => (Part::all().collect(), 2 * times.txn),
+            Scope::One(part) => (vec![part], times.txn),
+        };
+        let free = parts.iter().map(|p| self.free[p.index()]).max().unwrap_or(0);
+        let done = free.max(self.now + half) + takes;
+        parts.iter().for_each(|p| self.free[p.index()] = done);
+        (done - self.now, half)
+    }
+
+    /// The answer to a commit.
+    pub(super) fn answered(&mut self, scope: Scope, batch: &Batch, out: &Outcome) {
+        let stored = matches!(out, Outcome::Done(_));
+        self.duty.committed(scope, stored, batch.at, self.now);
+        self.engine.committed(batch, out, self.clocks());
+    }
+
     /// A commit reaches the store: all of it is written, or nothing.
     pub(super) fn apply(&mut self, term: u64, batch: &Batch) -> Outcome {
         let stands = |id: &JobId| self.store.get(id).map_or(0, |(v, _)| *v);
--- /dev/null
+++ b/tests/common/table.rs
@@ -0,0 +1,108 @@
+//! The platform's store in memory: rows with versions, conditional transactions, a feed, and parts that
+//! are away.
+
+#![allow(dead_code)]
+
+use async_std::task;
+use currantgw::control::ports::{
+    Change, Changes, Commit, CommitError, Key, Page, ReadError, Row, Store, Txn,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Mutex;
+use std::time::Duration;
+
+#[derive(Default)]
+struct State {
+    rows: BTreeMap<Key, Row>,
+    version: u64,
+    away: BTreeSet<String>,
+}
+
+/// The store.
+#[derive(Default)]
+pub struct Table {
+    state: Mutex<State>,
+}
+
+impl Table {
+    /// Parts that answer no transaction from now on.
+    pub fn lose(&self, parts: impl IntoIterator<Item = String>) {
+        self.state.lock().unwrap().away = parts.into_iter().collect();
+    }
+
+    /// Writes a row as another instance would; returns its version.
+    pub fn put(&self, key: Key, value: Vec<u8>) -> u64 {
+        let mut st = self.state.lock().unwrap();
+        st.version += 1;
+        let version = st.version;
+        st.rows.insert(key.clone(), Row { key, value, version });
+        version
+    }
+
+    /// A row as it stands.
+    pub fn row(&self, key: &Key) -> Option<Row> {
+        self.state.lock().unwrap().rows.get(key).cloned()
+    }
+
+    fn apply(&self, txn: &Txn) -> Result<Commit, CommitError> {
+        let mut st = self.state.lock().unwrap();
+        let written = txn.put.iter().map(|(k, _)| k).chain(&txn.remove);
+        if written.map(|k| &k.part).any(|p| st.away.contains(p)) {
+            return Err(CommitError::NotDone("the part is away".into()));
+        }
+        let stands = |k: &Key| st.rows.get(k).map_or(0, |r| r.version);
+        if txn.expect.iter().any(|(k, v)| stands(k) != *v) {
+            let found = txn.expect.iter().filter_map(|(k, _)| st.rows.get(k).cloned());
+            return Ok(Commit::Conflict(found.collect()));
+        }
+        st.version += 1;
+        let version = st.version;
+        for (key, value) in txn.put.iter().cloned() {
+            st.rows.insert(key.clone(), Row { key, value, version });
+        }
+        txn.remove.iter().for_each(|k| drop(st.rows.remove(k)));
+        Ok(Commit::Done(version))
+    }
+
+    fn changed(&self, table: &str, after: u64) -> Changes {
+        let st = self.state.lock().unwrap();
+        let mut rows: Vec<Row> = st.rows.values().cloned().collect();
+        rows.retain(|r| r.key.table == table && r.version > after);
+        rows.sort_by_key(|r| r.version);
+        Changes { rows: rows.into_iter().map(Change::Put).collect(), version: st.version }
+    }
+}
+
+#[tide::utils::async_trait]
+impl Store for Table {
+    async fn commit(&self, txn: &Txn, _: u64) -> Result<Commit, CommitError> {
+        self.apply(txn)
+    }
+
+    async fn page(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: Option<&str>,
+        limit: usize,
+    ) -> Result<Page, ReadError> {
+        let st = self.state.lock().unwrap();
+        let inside = |k: &Key| {
+            k.table == table && k.part == part && *k.key >= *from && to.is_none_or(|t| *k.key < *t)
+        };
+        let mut rows: Vec<Row> = st.rows.values().filter(|r| inside(&r.key)).cloned().collect();
+        let more = rows.len() > limit;
+        rows.truncate(limit);
+        Ok(Page { rows, more, version: st.version })
+    }
+
+    async fn changes(&self, table: &str, after: u64, wait_ms: u64) -> Result<Changes, ReadError> {
+        let found = self.changed(table, after);
+        if found.rows.is_empty() {
+            task::sleep(Duration::from_millis(wait_ms)).await;
+            return Ok(self.changed(table, after));
+        }
+        Ok(found)
+    }
+}
--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -529,6 +529,7 @@
             metrics: free_addr(),
             share: 1.0,
             store: self.store,
+            cross_part: true,
             advice: Some(self.store),
             hold_max_ms: 10_000,
             grace_ms: 2_600,
--- a/tests/control_leader.rs
+++ b/tests/control_leader.rs
@@ -6,6 +6,7 @@
 use currantgw::control::mirror::{Mirror, Table};
 use currantgw::control::model::{JobId, JobSpec, Step};
 use currantgw::control::office::{Office, Term};
+use currantgw::control::parts;
 use currantgw::control::place::Placement;
 use currantgw::control::ports::{
     Changes, Commit, CommitError, Hold, Key, Order, Page, ReadError, Refusal, Report, Row,
@@ -112,6 +113,7 @@
         metrics: at,
         share: 0.5,
         store: at,
+        cross_part: true,
         advice: None,
         hold_max_ms: 10_000,
         grace_ms: 2_600,
@@ -137,6 +139,7 @@
         office: Arc::new(Office::new(store, clock.clone(), &settings())),
         clock: clock.clone(),
         rules,
+        cross_part: true,
         view: Arc::default(),
     }
 }
@@ -166,7 +169,7 @@
     let clock = Clock::real();
     let (_trigger, stop) = stop::pair();
     let leader = leader(&clock, Arc::default());
-    let mut serve = Box::pin(leader.serve(Term { fence: 5 }, &stop));
+    let mut serve = Box::pin(leader.serve(Term { fence: 5, parts: [5; parts::COUNT] }, &stop));
     longest_poll(&mut serve, Duration::from_millis(200));
     for id in 0..EVENTS {
         leader.mirror.put_cancel(JobId(id));
@@ -183,7 +186,7 @@
     let store = Arc::new(Empty::default());
     let leader = leader(&clock, store.clone());
     async_std::task::block_on(leader.mirror.poll(Table::Config, 0)).unwrap();
-    let mut serve = Box::pin(leader.serve(Term { fence: 5 }, &stop));
+    let mut serve = Box::pin(leader.serve(Term { fence: 5, parts: [5; parts::COUNT] }, &stop));
     longest_poll(&mut serve, Duration::from_millis(100));
     let steps = vec![Step { count: 1, ..Step::default() }];
     let spec = JobSpec { steps, ..JobSpec::default() };
--- a/tests/control_links.rs
+++ b/tests/control_links.rs
@@ -93,6 +93,7 @@
         metrics: free_addr(),
         share: 0.12,
         store,
+        cross_part: true,
         advice: None,
         hold_max_ms: 10_000,
         grace_ms: 2_600,
--- a/tests/control_mirror.rs
+++ b/tests/control_mirror.rs
@@ -192,18 +192,24 @@
         if table == rows::JOBS && after < 50 {
             return Err(ReadError::HistoryGone);
         }
-        let gone = self.inner.parts[rows::CELL].iter().map(|r| Change::Gone(r.key.clone()));
+        let progress = self.inner.parts.values().flatten();
+        let progress = progress.filter(|r| r.key.table == rows::PROGRESS);
+        let gone = progress.map(|r| Change::Gone(r.key.clone()));
         let rows = if table == rows::PROGRESS { gone.collect() } else { Vec::new() };
         Ok(Changes { rows, version: 100 })
     }
 }
 
-/// Progress of jobs that have ended.
-fn ended(ids: impl Iterator<Item = JobId>) -> Vec<Row> {
+/// Progress of jobs that have ended, by part.
+fn ended(ids: impl Iterator<Item = JobId>) -> BTreeMap<String, Vec<Row>> {
     let progress = ProgressRow { state: JobState::Completed, ended: 1, steps: Vec::new() };
     let value = rows::encode(&progress);
-    let row = |id| Row { key: rows::progress_key(id), value: value.clone(), version: 6 };
-    ids.map(row).collect()
+    let mut out: BTreeMap<String, Vec<Row>> = BTreeMap::new();
+    for id in ids {
+        let row = Row { key: rows::progress_key(id), value: value.clone(), version: 6 };
+        out.entry(row.key.part.clone()).or_default().push(row);
+    }
+    out
 }
 
 fn mirror_of(store: &Arc<Faulty>) -> Mirror {
@@ -221,7 +227,7 @@
 async fn a_job_removed_while_the_history_went_is_forgotten() {
     let id = one_a_part()[3];
     let mut inner = Slow::with_jobs(&[id]);
-    inner.parts.insert(rows::CELL.into(), ended([id].into_iter()));
+    inner.parts.extend(ended([id].into_iter()));
     let store = Faulty::new(inner, Fault::JobRemoved, Clock::real());
     let mirror = mirror_of(&store);
     for table in [Table::Jobs, Table::Progress] {
@@ -263,7 +269,7 @@
 #[async_std::test]
 async fn the_feed_is_followed_though_reads_fail() {
     let mut inner = Slow::with_jobs(&[]);
-    inner.parts.insert(rows::CELL.into(), ended((1..8_000).map(JobId)));
+    inner.parts.extend(ended((1..8_000).map(JobId)));
     let store = Faulty::new(inner, Fault::ReadsFail, Clock::real());
     store.begun.store(true, Ordering::Relaxed);
     let mirror = mirror_of(&store);
--- a/tests/control_naming.rs
+++ b/tests/control_naming.rs
@@ -117,3 +117,20 @@
     assert!((0..200).all(|n| cell.whereabouts(task(1_000 + n)).len() == 1));
     cell.check();
 }
+
+/// Symptom: in a burst lookups ask up to eight times each, and start seconds late, while there is room for
+/// all of them; of 200 only 71 run after 1.5 s.
+/// Sequence: they come faster than questions are answered; each names the runners whose room it fills
+/// best, which are the same for all; the first answers take that room, and the others ask again.
+/// Cause: a question did not count on the room that those before it will take.
+#[test]
+fn lookups_of_a_burst_name_different_runners() {
+    let mut cell = cell();
+    for n in 0..200 {
+        cell.submit(1_000 + n, "lookups", vec![step(1, 12_000, 60_000)]);
+    }
+    cell.run(1_500);
+    assert_eq!(cell.running(), 200);
+    assert!(cell.asked.len() <= 3 * 200, "{} questions for 200 lookups", cell.asked.len());
+    cell.check();
+}
--- a/tests/control_policy.rs
+++ b/tests/control_policy.rs
@@ -13,6 +13,7 @@
 use currantgw::control::links::lines;
 use currantgw::control::model::{BadId, Invalid, JobId, JobState, Step, TaskId};
 use currantgw::control::office;
+use currantgw::control::parts::Scope;
 use currantgw::control::place::{self, Ask, Place, Placement};
 use currantgw::control::queue::{self, Claim};
 use currantgw::control::rows::{self, JobKey, ProgressRow, StepRow, TaskRow};
@@ -260,34 +261,6 @@
     assert!(last.iter().all(|n| *n <= 6), "{last:?}");
 }
 
-/// Symptom: with the store 47 times slower placements waited 3.5 to 10 s for their commit.
-/// Sequence: four commits and four signs of life a second queue at a part that serves one
-/// transaction in 140 ms. Cause: as many commits at once as on a fast store.
-#[test]
-fn three_commits_are_under_way_at_most_and_carry_the_sign_of_life() {
-    use currantgw::control::leader::Duty;
-    let mut duty = Duty::new(0);
-    for _ in 0..3 {
-        assert!(duty.may_commit(0));
-        duty.commits(0);
-    }
-    assert!(!duty.may_commit(0));
-    duty.committed(true, 0, 330);
-    assert!(duty.may_commit(330));
-    duty.commits(330);
-    assert!(!duty.may_commit(340));
-    duty.committed(true, 0, 470);
-    duty.committed(true, 0, 470);
-    duty.commits(470);
-    assert!(!duty.must_sign(700) && duty.must_sign(720));
-    // An answer without success pauses, and only answers prolong the term.
-    duty.committed(false, 470, 1_000);
-    assert!(!duty.may_commit(1_030) && duty.may_commit(1_060));
-    assert!(!duty.over(10_000) && duty.over(10_001));
-    duty.acknowledged(5_000);
-    assert!(!duty.over(15_000) && duty.over(15_001));
-}
-
 /// Symptom: in a burst of lookups on a slow store their placements wait up to 5 s to be stored.
 /// Sequence: the store takes 145 rows a second, and 300 change; whatever waits is taken in the
 /// order of the jobs' ids, so that some wait for good.
@@ -304,10 +277,10 @@
     let urgent = cell.submit(u64::MAX, "urgent", vec![step(1, 1_000, 100)]);
     cell.engine.plan(now);
     let mut missing: BTreeSet<JobId> = (1..=90).map(JobId).collect();
-    let batch = cell.engine.take_batch(48);
+    let batch = cell.engine.take_batch(Scope::All, 48, now);
     assert_eq!(batch.writes.len(), 48);
     assert!(batch.writes.iter().any(|w| w.job == urgent));
-    let rest = cell.engine.take_batch(48);
+    let rest = cell.engine.take_batch(Scope::All, 48, now);
     for w in batch.writes.iter().chain(&rest.writes) {
         missing.remove(&w.job);
     }
@@ -482,6 +455,7 @@
         .replace("{{ip}}", "127.0.0.1")
         .replace("{{limits.cpu_share}}", "0.25")
         .replace("{{platform.address|json}}", "\"127.0.0.1:5\"")
+        .replace("{{platform.cross_partition|json}}", "true")
         .replace("{{recommendation|json}}", "\"127.0.0.1:6\"")
         .replace("{{bounds.hold_max_ms}}", "10000")
         .replace("{{bounds.grace_s}}", "6")
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -58,14 +58,13 @@
 
 /// Load: hundreds of runners, four fifths full by processors and nearly so by memory, with gangs of some
 /// twenty members and more, each of which a third of the runners may run; a question names a hundred.
-/// Figures, mean of two seeds: gangs earned 0.901 of their worth when each asked one question at a time and
-/// lookups named the emptiest runners, 0.980 now; lookups 0.991 and 0.985.
+/// Figures, mean of four seeds: gangs earned 0.926 of their worth when each asked one question at a time and
+/// lookups named the emptiest runners, 0.993 now; lookups 0.990 and 0.984.
 #[test]
 fn gangs_on_hundreds_of_runners_find_room() {
     let mut load = Load::scarce_memory(270);
     load.seconds = 16.0;
-    let all: Vec<Outcome> =
-        (0..2).map(|seed| load::play(&load, Placement::BestFit, seed)).collect();
+    let all = plays(&load, Placement::BestFit);
     let gangs = mean(&all, |o| o.queues["gangs"].worth);
     assert!(gangs >= 0.95, "gangs {gangs:.3}");
     let patient = mean(&all, |o| o.queues["patient"].worth);
