A scheduler that the store turns away is replaced early; idle runners are looked at half as often

It knew at once that it was refused, said so after 0.6 s, and the others waited for 1.05 s of silence all the same, in looks of 0.4 s and pauses of 0.45 s.

Change: refusals for 0.25 s are said over links; who hears that from the holder, and hears the store itself, suspects it (0.5 s from the last sign of life) and is woken. No look or pause outlasts the holder's time. Looks at runners with nothing to do wait 2 s there, the platform's longest.

--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -10,8 +10,12 @@
 /// while costing little more than one call a second where nothing happens.
 const LOOK_WAIT_MS: u64 = 800;
 
-/// A runner not heard of for this long gets nothing new, ms: twice a look's wait.
-const REACH_MS: u64 = 1_700;
+/// ... where nothing runs, ms: the platform's longest. Looks at idle runners are most of a scheduler's
+/// work on a cell of thousands with little to do.
+const IDLE_WAIT_MS: u64 = 2_000;
+
+/// A runner not heard of for this long beyond its look's wait gets nothing new, ms.
+const REACH_MS: u64 = 900;
 
 /// A runner's clock may run this much slow, per mille (the platform's bound is 2 %).
 const SLOW_CLOCK: u64 = 980;
@@ -91,6 +95,8 @@
     pub clock: Option<(u64, u64)>,
     /// When it was last heard of, local ms.
     pub heard_at: u64,
+    /// How long the look on its way waits there, ms.
+    wait_ms: u64,
     /// Next look, local ms.
     pub hold_at: u64,
     /// A look is on its way.
@@ -124,6 +130,7 @@
             tasks: BTreeMap::new(),
             clock: None,
             heard_at: 0,
+            wait_ms: LOOK_WAIT_MS,
             hold_at: 0,
             holding: false,
             missed: false,
@@ -157,7 +164,7 @@
 
     /// Whether it was heard of lately.
     pub fn reached(&self, now: Now) -> bool {
-        self.clock.is_some() && self.heard_at + REACH_MS > now.mono
+        self.clock.is_some() && self.heard_at + self.wait_ms + REACH_MS > now.mono
     }
 
     /// Whether new tasks may be placed there. A start without an answer counts against it until
@@ -278,7 +285,13 @@
             // nothing either: it may come into effect at a runner that can hear and not answer,
             // and leases offered again and again to a runner out of reach would never be over.
             let until = if r.missed { None } else { r.extend(hold, now) };
-            let wait_ms = if until.is_some() { LOOK_WAIT_MS } else { 0 };
+            let idle = r.tasks.is_empty() && r.unacked.is_empty();
+            let wait_ms = match until {
+                None => 0,
+                Some(_) if idle => IDLE_WAIT_MS,
+                Some(_) => LOOK_WAIT_MS,
+            };
+            r.wait_ms = wait_ms.max(LOOK_WAIT_MS);
             r.holding = true;
             let hold = Hold { fence, acked: r.acked, until, wait_ms };
             acts.push(Action::Hold { runner: k, to, hold });
--- a/src/control/links/desk.rs
+++ b/src/control/links/desk.rs
@@ -33,6 +33,10 @@
 /// interface's bound, less the way over a link.
 const COUNT_AGE_MS: u64 = 1_500;
 
+/// A store that has refused all calls for this long, ms, is said not to serve this instance: many calls
+/// of a scheduler.
+const REFUSED_MS: u64 = 250;
+
 /// Time between two looks at whether the store still answers, ms; they cost no call.
 const DEAF_MS: u64 = 50;
 
@@ -222,7 +226,7 @@
     async fn tell_silence(&self) {
         let mut was = false;
         loop {
-            let silent = self.pulse.silent();
+            let silent = self.deaf();
             if silent != was {
                 self.desk.tell(&encode(&self.greeting()), |_| true);
             }
@@ -231,9 +235,15 @@
         }
     }
 
+    /// Whether the store serves nothing here. Whoever links here takes this instance for the scheduler's, so
+    /// that refusals count sooner than silence: each is an answer, and the others may replace it.
+    fn deaf(&self) -> bool {
+        self.pulse.silent() || self.pulse.failing_ms() >= REFUSED_MS
+    }
+
     /// What an idle link says: who holds the office, or that the store is not heard of here.
     fn greeting(&self) -> Frame {
-        if self.pulse.silent() {
+        if self.deaf() {
             return Frame::Deaf;
         }
         match self.office.holder() {
--- a/src/control/links/peer.rs
+++ b/src/control/links/peer.rs
@@ -232,7 +232,7 @@
                                             Frame::Answer { id, res }
                                         });
                                     }
-                                    (Some(f), _) => self.take(f),
+                                    (Some(f), _) => self.take(f, addr),
                                     (None, _) => {}
                                 }
                             }
@@ -267,7 +267,7 @@
         }
     }
 
-    fn take(&self, frame: Frame) {
+    fn take(&self, frame: Frame, from: SocketAddr) {
         match frame {
             Frame::States { list } => {
                 for (id, version, state) in list {
@@ -283,7 +283,14 @@
                 self.deaf.store(false, Ordering::Relaxed);
                 self.office.hear(row, version);
             }
-            Frame::Deaf => self.deaf.store(true, Ordering::Relaxed),
+            Frame::Deaf => {
+                self.deaf.store(true, Ordering::Relaxed);
+                // The store serves this instance: it has turned the scheduler's away, and whoever may
+                // need not wait for a silence that long.
+                if !self.pulse.silent() {
+                    self.office.suspect(from);
+                }
+            }
             _ => {}
         }
     }
--- a/src/control/office.rs
+++ b/src/control/office.rs
@@ -19,7 +19,8 @@
 use super::rows::{self, FenceRow, HolderRow};
 use super::settings::NodeSettings;
 use crate::kernel::clock::Clock;
-use futures::future;
+use async_std::channel::{self, Receiver, Sender};
+use futures::future::{self, Either};
 use rand::Rng;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -31,7 +32,8 @@
 /// write or a store that takes 240 ms does not unseat it.
 const TAKEOVER_MS: u64 = 1_050;
 
-/// ... or for this long if nobody listens at its address any more, ms: two beats.
+/// ... or for this long if nobody listens at its address any more, or it says that the store does not
+/// serve it, ms: two beats.
 const TAKEOVER_DEAD_MS: u64 = 500;
 
 /// Candidates wait up to this much longer, at random, so that they do not all try at once, ms.
@@ -117,6 +119,8 @@
     reads: Dependency,
     started: u64,
     seen: Mutex<Seen>,
+    /// Tells whoever stands by that the holder has become suspect: it need not wait for a change.
+    alarm: (Sender<()>, Receiver<()>),
 }
 
 #[derive(Clone, Debug, Default)]
@@ -130,7 +134,7 @@
     fences: [u64; parts::COUNT],
     /// Since when the sign of life has been the same, local ms.
     since: u64,
-    /// Nobody listens at the holder's address.
+    /// Nobody listens at the holder's address, or it says that the store does not serve it.
     dead: bool,
 }
 
@@ -152,7 +156,8 @@
         };
         let reads = Dependency::new("store, office", clock.clone());
         let started = clock.mono();
-        Self { store, clock, me, reads, started, seen: Mutex::default() }
+        let alarm = channel::bounded(1);
+        Self { store, clock, me, reads, started, seen: Mutex::default(), alarm }
     }
 
     /// Where the holder takes offers of help, unless this instance holds the office.
@@ -180,11 +185,13 @@
         }
     }
 
-    /// Nobody listens at `addr` any more.
+    /// Nobody listens at `addr` any more, or whoever does is not served by the store.
     pub fn suspect(&self, addr: SocketAddr) {
         let mut seen = self.seen.lock().unwrap();
-        if seen.holder.as_ref().is_some_and(|h| h.links == Some(addr)) {
+        if seen.holder.as_ref().is_some_and(|h| h.links == Some(addr)) && !seen.dead {
             seen.dead = true;
+            // One that is not taken yet says the same.
+            let _ = self.alarm.0.try_send(());
         }
     }
 
@@ -220,7 +227,11 @@
         let mut wait_ms = 0;
         loop {
             let began = self.clock.mono();
-            let looked = self.look(std::mem::replace(&mut wait_ms, WATCH_MS)).await;
+            let look = Box::pin(self.look(wait_ms));
+            let looked = match future::select(look, self.alarm.1.recv()).await {
+                Either::Left((looked, _)) => looked,
+                Either::Right(_) => Ok(()),
+            };
             self.reads.note(&looked);
             if looked.is_err() {
                 // What was not watched does not count as silence.
@@ -250,9 +261,13 @@
                 jitter = rand::thread_rng().gen_range(0..STAGGER_MS);
                 continue;
             }
+            // Neither the next look nor the pause before it outlasts the holder's time.
+            let left = patience.map_or(0, |ms| ms + wait - silent);
             let spent = self.clock.mono() - began;
             let pace = if calm() { CALM_PACE_MS } else { PACE_MS };
-            self.clock.sleep(pace.saturating_sub(spent)).await;
+            let rest = Box::pin(self.clock.sleep(pace.saturating_sub(spent).min(left)));
+            future::select(rest, self.alarm.1.recv()).await;
+            wait_ms = WATCH_MS.min(left.saturating_sub(pace));
         }
     }
 
--- a/src/control/pulse.rs
+++ b/src/control/pulse.rs
@@ -64,6 +64,13 @@
         oldest.map_or(0, |since| now.saturating_sub(since))
     }
 
+    /// For how long the store has refused or failed calls without serving any, ms. Answers that are
+    /// merely owed do not count.
+    pub fn failing_ms(&self) -> u64 {
+        let now = self.clock.mono();
+        self.state.lock().unwrap().failing.map_or(0, |since| now.saturating_sub(since))
+    }
+
     /// Whether the store is taken not to serve this process.
     pub fn silent(&self) -> bool {
         self.stalled_ms() >= STALLED_MS || self.heard() + UNHEARD_MS < self.clock.mono()
--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -21,6 +21,7 @@
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tide::{Request, Response};
@@ -422,6 +423,40 @@
     }
 }
 
+/// A way to the store that can be closed: whoever comes through it is then turned away.
+#[derive(Clone, Default)]
+pub struct Gate(Arc<AtomicBool>);
+
+impl Gate {
+    /// Turns away whoever comes from now on.
+    pub fn close(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+#[tide::utils::async_trait]
+impl tide::Middleware<Arc<World>> for Gate {
+    async fn handle(
+        &self,
+        req: Request<Arc<World>>,
+        next: tide::Next<'_, Arc<World>>,
+    ) -> tide::Result {
+        match self.0.load(Ordering::Relaxed) {
+            true => Ok(text(503, &json!({}))),
+            false => Ok(next.run(req).await),
+        }
+    }
+}
+
+fn store_app(world: &Arc<World>) -> tide::Server<Arc<World>> {
+    let mut app = tide::with_state(world.clone());
+    app.at("/v1/rows-tx").post(tx);
+    app.at("/v1/rows-get").get(get);
+    app.at("/v1/rows-feed").get(feed);
+    app.at("/v1/advise").post(advise);
+    app
+}
+
 /// A cell on the stand-in: its servers and instances, ended when dropped or stopped.
 pub struct Cell {
     /// The stand-in.
@@ -473,12 +508,7 @@
         let world = Arc::new(World::default());
         let mut servers = Vec::new();
         let store = free_addr();
-        let mut app = tide::with_state(world.clone());
-        app.at("/v1/rows-tx").post(tx);
-        app.at("/v1/rows-get").get(get);
-        app.at("/v1/rows-feed").get(feed);
-        app.at("/v1/advise").post(advise);
-        servers.push(serve(app, store));
+        servers.push(serve(store_app(&world), store));
         for n in 0..runners {
             let (id, at) = (format!("i-{n}"), free_addr());
             let runner = Runner { work_ms, ..Runner::default() };
@@ -538,6 +568,15 @@
         }
     }
 
+    /// One more way to the store, and where it is.
+    pub fn gate(&mut self) -> (Gate, SocketAddr) {
+        let (gate, at) = (Gate::default(), free_addr());
+        let mut app = store_app(&self.world);
+        app.with(gate.clone());
+        self.servers.push(serve(app, at));
+        (gate, at)
+    }
+
     /// Starts one more instance, which finds the store at `store`.
     pub fn add(&mut self, store: SocketAddr) -> usize {
         self.add_sized(store, 1.0)
--- a/tests/control_links.rs
+++ b/tests/control_links.rs
@@ -2,6 +2,7 @@
 
 mod common {
     pub mod ports;
+    pub mod users;
 }
 
 use async_std::net::TcpListener;
@@ -9,6 +10,7 @@
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use common::ports::free_addr;
+use common::users::Cell;
 use currantgw::control::node;
 use currantgw::control::place::Placement;
 use currantgw::control::rows::{self, HolderRow};
@@ -17,7 +19,7 @@
 use currantgw::kernel::stop::{self, Trigger};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tide::{Request, Response};
 
 /// Time in which an instance that knows the scheduler opens its link, with room to spare, ms.
@@ -127,3 +129,28 @@
     node.await;
     served.cancel().await;
 }
+
+/// Symptom: nothing starts for 1.5 s and more when the store turns the scheduler's instance away.
+/// Sequence: the store refuses all its calls with 503, and serves the others; these wait for its sign of
+/// life for 1.05 s.
+/// Cause: that it is refused was known to it at once, and said to nobody for 0.6 s; and whoever heard of
+/// it waited all the same.
+#[async_std::test]
+async fn a_scheduler_that_the_store_turns_away_is_replaced_early() {
+    let mut cell = Cell::start(0, 1, 50).await;
+    let (gate, store) = cell.gate();
+    let first = cell.add(store);
+    cell.wait("ready", || async { cell.ready(first).await }).await;
+    let leads = || async { !cell.dump(first).await["scheduler"].is_null() };
+    cell.wait("it leads", leads).await;
+    let other = cell.add(cell.store);
+    cell.wait("ready", || async { cell.ready(other).await }).await;
+    let linked = || async { cell.dump(other).await["link"]["fresh"] == true };
+    cell.wait("linked", linked).await;
+    task::sleep(Duration::from_millis(700)).await;
+    gate.close();
+    let began = Instant::now();
+    cell.wait("replaced", || async { !cell.dump(other).await["scheduler"].is_null() }).await;
+    assert!(began.elapsed() < Duration::from_millis(950), "{:?}", began.elapsed());
+    cell.end().await;
+}
