Logs: each run that is lost with its runner is told of

The logs said that a runner was replaced and how many tasks were there, so that "a loss counts for nothing" could not be told from "the end died with the life". Now one line a run: why, stage, how long it is known to have run, how long the runner has been silent, how many others were beside it; and control_runs_lost{why}. No decision changes: `silent` is noted beside `missed`, and nothing but the line reads it.

Test each_run_lost_with_its_runner_is_told_of: no such line before.

--- a/src/control/engine/gangs.rs
+++ b/src/control/engine/gangs.rs
@@ -5,6 +5,7 @@
 //! the gang, by then past its objective. But the others end as broken, which says that a member
 //! has ended; where every end that is seen says so, it is the one that is not seen.
 
+use super::runners::Loss;
 use super::runs::StopWhy;
 use super::{Engine, Now, RunnerKey};
 use crate::control::model::{Attempt, StepId, TaskId};
@@ -54,6 +55,7 @@
                 }
                 for (id, _) in left {
                     self.counts.written_off += 1;
+                    self.note_lost(k, id, Loss::GangBroken, now);
                     self.release(id, now);
                 }
                 self.settle(step.job, now);
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -23,8 +23,11 @@
     pub fn looked(&mut self, k: RunnerKey, res: Result<Report, Refusal>, now: Now) {
         let runner = self.runners.get_mut(k);
         runner.holding = false;
-        let missed = std::mem::replace(&mut runner.missed, res.is_err());
+        let missed = std::mem::take(&mut runner.missed);
         runner.dark = res.is_err();
+        if res.is_err() {
+            runner.unheard(now);
+        }
         match res {
             Ok(report) => {
                 if missed {
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -34,6 +34,28 @@
 /// their own fault in some 2 % of all cases, so that two in a row are rarely chance.
 const BLAME_JOBS: usize = 2;
 
+/// Why runs are over of which no end was listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Loss {
+    /// Another life answers at their runner's address.
+    OtherLife,
+    /// Their runner's lease is over.
+    LeaseOver,
+    /// The rest of their gang ended because they had, and their runner does not answer.
+    GangBroken,
+}
+
+impl Loss {
+    /// Name in logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::OtherLife => "another life",
+            Self::LeaseOver => "lease over",
+            Self::GangBroken => "gang broken",
+        }
+    }
+}
+
 /// Whether a runner does what it is given.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Health {
@@ -105,6 +127,8 @@
     pub missed: bool,
     /// The last look had no answer.
     pub dark: bool,
+    /// When calls began to go unanswered, local ms; none while they are answered.
+    pub silent: Option<u64>,
     /// Highest end taken in.
     pub seen: u64,
     /// Ends taken in and not acknowledged: number, job, revision that must be stored first.
@@ -135,6 +159,7 @@
             holding: false,
             missed: false,
             dark: false,
+            silent: None,
             seen: 0,
             unacked: VecDeque::new(),
             acked: 0,
@@ -193,11 +218,18 @@
     /// Notes an answer with the runner's clock.
     pub fn heard(&mut self, clock: u64, now: Now) {
         self.heard_at = now.mono;
+        self.silent = None;
         if self.clock.is_none_or(|(c, _)| clock >= c) {
             self.clock = Some((clock, now.mono));
         }
     }
 
+    /// Notes a call without an answer.
+    pub fn unheard(&mut self, now: Now) {
+        self.missed = true;
+        self.silent.get_or_insert(now.mono);
+    }
+
     /// The end of a lease of `hold` ms from now on the runner's clock; remembered, since the
     /// order that carries it may come into effect even if it is never answered.
     pub fn extend(&mut self, hold: u64, now: Now) -> Option<u64> {
@@ -306,7 +338,7 @@
                 "runner replaced by another life");
         }
         self.runners.get_mut(k).over = true;
-        self.write_off(k, now);
+        self.write_off(k, Loss::OtherLife, now);
     }
 
     /// When leases that predecessors gave are over, local ms. One that is cut off from the store,
@@ -329,15 +361,16 @@
             let r = self.runners.get(k);
             log::warn!(runner = r.id, tasks = r.tasks.len(), silent_ms = now.mono - r.heard_at;
                 "lease over: tasks written off");
-            self.write_off(k, now);
+            self.write_off(k, Loss::LeaseOver, now);
         }
     }
 
-    fn write_off(&mut self, k: RunnerKey, now: Now) {
+    fn write_off(&mut self, k: RunnerKey, why: Loss, now: Now) {
         let tasks: Vec<(TaskId, Attempt)> = self.runners.get(k).tasks.keys().copied().collect();
         for (id, attempt) in tasks {
             self.counts.written_off += 1;
             if self.run_mut(k, id, attempt).is_some() {
+                self.note_lost(k, id, why, now);
                 self.release(id, now);
                 self.gang_broken(id, now);
                 self.settle(id.step.job, now);
@@ -345,4 +378,21 @@
             self.runners.get_mut(k).vacate(id, attempt);
         }
     }
+
+    /// Tells of a run that is over without an end.
+    pub(super) fn note_lost(&mut self, k: RunnerKey, id: TaskId, why: Loss, now: Now) {
+        let runner = self.runners.get(k);
+        let beside = runner.tasks.len().saturating_sub(1);
+        let silent = runner.silent.unwrap_or(now.mono);
+        let Some(task) = self.step(id.step).and_then(|s| s.tasks.get(id.index as usize)) else {
+            return;
+        };
+        let Some(run) = &task.run else { return };
+        let began = Some(run.progress.began).filter(|at| *at > 0);
+        let ran = began.map(|at| silent.saturating_sub(at));
+        metrics::counter!("control_runs_lost", "why" => why.name()).increment(1);
+        log::info!(task:% = id, attempt = task.attempt.0, runner = runner.id, why = why.name(),
+            stage = run.stage.name(), ran_ms:? = ran, silent_ms = now.mono - silent, beside;
+            "run lost with its runner");
+    }
 }
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -48,6 +48,19 @@
     },
 }
 
+impl Stage {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Storing { .. } => "storing",
+            Self::Sent => "sent",
+            Self::Inherited => "inherited",
+            Self::Running { .. } => "running",
+            Self::Stopping { .. } => "stopping",
+        }
+    }
+}
+
 /// Why a run is stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopWhy {
@@ -205,7 +218,7 @@
         }
         match res {
             Ok(clock) => self.runners.get_mut(k).heard(clock, now),
-            Err(Refusal::NoAnswer) => self.runners.get_mut(k).missed = true,
+            Err(Refusal::NoAnswer) => self.runners.get_mut(k).unheard(now),
             Err(_) => {}
         }
         let Some(run) = self.run_mut(k, id, attempt) else { return };
--- a/tests/control_logs.rs
+++ b/tests/control_logs.rs
@@ -1,4 +1,4 @@
-//! What a scheduler logs of the jobs that it finds.
+//! What a scheduler logs of the jobs that it finds and of the runs that it loses.
 
 mod common {
     pub mod control;
@@ -7,10 +7,13 @@
 
 use common::control::{step, Cell};
 use currantgw::control::model::JobState;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 
-/// Lines that tell of a job come to be known.
-static KNOWN: AtomicUsize = AtomicUsize::new(0);
+thread_local! {
+    /// Lines logged by this test, by message.
+    static LINES: RefCell<BTreeMap<String, usize>> = const { RefCell::new(BTreeMap::new()) };
+}
 
 /// Counts lines.
 struct Counter;
@@ -21,14 +24,25 @@
     }
 
     fn log(&self, record: &log::Record<'_>) {
-        if record.args().to_string() == "job known to the scheduler" {
-            KNOWN.fetch_add(1, Ordering::Relaxed);
-        }
+        let line = record.args().to_string();
+        LINES.with(|lines| *lines.borrow_mut().entry(line).or_default() += 1);
     }
 
     fn flush(&self) {}
 }
 
+/// Counts lines from here on.
+fn count_lines() {
+    // The other tests of this file may have set it before.
+    let _ = log::set_boxed_logger(Box::new(Counter));
+    log::set_max_level(log::LevelFilter::Info);
+    LINES.with(|lines| lines.borrow_mut().clear());
+}
+
+fn lines(message: &str) -> usize {
+    LINES.with(|lines| lines.borrow().get(message).copied().unwrap_or(0))
+}
+
 /// Symptom: the logs of a takeover lack its first lines: when the term begins, how long loading
 /// took, the first starts; they look as if nothing started until the next whole second.
 /// Sequence: a successor takes in all jobs of the last two minutes, 6,500, with a line for each; no
@@ -36,8 +50,6 @@
 /// Cause: jobs that have ended were told of as if they could be placed.
 #[test]
 fn a_successor_tells_only_of_jobs_that_have_not_ended() {
-    log::set_boxed_logger(Box::new(Counter)).unwrap();
-    log::set_max_level(log::LevelFilter::Info);
     let mut cell = Cell::new(2, 1);
     let ended: Vec<_> =
         (1..=20).map(|n| cell.submit(n, "patient", vec![step(1, 100, 200)])).collect();
@@ -45,7 +57,22 @@
     assert!(ended.iter().all(|id| cell.stored(*id) == JobState::Completed));
     cell.submit(30, "patient", vec![step(1, 100, 60_000)]);
     cell.run(500);
-    KNOWN.store(0, Ordering::Relaxed);
+    count_lines();
     cell.take_over();
-    assert_eq!(KNOWN.load(Ordering::Relaxed), 1);
+    assert_eq!(lines("job known to the scheduler"), 1);
+}
+
+/// Guards against runs that vanish from the log together with their runner.
+#[test]
+fn each_run_lost_with_its_runner_is_told_of() {
+    let mut cell = Cell::new(2, 1);
+    cell.submit(1, "patient", vec![step(5, 100, 60_000)]);
+    cell.run(500);
+    count_lines();
+    for i in 0..2 {
+        cell.crash(i);
+        cell.runners[i].replaced = true;
+    }
+    cell.run(2_000);
+    assert_eq!(lines("run lost with its runner"), 5);
 }
