--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -7,6 +7,8 @@
 
 #[path = "control/calls.rs"]
 mod calls;
+#[path = "control/crashes.rs"]
+mod crashes;
 #[path = "control/orders.rs"]
 mod orders;
 #[path = "control/store.rs"]
@@ -14,6 +16,8 @@
 #[path = "control/work.rs"]
 mod work;
 
+pub use crashes::Crashes;
+
 use super::runner::FakeRunner;
 use currantgw::control::engine::{Action, Batch, Engine, Now, Outcome, Rules, RunnerKey};
 use currantgw::control::leader::Duty;
@@ -68,6 +72,7 @@
     Advised(StepId, Vec<String>, Advice),
     Apply { term: u64, scope: Scope, batch: Batch, answered: bool, way: u64 },
     Committed(Scope, Batch, Outcome),
+    Back(usize),
 }
 
 /// The cell.
@@ -108,6 +113,8 @@
     pub own_faults: f64,
     /// Most by which the work of a step's tasks differs from their mean, per cent.
     pub uneven: u64,
+    /// What crashes runners.
+    pub crashes: Crashes,
     /// When a job's end was stored, ms, and its state.
     pub ended: BTreeMap<JobId, (u64, JobState)>,
     /// When a task of a job first started, ms.
@@ -191,6 +198,7 @@
             truth: BTreeMap::new(),
             own_faults: 0.0,
             uneven: 0,
+            crashes: Crashes::default(),
             ended: BTreeMap::new(),
             began: BTreeMap::new(),
             planning: Vec::new(),
@@ -295,7 +303,9 @@
             }
         }
         // Answers to the last scheduler's calls reach nobody.
-        self.events.retain(|_, (_, e)| matches!(e, Event::Arrive { .. } | Event::Apply { .. }));
+        self.events.retain(|_, (_, e)| {
+            matches!(e, Event::Arrive { .. } | Event::Apply { .. } | Event::Back(_))
+        });
     }
 
     fn at(&mut self, delay: u64, e: Event) {
@@ -309,6 +319,7 @@
         while self.now < end {
             self.now += STEP_MS;
             self.work();
+            self.crash_runners();
             while let Some((&(at, seq), _)) = self.events.first_key_value() {
                 if at > self.now {
                     break;
@@ -338,6 +349,7 @@
                     self.at(way, Event::Committed(scope, batch, out));
                 }
             }
+            Event::Back(i) => self.comes_back(i),
             _ if !current => {}
             Event::Started(k, id, attempt, res) => self.engine.started(k, id, attempt, res, now),
             Event::Stopped(k, id, attempt, res) => self.engine.stopped(k, id, attempt, res, now),
--- a/tests/common/control/orders.rs
+++ b/tests/common/control/orders.rs
@@ -74,6 +74,7 @@
         let fails = run.fails || r.fails;
         r.running.insert(s.task, Running { fails, ..run });
         self.judge_start(i, s.task);
+        self.judge_crashes(s.task);
         *self.starts.entry(s.task).or_default() += 1;
         Ok(clock)
     }
--- /dev/null
+++ b/tests/control_crashes.rs
@@ -0,0 +1,170 @@
+//! Tasks that crash the runners that start them, and tasks whose runners crash by themselves.
+
+mod common {
+    pub mod control;
+    pub mod runner;
+}
+
+use common::control::{step, Cell};
+use currantgw::control::model::{JobId, JobState, Step, StepId, TaskId};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// A cell with jobs that crash nothing, a few a second.
+struct Busy {
+    cell: Cell,
+    rng: StdRng,
+    next: u64,
+    harmless: Vec<JobId>,
+}
+
+impl Busy {
+    fn new(runners: usize, seed: u64) -> Self {
+        let mut cell = Cell::new(runners, seed);
+        cell.crashes.after = 10;
+        cell.run(300);
+        Self { cell, rng: StdRng::seed_from_u64(seed), next: 1_000, harmless: Vec::new() }
+    }
+
+    /// Submits a job whose first task crashes its runners.
+    fn crasher(&mut self, id: u64, steps: Vec<Step>) -> JobId {
+        let id = JobId(id);
+        self.cell.crashes.jobs.insert(id);
+        self.cell.submit(id.0, "patient", steps)
+    }
+
+    /// Lets `ms` pass, with a harmless job each 100 ms.
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms / 100 {
+            let steps = vec![step(self.rng.gen_range(1..4), 1_000, self.rng.gen_range(200..4_000))];
+            self.harmless.push(self.cell.submit(self.next, "patient", steps));
+            self.next += 1;
+            self.cell.run(100);
+        }
+    }
+
+    /// Lets `ms` pass in which nothing is submitted; then every harmless job must be completed.
+    fn finish(&mut self, ms: u64) {
+        self.cell.run(ms);
+        self.cell.check();
+        for &id in &self.harmless {
+            assert_eq!(self.cell.stored(id), JobState::Completed, "job {id}");
+        }
+    }
+}
+
+fn gang(count: u32) -> Step {
+    Step { gang: true, ..step(count, 4_000, 2_000) }
+}
+
+fn first(job: JobId) -> TaskId {
+    TaskId { step: StepId { job, occurrence: 0, step: 0 }, index: 0 }
+}
+
+/// Guards against a task that crashes its runners for ever.
+#[test]
+fn a_task_that_crashes_its_runners_is_given_up() {
+    let mut busy = Busy::new(12, 1);
+    let job = busy.crasher(1, vec![step(1, 1_000, 3_000)]);
+    busy.run(30_000);
+    busy.finish(20_000);
+    assert_eq!(busy.cell.stored(job), JobState::Failed);
+    assert!(busy.cell.crashes.under(first(job)) >= 2);
+}
+
+/// Guards against crashes that count only while their runner's end is not listed by its gang.
+#[test]
+fn a_gang_whose_member_crashes_its_runners_is_given_up() {
+    let mut busy = Busy::new(12, 2);
+    let job = busy.crasher(1, vec![gang(4)]);
+    busy.run(30_000);
+    busy.finish(20_000);
+    assert_eq!(busy.cell.stored(job), JobState::Failed);
+}
+
+/// Guards against tasks that last being started again however their runners end.
+#[test]
+fn a_lasting_task_that_crashes_its_runners_is_given_up() {
+    let mut busy = Busy::new(12, 3);
+    let job = busy.crasher(1, vec![Step { lasts: true, ..step(2, 1_000, 1 << 30) }]);
+    busy.run(30_000);
+    busy.finish(20_000);
+    assert_eq!(busy.cell.stored(job), JobState::Failed);
+}
+
+/// Guards against crashes that are forgotten when the scheduler is replaced.
+#[test]
+fn crashes_count_under_one_scheduler_after_the_other() {
+    for seed in 0..10 {
+        let mut busy = Busy::new(12, seed);
+        let jobs = [busy.crasher(1, vec![step(1, 1_000, 3_000)]), busy.crasher(2, vec![gang(3)])];
+        for _ in 0..12 {
+            let ms = busy.rng.gen_range(1_000..6_000);
+            busy.run(ms);
+            busy.cell.take_over();
+        }
+        busy.finish(40_000);
+        assert_eq!(jobs.map(|id| busy.cell.stored(id)), [JobState::Failed; 2], "seed {seed}");
+    }
+}
+
+/// Guards against crashes that do not count because the start was not answered.
+#[test]
+fn crashes_count_where_starts_are_not_answered() {
+    for seed in 0..10 {
+        let mut busy = Busy::new(12, seed);
+        busy.cell.faults.unanswered = 0.3;
+        busy.cell.faults.late = 0.05;
+        let job = busy.crasher(1, vec![step(1, 1_000, 3_000)]);
+        busy.run(60_000);
+        busy.cell.faults.unanswered = 0.0;
+        busy.cell.faults.late = 0.0;
+        busy.finish(40_000);
+        assert_eq!(busy.cell.stored(job), JobState::Failed, "seed {seed}");
+    }
+}
+
+/// Guards against a slow crash, which shows no more than a runner that is lost now and then.
+#[test]
+fn a_task_that_crashes_its_runners_late_is_given_up() {
+    let mut busy = Busy::new(12, 4);
+    busy.cell.crashes.after = 2_500;
+    let job = busy.crasher(1, vec![step(1, 1_000, 3_000)]);
+    busy.run(60_000);
+    busy.finish(20_000);
+    assert_eq!(busy.cell.stored(job), JobState::Failed);
+}
+
+/// Guards against giving up tasks beside which others have crashed their runners.
+#[test]
+fn tasks_beside_crashing_ones_complete() {
+    for seed in 0..20 {
+        let mut busy = Busy::new(16, seed);
+        for n in 1..6 {
+            let steps = if n % 2 == 0 { vec![gang(3)] } else { vec![step(2, 1_000, 3_000)] };
+            busy.crasher(n, steps);
+            busy.run(2_000);
+        }
+        busy.run(30_000);
+        busy.finish(30_000);
+        for n in 1..6 {
+            assert_eq!(busy.cell.stored(JobId(n)), JobState::Failed, "seed {seed}, job {n}");
+        }
+    }
+}
+
+/// Guards against giving up tasks whose runners crash by themselves.
+#[test]
+fn tasks_whose_runners_crash_by_themselves_complete() {
+    for seed in 0..20 {
+        let mut busy = Busy::new(24, seed);
+        for _ in 0..30 {
+            busy.run(1_500);
+            let up = (0..busy.cell.runners.len()).filter(|&i| busy.cell.runners[i].up);
+            let up: Vec<usize> = up.collect();
+            let i = up[busy.rng.gen_range(0..up.len())];
+            busy.cell.crash_for_a_while(i);
+        }
+        busy.finish(40_000);
+    }
+}
