A task that crashes its runners is given up

Cause: the loss of a runner counted against nothing that ran there. Only ends that a runner lists counted, and one that has crashed lists nothing: write_off released each run and placed it again, for ever. Class: an outcome that counts only if the party that failed reports it.

Ruled out: a count lost with the holder (one term), ends listed as failed (2 in 5 s for 8 to 10 crashes).

Change: runs lost with their runners are counted by task, stored with its progress, so that a successor goes on counting. A task is in a crash loop after five (the platform allows two starts after the third crash), or from two on if chance does not explain them: how often runs are lost is measured over all runs of the cell, and a run that is lost a few ms after its start twice is none of that. After the third every end but done counts, since it was a start. Not counted: runners that drain, placements that were not sent; taken back: ends that are listed after all; forgotten: after 30 s of running. Harmless tasks beside: suspects are kept apart from each other and from those with which they were lost, and nothing new goes beside one that has lost two, where there is other room.

Why it works: each start after the third crash ends in a loss or in an end that is listed, both of which are counted, before the task is placed again and in the same row.

--- a/src/control/engine/gangs.rs
+++ b/src/control/engine/gangs.rs
@@ -5,7 +5,7 @@
 //! the gang, by then past its objective. But the others end as broken, which says that a member
 //! has ended; where every end that is seen says so, it is the one that is not seen.
 
-use super::runners::Loss;
+use super::losses::Loss;
 use super::runs::StopWhy;
 use super::{Engine, Now, RunnerKey};
 use crate::control::model::{Attempt, StepId, TaskId};
@@ -53,9 +53,10 @@
                 if let Some(s) = self.step_mut(step) {
                     s.unseen.insert(s.broken.attempt, over);
                 }
-                for (id, _) in left {
+                let left: Vec<TaskId> = left.into_iter().map(|(id, _)| id).collect();
+                self.note_lost(k, &left, Loss::GangBroken, now);
+                for id in left {
                     self.counts.written_off += 1;
-                    self.note_lost(k, id, Loss::GangBroken, now);
                     self.release(id, now);
                 }
                 self.settle(step.job, now);
@@ -66,6 +67,9 @@
     /// The end of a gang's attempt is seen after all. A failure counts, though another attempt
     /// has been made since.
     pub(super) fn seen_late(&mut self, id: TaskId, attempt: Attempt, failed: bool, now: Now) {
+        if let Some(task) = self.task_mut(id) {
+            task.losses.withdraw(attempt);
+        }
         let Some(s) = self.step_mut(id.step) else { return };
         if s.unseen.remove(&attempt).is_some() && failed {
             s.gang_fails += 1;
--- a/src/control/engine/jobs.rs
+++ b/src/control/engine/jobs.rs
@@ -4,6 +4,7 @@
 use super::runs::{Run, Stage};
 use super::storing::Unstored;
 use super::RunnerKey;
+use crate::control::crashes::Losses;
 use crate::control::model::{Attempt, JobId, JobState, Queue, Step, StepId, TaskId};
 use crate::control::rows::JobRow;
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,6 +25,8 @@
     pub run: Option<Run>,
     /// Runners on which it failed or stood still; it goes elsewhere if it can.
     pub avoid: BTreeSet<RunnerKey>,
+    /// Runs in a row that were lost with their runners.
+    pub losses: Losses,
     /// It has been stopped once to make room for others.
     pub yielded: bool,
 }
--- a/src/control/engine/lifecycle.rs
+++ b/src/control/engine/lifecycle.rs
@@ -2,6 +2,7 @@
 
 use super::runs::StopWhy;
 use super::{Engine, Job, Now, StepRun};
+use crate::control::crashes::Losses;
 use crate::control::model::{JobId, JobState, StepId};
 use crate::control::rows::{JobRow, ProgressRow};
 use std::sync::Arc;
@@ -29,7 +30,7 @@
                 let t = &step.tasks[task.index as usize];
                 if let Some(run) = &t.run {
                     let need = job.spec(step.id).demand();
-                    self.runners.get_mut(run.runner).occupy(task, t.attempt, need);
+                    self.runners.get_mut(run.runner).occupy(task, t.attempt, need, t.losses);
                 }
             }
         }
@@ -150,9 +151,16 @@
                 let worst = s.tasks.iter().map(|t| t.fails).max().unwrap_or(0);
                 !step.lasts && worst.max(s.gang_fails) >= failed
             });
+            let mut ids = job.steps.iter().flat_map(|s| s.ids().zip(&s.tasks));
             if hopeless {
                 log::info!(job:% = id, limit = failed; "job failed: a task failed too often");
                 self.finish(id, JobState::Failed, now);
+            } else if let Some((task, t)) = ids.find(|(_, t)| !t.done && t.losses.crash_loop()) {
+                let Losses { count, chance, .. } = t.losses;
+                log::warn!(job:% = id, task:% = task, lost = count, chance;
+                    "job failed: a task crashes its runners");
+                metrics::counter!("control_crash_loops").increment(1);
+                self.finish(id, JobState::Failed, now);
             } else if job.steps.iter().all(StepRun::done) {
                 let took = now.wall.saturating_sub(job.row.at);
                 metrics::histogram!("control_job_seconds").record(took as f64 / 1000.0);
--- /dev/null
+++ b/src/control/engine/losses.rs
@@ -0,0 +1,141 @@
+//! Runs that are over though no end of them was listed, and which of them may have crashed their runner.
+
+use super::runs::Stage;
+use super::{Engine, Now, RunnerKey, Task};
+use crate::control::crashes::{Losses, STABLE_MS};
+use crate::control::model::{Attempt, TaskId};
+use crate::control::place::Place;
+use std::collections::BTreeSet;
+
+/// Why runs are over of which no end was listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Loss {
+    /// Another life answers at their runner's address.
+    OtherLife,
+    /// Their runner's lease is over.
+    LeaseOver,
+    /// The rest of their gang ended because they had, and their runner does not answer.
+    GangBroken,
+}
+
+impl Loss {
+    /// Name in logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::OtherLife => "another life",
+            Self::LeaseOver => "lease over",
+            Self::GangBroken => "gang broken",
+        }
+    }
+}
+
+/// How long a run is known to have run until its runner fell silent, ms.
+fn known_time(task: &Task, silent: u64) -> Option<u64> {
+    let began = task.run.as_ref().map(|r| r.progress.began).filter(|at| *at > 0)?;
+    Some(silent.saturating_sub(began))
+}
+
+impl Engine {
+    /// Writes off what ran on a runner whose life or lease is over.
+    pub(super) fn write_off(&mut self, k: RunnerKey, why: Loss, now: Now) {
+        let tasks: Vec<(TaskId, Attempt)> = self.runners.get(k).tasks.keys().copied().collect();
+        let lost: Vec<TaskId> = tasks
+            .iter()
+            .filter(|(id, attempt)| self.run_mut(k, *id, *attempt).is_some())
+            .map(|(id, _)| *id)
+            .collect();
+        self.note_lost(k, &lost, why, now);
+        for (id, attempt) in tasks {
+            self.counts.written_off += 1;
+            if self.run_mut(k, id, attempt).is_some() {
+                self.release(id, now);
+                self.gang_broken(id, now);
+                self.settle(id.step.job, now);
+            }
+            self.runners.get_mut(k).vacate(id, attempt);
+        }
+    }
+
+    /// Counts the loss of runs against their tasks, unless their runner was meant to leave.
+    pub(super) fn note_lost(&mut self, k: RunnerKey, lost: &[TaskId], why: Loss, now: Now) {
+        let runner = self.runners.get(k);
+        let silent = runner.silent.unwrap_or(now.mono);
+        let leaving = runner.entry.as_ref().is_some_and(|e| e.draining);
+        // One that stands in the registry when its lease is over is cut off.
+        let crashed = why != Loss::LeaseOver || !runner.listed;
+        lost.iter().for_each(|id| self.tell_lost(k, *id, why, silent, now));
+        if !leaving {
+            self.count_lost(k, lost, silent, crashed, now);
+        }
+    }
+
+    /// How unlikely a crash is counts only against the tasks that were lost most often before: the others
+    /// were beside them.
+    fn count_lost(&mut self, k: RunnerKey, lost: &[TaskId], silent: u64, crashed: bool, now: Now) {
+        let before = |id: &TaskId| self.task(*id).map_or(0, |t| t.losses.count);
+        let most = lost.iter().map(before).max().unwrap_or(0);
+        let rate = self.loss_rate;
+        for &id in lost {
+            let Some(task) = self.task_mut(id).filter(|t| t.was_sent()) else { continue };
+            let ran = known_time(task, silent);
+            let telling = ran.filter(|_| crashed && task.losses.count == most);
+            let chance = telling.map_or(1.0, |ms| rate.chance(ms));
+            task.losses.add(task.attempt, k, chance);
+            self.touch(id.step.job);
+            self.loss_rate.lost(ran.unwrap_or(0), now.mono);
+        }
+    }
+
+    fn tell_lost(&self, k: RunnerKey, id: TaskId, why: Loss, silent: u64, now: Now) {
+        let runner = self.runners.get(k);
+        let Some(task) = self.task(id) else { return };
+        let Some(run) = &task.run else { return };
+        metrics::counter!("control_runs_lost", "why" => why.name()).increment(1);
+        log::info!(task:% = id, attempt = task.attempt.0, runner = runner.id, why = why.name(),
+            stage = run.stage.name(), ran_ms:? = known_time(task, silent),
+            silent_ms = now.mono - silent, beside = runner.tasks.len().saturating_sub(1),
+            lost_before = task.losses.count; "run lost with its runner");
+    }
+
+    /// A run ended in a way that its runner listed.
+    pub(super) fn note_ended(&mut self, id: TaskId, done: bool, now: Now) {
+        let Some(task) = self.task_mut(id) else { return };
+        let ran = known_time(task, now.mono);
+        if !done {
+            task.losses.ended(task.attempt);
+        }
+        self.loss_rate.ended(ran.unwrap_or(0), now.mono);
+    }
+
+    /// Of these places the runners on which a task runs that was last lost together with this one: if
+    /// both were lost again, they could still not be told apart.
+    pub(super) fn companions(
+        &self,
+        id: TaskId,
+        places: &[Place<RunnerKey>],
+    ) -> BTreeSet<RunnerKey> {
+        let Some(losses) = self.task(id).map(|t| t.losses).filter(Losses::suspect) else {
+            return BTreeSet::new();
+        };
+        let meets = |k: &RunnerKey| {
+            let mut suspects = self.runners.get(*k).suspects.values();
+            suspects.any(|other| other.together(&losses))
+        };
+        places.iter().map(|p| p.key).filter(meets).collect()
+    }
+
+    /// A run that has lasted for long did not crash its runner.
+    pub(super) fn note_stable(&mut self, id: TaskId, now: Now) {
+        let Some(task) = self.task_mut(id).filter(|t| t.losses.suspect()) else { return };
+        if known_time(task, now.mono).is_some_and(|ran| ran >= STABLE_MS) {
+            task.losses = Losses::default();
+        }
+    }
+}
+
+impl Task {
+    /// Whether its run may have begun.
+    fn was_sent(&self) -> bool {
+        self.run.as_ref().is_some_and(|r| !matches!(r.stage, Stage::Storing { .. }))
+    }
+}
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -14,6 +14,7 @@
 mod gangs;
 mod jobs;
 mod lifecycle;
+mod losses;
 mod plan;
 mod preempt;
 mod progress;
@@ -31,6 +32,7 @@
 pub use runners::{Health, Runner};
 pub use runs::{Run, Stage};
 
+use super::crashes::LossRate;
 use super::model::{Attempt, Catalogue, JobId, StepId, TaskId};
 use super::pace::Pace;
 use super::place::Placement;
@@ -182,6 +184,8 @@
     shares: BTreeMap<String, advice::Share>,
     /// What queues' estimates are worth.
     paces: BTreeMap<String, Pace>,
+    /// How often runs are lost with their runners.
+    loss_rate: LossRate,
     /// Racks by name; runners and steps carry their number.
     racks: BTreeMap<String, u32>,
 }
@@ -217,6 +221,7 @@
             storing: storing::Storing::default(),
             shares: BTreeMap::new(),
             paces: BTreeMap::new(),
+            loss_rate: LossRate::default(),
             racks: BTreeMap::new(),
         }
     }
@@ -271,6 +276,10 @@
         self.jobs.get_mut(&id.job)?.step_mut(id)
     }
 
+    fn task(&self, id: TaskId) -> Option<&Task> {
+        self.step(id.step)?.tasks.get(id.index as usize)
+    }
+
     fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
         self.step_mut(id.step)?.tasks.get_mut(id.index as usize)
     }
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -4,7 +4,8 @@
 use super::reserve::{Backlog, Claims};
 use super::round::{Round, Sweep, MOST_AHEAD, MOST_LOOKS};
 use super::runs::{Run, Stage};
-use super::{Engine, Now, RunnerKey};
+use super::{Engine, Now, RunnerKey, StepRun};
+use crate::control::crashes::Losses;
 use crate::control::model::{Catalogue, Queue, Step, StepId, TaskId};
 use crate::control::place::{self, Ask, Place};
 use crate::control::queue::{self, Claim, Rank};
@@ -229,7 +230,15 @@
             n => n.saturating_sub(on.get(&k).copied().unwrap_or(0)),
         };
         let free = if v.patient { claims.left(k, r.free()) } else { r.free() };
-        Some(Place { key: k, free, rack: r.rack, limit, proven: r.health.proven })
+        Some(Place {
+            key: k,
+            free,
+            rack: r.rack,
+            limit,
+            proven: r.health.proven,
+            suspects: r.suspects.len() as u32,
+            risky: r.suspects.values().any(Losses::repeated),
+        })
     }
 
     /// Keeps the runners for which a ticket is good.
@@ -261,6 +270,7 @@
             need: v.step.demand(),
             rack,
             one_rack: v.step.one_rack,
+            suspect: false,
             how: self.rules.placement,
             seed: v.id.job.0 ^ self.counts.rounds,
         }
@@ -281,12 +291,10 @@
             if ask.need.cpu > budget {
                 return;
             }
-            let Some(task) = self.task_mut(id) else { continue };
-            let (avoid, failed) = (std::mem::take(&mut task.avoid), task.fails > 0);
-            let chosen = place::one(&mut good, &ask, &avoid, failed);
-            if let Some(task) = self.task_mut(id) {
-                task.avoid = avoid;
-            }
+            let avoid = self.avoided([id], &good);
+            let Some(task) = self.task(id) else { continue };
+            let ask = Ask { suspect: task.losses.suspect(), ..ask.clone() };
+            let chosen = place::one(&mut good, &ask, &avoid, task.fails > 0);
             let Some(k) = chosen else { break };
             budget -= ask.need.cpu;
             left -= 1;
@@ -311,9 +319,11 @@
             return;
         }
         let need = v.step.demand();
-        let ask = self.demand(v);
+        let mut ask = self.demand(v);
+        ask.suspect = self.step(v.id).is_some_and(|s| s.tasks.iter().any(|t| t.losses.suspect()));
         let known = self.known(v, claims, now);
-        let avoid = self.avoided(v.id);
+        let ids: Vec<TaskId> = self.step(v.id).into_iter().flat_map(StepRun::ids).collect();
+        let avoid = self.avoided(ids, &known);
         let mut good = self.ticketed(v, &known, now);
         if let Some(keys) = place::all(&mut good, &ask, count, &avoid) {
             self.commit_gang(v, &keys, now);
@@ -332,10 +342,19 @@
         self.ask_for(v, claims, count, now);
     }
 
-    /// Runners on which a member of a gang failed or stood still.
-    fn avoided(&self, id: StepId) -> BTreeSet<RunnerKey> {
-        let tasks = self.step(id).into_iter().flat_map(|s| &s.tasks);
-        tasks.flat_map(|t| t.avoid.iter().copied()).collect()
+    /// Runners where tasks go only if no other has room: one of them failed or stood still there, or
+    /// would meet a task with which it was lost.
+    fn avoided(
+        &self,
+        ids: impl IntoIterator<Item = TaskId>,
+        places: &[Place<RunnerKey>],
+    ) -> BTreeSet<RunnerKey> {
+        let mut out = BTreeSet::new();
+        for id in ids {
+            out.extend(self.task(id).into_iter().flat_map(|t| &t.avoid));
+            out.append(&mut self.companions(id, places));
+        }
+        out
     }
 
     /// Places a gang whose room is booked once it has good tickets for it, else asks for them.
@@ -382,8 +401,8 @@
         let mut run = Run::new(k, Stage::Storing { rev });
         run.ticket = ticket;
         task.run = Some(run);
-        let attempt = task.attempt;
-        self.runners.get_mut(k).occupy(id, attempt, need);
+        let (attempt, losses) = (task.attempt, task.losses);
+        self.runners.get_mut(k).occupy(id, attempt, need, losses);
         self.round.moves += 1;
         log::info!(task:% = id, attempt = attempt.0, runner = name, free_cpu = free.cpu,
             free_mem = free.mem, cat = self.cat.version; "task placed");
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -119,6 +119,7 @@
             }
             _ => {}
         }
+        self.note_stable(id, now);
         if over {
             self.order_stop(id, StopWhy::JobEnded, now);
         }
@@ -184,6 +185,7 @@
             number = end.number; "task ended");
         metrics::counter!("control_ends", "how" => end.kind.name()).increment(1);
         self.begin(id.step.job, id.step.occurrence, now);
+        self.note_ended(id, end.kind == EndKind::Done, now);
         let Some(job) = self.jobs.get(&id.step.job) else { return };
         let (gang, lasts) = (job.spec(id.step).gang, job.spec(id.step).lasts);
         if let Some(task) = self.task_mut(id) {
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -1,6 +1,8 @@
 //! Lives of runners: where they are, what room is taken there, and when their lease is over.
 
+use super::losses::Loss;
 use super::{Action, Engine, Now, RunnerKey};
+use crate::control::crashes::Losses;
 use crate::control::model::{Attempt, JobId, TaskId};
 use crate::control::ports::{Hold, RunnerCall, RunnerEntry};
 use crate::kernel::res::Resources;
@@ -34,28 +36,6 @@
 /// their own fault in some 2 % of all cases, so that two in a row are rarely chance.
 const BLAME_JOBS: usize = 2;
 
-/// Why runs are over of which no end was listed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Loss {
-    /// Another life answers at their runner's address.
-    OtherLife,
-    /// Their runner's lease is over.
-    LeaseOver,
-    /// The rest of their gang ended because they had, and their runner does not answer.
-    GangBroken,
-}
-
-impl Loss {
-    /// Name in logs and metrics.
-    fn name(self) -> &'static str {
-        match self {
-            Self::OtherLife => "another life",
-            Self::LeaseOver => "lease over",
-            Self::GangBroken => "gang broken",
-        }
-    }
-}
-
 /// Whether a runner does what it is given.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Health {
@@ -113,6 +93,8 @@
     pub wanted: Resources,
     /// What runs or may run there, and its room.
     pub tasks: BTreeMap<(TaskId, Attempt), Resources>,
+    /// Tasks there of which runs were lost with their runners.
+    pub suspects: BTreeMap<TaskId, Losses>,
     /// Its clock and the local time when that was read, ms.
     pub clock: Option<(u64, u64)>,
     /// When it was last heard of, local ms.
@@ -152,6 +134,7 @@
             booked: Resources::ZERO,
             wanted: Resources::ZERO,
             tasks: BTreeMap::new(),
+            suspects: BTreeMap::new(),
             clock: None,
             heard_at: 0,
             wait_ms: LOOK_WAIT_MS,
@@ -201,8 +184,11 @@
         ready && self.listed && !self.over && answers && self.health.shunned <= now.mono
     }
 
-    /// Takes room for a task.
-    pub fn occupy(&mut self, id: TaskId, attempt: Attempt, need: Resources) {
+    /// Takes room for a task that has lost runners as told by `losses`.
+    pub fn occupy(&mut self, id: TaskId, attempt: Attempt, need: Resources, losses: Losses) {
+        if losses.suspect() {
+            self.suspects.insert(id, losses);
+        }
         if self.tasks.insert((id, attempt), need).is_none() {
             self.used = self.used.add(&need);
         }
@@ -212,6 +198,7 @@
     pub fn vacate(&mut self, id: TaskId, attempt: Attempt) {
         if let Some(need) = self.tasks.remove(&(id, attempt)) {
             self.used = self.used.sub(&need);
+            self.suspects.remove(&id);
         }
     }
 
@@ -364,35 +351,4 @@
             self.write_off(k, Loss::LeaseOver, now);
         }
     }
-
-    fn write_off(&mut self, k: RunnerKey, why: Loss, now: Now) {
-        let tasks: Vec<(TaskId, Attempt)> = self.runners.get(k).tasks.keys().copied().collect();
-        for (id, attempt) in tasks {
-            self.counts.written_off += 1;
-            if self.run_mut(k, id, attempt).is_some() {
-                self.note_lost(k, id, why, now);
-                self.release(id, now);
-                self.gang_broken(id, now);
-                self.settle(id.step.job, now);
-            }
-            self.runners.get_mut(k).vacate(id, attempt);
-        }
-    }
-
-    /// Tells of a run that is over without an end.
-    pub(super) fn note_lost(&mut self, k: RunnerKey, id: TaskId, why: Loss, now: Now) {
-        let runner = self.runners.get(k);
-        let beside = runner.tasks.len().saturating_sub(1);
-        let silent = runner.silent.unwrap_or(now.mono);
-        let Some(task) = self.step(id.step).and_then(|s| s.tasks.get(id.index as usize)) else {
-            return;
-        };
-        let Some(run) = &task.run else { return };
-        let began = Some(run.progress.began).filter(|at| *at > 0);
-        let ran = began.map(|at| silent.saturating_sub(at));
-        metrics::counter!("control_runs_lost", "why" => why.name()).increment(1);
-        log::info!(task:% = id, attempt = task.attempt.0, runner = runner.id, why = why.name(),
-            stage = run.stage.name(), ran_ms:? = ran, silent_ms = now.mono - silent, beside;
-            "run lost with its runner");
-    }
 }
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -331,7 +331,7 @@
     }
 
     fn run_of(&self, id: TaskId) -> Option<&Run> {
-        self.step(id.step)?.tasks.get(id.index as usize)?.run.as_ref()
+        self.task(id)?.run.as_ref()
     }
 
     /// Whether the ticket with which a task would start has run out. What approves no runners has none.
--- a/src/control/engine/stored.rs
+++ b/src/control/engine/stored.rs
@@ -2,6 +2,7 @@
 
 use super::runs::{Run, Stage};
 use super::{Job, RunnerKey, StepRun, Task};
+use crate::control::crashes::Losses;
 use crate::control::rows::{ProgressRow, StepRow, TaskRow};
 
 impl Job {
@@ -23,11 +24,12 @@
             step.gang_fails = *fails;
             step.failed_attempt = *attempt;
             for (task, row) in step.tasks.iter_mut().zip(tasks) {
-                let TaskRow(attempt, fails, done, id, saved) = row;
+                let TaskRow(attempt, fails, done, id, saved, lost) = row;
                 task.attempt = *attempt;
                 task.fails = *fails;
                 task.done = *done;
                 task.saved.clone_from(saved);
+                task.losses = Losses::of(*lost);
                 task.run = (!id.is_empty()).then(|| Run::new(runner(id), Stage::Inherited));
             }
         }
@@ -37,7 +39,7 @@
     pub(super) fn progress(&self, name: impl Fn(RunnerKey) -> String) -> ProgressRow {
         let task = |t: &Task| {
             let id = t.run.as_ref().map_or(String::new(), |r| name(r.runner));
-            TaskRow(t.attempt, t.fails, t.done, id, t.saved.clone())
+            TaskRow(t.attempt, t.fails, t.done, id, t.saved.clone(), t.losses.count)
         };
         let step = |s: &StepRun| {
             let tasks = s.tasks.iter().map(task).collect();
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,8 +4,10 @@
 //! `engine` decides without I/O; `leader` drives it; `office` elects who does; `mirror` keeps
 //! what the store says of jobs; `intake` writes submissions in groups; `front` answers callers;
 //! `links` connects the other instances with the scheduler's; `pulse` knows whether the store answers;
-//! `evict` picks tasks that make room; `pace` learns what estimates are worth; `parts` spreads progress over the store; `health` logs dependencies lost and regained.
+//! `evict` picks tasks that make room; `crashes` finds tasks that
+//! crash their runners; `pace` learns what estimates are worth; `parts` spreads progress over the store; `health` logs dependencies lost and regained.
 
+pub mod crashes;
 pub mod engine;
 pub mod evict;
 pub mod front;
--- a/src/control/place.rs
+++ b/src/control/place.rs
@@ -36,6 +36,10 @@
     pub limit: u32,
     /// A task has lately ended well there.
     pub proven: bool,
+    /// Tasks there that are suspected of crashing their runners.
+    pub suspects: u32,
+    /// One of them has lost its runner more than once.
+    pub risky: bool,
 }
 
 /// What the tasks of a step ask for.
@@ -47,6 +51,8 @@
     pub rack: Option<u32>,
     /// All on one rack if that is possible.
     pub one_rack: bool,
+    /// A run of the task was lost with its runner.
+    pub suspect: bool,
     /// How to choose.
     pub how: Placement,
     /// Draws the choice of random placing.
@@ -65,6 +71,12 @@
     }
 }
 
+/// How well a place keeps tasks from suspects; lower is better. What runs beside one that has lost its runner
+/// more than once is likely to be lost, and two suspects that are lost together cannot be told apart.
+fn crowd<K>(ask: &Ask, p: &Place<K>) -> (bool, u32) {
+    (p.risky, if ask.suspect { p.suspects } else { 0 })
+}
+
 /// How many more tasks fit.
 pub fn slots<K>(p: &Place<K>, need: &Resources) -> u32 {
     let by = |have: u64, want: u64| have.checked_div(want).unwrap_or(u64::from(u32::MAX));
@@ -77,7 +89,7 @@
     places.iter().map(|p| u64::from(slots(p, need))).sum()
 }
 
-/// The best place for one task: near its data, then on a proven runner if it failed before, then
+/// The best place for one task: on a proven runner if it failed before, apart from suspects, near its data, then
 /// where the least processor room is left. Takes its room.
 pub fn one<K: Copy + Ord>(
     places: &mut [Place<K>],
@@ -89,8 +101,11 @@
     let (_, best) = places.iter_mut().enumerate().filter(fits).min_by_key(|(index, p)| {
         let far = ask.rack.is_some_and(|r| r != p.rack);
         let left = p.free.sub(&ask.need);
-        (avoid.contains(&p.key), failed && !p.proven, far, order(ask, *index, &left), p.key)
+        let unproven = failed && !p.proven;
+        let order = order(ask, *index, &left);
+        (avoid.contains(&p.key), unproven, crowd(ask, p), far, order, p.key)
     })?;
+    best.suspects += u32::from(ask.suspect);
     best.free = best.free.sub(&ask.need);
     best.limit -= 1;
     Some(best.key)
--- a/src/control/rows.rs
+++ b/src/control/rows.rs
@@ -146,9 +146,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FenceRow(pub u64);
 
-/// A task's progress: attempt, failures, done, runner it may run on, checkpoint.
+/// A task's progress: attempt, failures, done, runner it may run on, checkpoint, runs in a row that were
+/// lost with their runners.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TaskRow(pub Attempt, pub u32, pub bool, pub String, pub String);
+pub struct TaskRow(
+    pub Attempt,
+    pub u32,
+    pub bool,
+    pub String,
+    pub String,
+    #[serde(default)] pub u32,
+);
 
 /// A step's progress: failures of the gang and the attempt of the last one, its tasks, and attempts
 /// of the gang whose end was not seen.
@@ -180,7 +188,7 @@
     fn try_from(w: WireProgress) -> Result<Self, Absurd> {
         for StepRow(gang, _, tasks, _) in &w.steps {
             fails(*gang)?;
-            tasks.iter().try_for_each(|t| fails(t.1))?;
+            tasks.iter().try_for_each(|t| fails(t.1.max(t.5)))?;
         }
         Ok(Self { state: w.state, ended: moment(w.ended)?, steps: w.steps })
     }
--- a/tests/control_policy.rs
+++ b/tests/control_policy.rs
@@ -57,7 +57,7 @@
 
 fn spot(key: u32, cpu: u64, rack: u32) -> Place<u32> {
     let free = Resources { cpu, mem: 64_000, acc: 0 };
-    Place { key, free, rack, limit: u32::MAX, proven: false }
+    Place { key, free, rack, limit: u32::MAX, proven: false, suspects: 0, risky: false }
 }
 
 fn ask(cpu: u64) -> Ask {
@@ -65,6 +65,7 @@
         need: Resources { cpu, mem: 100, acc: 0 },
         rack: None,
         one_rack: false,
+        suspect: false,
         how: Placement::BestFit,
         seed: 1,
     }
@@ -519,3 +520,16 @@
     assert!(lines::short_lines(29) as f64 >= 2.0 * busy);
     assert!(lines::short_lines(45) <= 45 / 3);
 }
+
+/// Guards against suspects that share a runner, and against harmless tasks beside one that has lost two.
+#[test]
+fn suspects_are_kept_apart() {
+    let none = BTreeSet::new();
+    let mut places = vec![spot(1, 2_000, 0), spot(2, 4_000, 0), spot(3, 6_000, 0)];
+    places[0].suspects = 1;
+    let suspect = Ask { suspect: true, ..ask(1_000) };
+    assert_eq!(place::one(&mut places, &suspect, &none, false), Some(2));
+    assert_eq!(place::one(&mut places, &suspect, &none, false), Some(3));
+    places[0].risky = true;
+    assert_eq!(place::one(&mut places, &ask(1_000), &none, false), Some(2));
+}
--- a/tests/unreadable_rows.rs
+++ b/tests/unreadable_rows.rs
@@ -60,8 +60,8 @@
 }
 
 fn progress() -> ProgressRow {
-    let task = TaskRow(Attempt(2), 1, false, "runner".into(), "c".into());
-    let done = TaskRow(Attempt(1), 0, true, String::new(), String::new());
+    let task = TaskRow(Attempt(2), 1, false, "runner".into(), "c".into(), 1);
+    let done = TaskRow(Attempt(1), 0, true, String::new(), String::new(), 0);
     let first = StepRow(0, Attempt(0), vec![task, done.clone()], BTreeSet::from([Attempt(1)]));
     let second = StepRow(0, Attempt(0), vec![done], BTreeSet::new());
     ProgressRow { state: JobState::Running, ended: 0, steps: vec![first, second] }
@@ -341,3 +341,11 @@
         prop_assert_eq!(&rows::decode::<ProgressRow>(&rows::encode(&p)).unwrap(), &p);
     }
 }
+
+/// Guards against rows that an earlier version wrote without a task's losses.
+#[test]
+fn progress_without_losses_is_read() {
+    let earlier = (Attempt(2), 1_u32, false, "runner", "c");
+    let read: TaskRow = rows::decode(&rows::encode(&earlier)).unwrap();
+    assert_eq!(read, TaskRow(Attempt(2), 1, false, "runner".into(), "c".into(), 0));
+}
