No start is sent to a runner that has shrunk below it

Placing always went by the newest entry. But a placement is decided, stored, and only then sent: while the store is slow or away its runner may shrink, and the start went out all the same.

The check stands where the ticket is looked at a second time, when the placement has been stored; a gang is given up whole. A line tells of each change of capacity. Ruled out: starts that are repeated, 60 ms after the first, well within the time that a shrunk room does not count.

no_start_is_sent_to_a_runner_that_has_shrunk_below_it failed before ("oversells r0"); the second test of the file passes before, too, and guards what placing does.

--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -261,6 +261,12 @@
         let was = (runner.listed, runner.entry.as_ref().is_some_and(|e| e.draining));
         runner.listed = entry.is_some();
         if let Some(e) = entry {
+            let (room, used) = (runner.room(), runner.used);
+            if runner.entry.is_some() && room != e.room {
+                log::info!(runner = id, cpu = e.room.cpu, mem = e.room.mem, was_cpu = room.cpu,
+                    was_mem = room.mem, used_cpu = used.cpu, used_mem = used.mem;
+                    "capacity changed");
+            }
             let next = self.racks.len() as u32;
             runner.rack = *self.racks.entry(e.rack.clone()).or_insert(next);
             runner.entry = Some(e);
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -341,9 +341,15 @@
         ticket.is_some_and(|(_, end)| *end <= now.mono + TICKET_WAY_MS)
     }
 
-    /// A placement has been stored: its start may go out. While the store was slow or away its ticket
-    /// may have run out: it is given up then, a gang's for all members, since the runner would refuse
-    /// the start.
+    /// Whether a task's runner has shrunk below what is taken there since the task was placed.
+    fn room_gone(&self, id: TaskId) -> bool {
+        let Some(run) = self.run_of(id) else { return false };
+        let runner = self.runners.get(run.runner);
+        !runner.used.fits(&runner.room())
+    }
+
+    /// A placement has been stored: its start may go out. While the store was slow or away its ticket may
+    /// have run out, or its runner shrunk: it is given up then, a gang's for all members.
     pub(super) fn start_stored(&mut self, step: StepId, stored: u64, now: Now) {
         let Some(s) = self.step(step) else { return };
         let due: Vec<TaskId> = s
@@ -357,12 +363,14 @@
             .collect();
         let gang = self.jobs.get(&step.job).is_some_and(|j| j.spec(step).gang);
         let (mut over, mut good): (Vec<_>, Vec<_>) =
-            due.into_iter().partition(|id| self.ticket_over(*id, now));
+            due.into_iter().partition(|id| self.ticket_over(*id, now) || self.room_gone(*id));
         if gang && !over.is_empty() {
             over.append(&mut good);
         }
         if !over.is_empty() {
-            log::info!(step:% = step, tasks = over.len(); "ticket ran out before the start");
+            let shrunk = over.iter().filter(|id| self.room_gone(**id)).count();
+            log::info!(step:% = step, tasks = over.len(), shrunk;
+                "ticket or room gone before the start");
         }
         for id in over {
             self.release(id, now);
--- a/src/control/leader/duty.rs
+++ b/src/control/leader/duty.rs
@@ -5,7 +5,7 @@
 //! calls. It takes twice the time of one in a single part, occupies all parts, and waits for the
 //! slowest. So where the store is slow, or a part of it is away, each part has transactions of its own:
 //! what goes wrong otherwise is that a busy cell changes more rows than are stored, decisions wait
-//! for seconds, and tickets run out meanwhile; one notices by `ticket ran out before the start`.
+//! for seconds, and tickets run out meanwhile; one notices by `ticket or room gone before the start`.
 
 use super::{RETRY_MS, YIELD_MS};
 use crate::control::parts::{self, Part, Scope};
--- /dev/null
+++ b/tests/control_capacity.rs
@@ -0,0 +1,62 @@
+//! Runners whose capacity shrinks and grows while they run.
+
+mod common {
+    pub mod control;
+    pub mod runner;
+}
+
+use common::control::{step, Cell};
+use currantgw::control::model::{JobState, Step};
+
+/// Gives a runner another capacity, which its registry entry shows.
+fn resize(cell: &mut Cell, i: usize, cpu: u64) {
+    cell.runners[i].room.cpu = cpu;
+    cell.register(i, true);
+}
+
+/// A cell of two runners of 16 cores on which four tasks of 6 cores are placed while the store takes nothing.
+fn placed_unstored(step: Step) -> Cell {
+    let mut cell = Cell::new(2, 3);
+    cell.run(300);
+    cell.faults.store_down = true;
+    cell.submit(1, "patient", vec![step]);
+    cell.run(500);
+    assert_eq!(cell.running(), 0);
+    cell
+}
+
+/// Guards against starts for which the room has gone since they were decided.
+#[test]
+fn no_start_is_sent_to_a_runner_that_has_shrunk_below_it() {
+    for gang in [false, true] {
+        let mut cell = placed_unstored(Step { gang, ..step(4, 6_000, 1_000) });
+        resize(&mut cell, 0, 7_000);
+        cell.faults.store_down = false;
+        cell.run(2_000);
+        cell.check();
+        resize(&mut cell, 0, 16_000);
+        cell.run(4_000);
+        cell.check();
+        let job = currantgw::control::model::JobId(1);
+        assert_eq!(cell.stored(job), JobState::Completed, "gang {gang}");
+    }
+}
+
+/// Guards against tasks that are placed by a capacity of the past.
+#[test]
+fn a_runner_that_has_shrunk_takes_what_fits_and_one_that_has_grown_takes_more() {
+    let mut cell = Cell::new(1, 4);
+    cell.run(300);
+    cell.submit(1, "patient", vec![step(2, 6_000, 2_000)]);
+    cell.run(300);
+    resize(&mut cell, 0, 4_000);
+    cell.submit(2, "patient", vec![step(2, 3_000, 5_000)]);
+    cell.run(1_000);
+    assert_eq!(cell.running(), 2);
+    cell.run(1_500);
+    assert_eq!(cell.running(), 1);
+    resize(&mut cell, 0, 16_000);
+    cell.run(300);
+    assert_eq!(cell.running(), 2);
+    cell.check();
+}
