Crash loops: a run's time is known to 50 ms; tests of what chance explains

Found by reading: a start's answer and the first call without one may be handled in the same planning round, 50 to 70 ms on a busy scheduler, so that a run of 60 ms could count as one of 0 ms, which chance never explains: two of these would have given any task up. The decision has tests of its own now, without a cell.

--- a/src/control/crashes.rs
+++ b/src/control/crashes.rs
@@ -28,6 +28,10 @@
 /// Time after which a loss or a run counts half in the rate, ms.
 const HALF_LIFE_MS: f64 = 30_000.0;
 
+/// When a run began and when its runner fell silent are known no better than this, ms: answers wait for a
+/// planning round.
+const RESOLUTION_MS: u64 = 50;
+
 /// Time of runs, ms, with one loss in it, that the rate begins with.
 const PRIOR_MS: f64 = 100_000.0;
 
@@ -65,7 +69,7 @@
     /// Chance that a run is lost within its first `ran` ms.
     pub fn chance(&self, ran: u64) -> f64 {
         let rate = (self.losses + 1.0) / (self.ran_ms + PRIOR_MS);
-        -(-rate * ran as f64).exp_m1()
+        -(-rate * ran.max(RESOLUTION_MS) as f64).exp_m1()
     }
 }
 
--- a/tests/control_crashes.rs
+++ b/tests/control_crashes.rs
@@ -6,7 +6,9 @@
 }
 
 use common::control::{step, Cell};
-use currantgw::control::model::{JobId, JobState, Step, StepId, TaskId};
+use currantgw::control::crashes::{LossRate, Losses};
+use currantgw::control::engine::RunnerKey;
+use currantgw::control::model::{Attempt, JobId, JobState, Step, StepId, TaskId};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -61,6 +63,47 @@
     TaskId { step: StepId { job, occurrence: 0, step: 0 }, index: 0 }
 }
 
+/// Losses after each of these times of running, in a cell where `lost` of 10,000 runs of a second are lost.
+fn losses(lost: u64, ran: &[u64]) -> Losses {
+    let mut rate = LossRate::default();
+    (0..10_000 - lost).for_each(|_| rate.ended(1_000, 0));
+    (0..lost).for_each(|_| rate.lost(1_000, 0));
+    let mut out = Losses::default();
+    for (n, ms) in (1..).zip(ran) {
+        out.add(Attempt(n), RunnerKey::from(n as usize), rate.chance(*ms));
+    }
+    out
+}
+
+/// Guards against losing more runners than needed, and against taking chance for a crash loop.
+#[test]
+fn how_soon_a_crash_loop_is_seen_follows_from_what_chance_explains() {
+    assert!(!losses(10, &[15]).crash_loop());
+    assert!(losses(10, &[15, 15]).crash_loop());
+    assert!(!losses(1_000, &[15, 15]).crash_loop());
+    assert!(losses(1_000, &[15, 15, 15]).crash_loop());
+    assert!(!losses(10, &[1_500, 1_500]).crash_loop());
+    assert!(!losses(1_000, &[4_000; 4]).crash_loop());
+    assert!(losses(1_000, &[4_000; 5]).crash_loop());
+}
+
+/// Guards against starts after the third loss that nothing counts, and against losses that were none.
+#[test]
+fn after_three_losses_every_end_counts_and_a_late_end_takes_its_loss_back() {
+    let mut task = losses(1_000, &[4_000; 2]);
+    task.ended(Attempt(3));
+    assert_eq!(task.count, 2);
+    task.withdraw(Attempt(1));
+    assert_eq!(task.count, 2);
+    task.withdraw(Attempt(2));
+    assert_eq!(task.count, 1);
+    let mut task = losses(1_000, &[4_000; 3]);
+    task.ended(Attempt(4));
+    assert!(!task.crash_loop());
+    task.ended(Attempt(5));
+    assert!(task.crash_loop());
+}
+
 /// Guards against a task that crashes its runners for ever.
 #[test]
 fn a_task_that_crashes_its_runners_is_given_up() {
