A start that another life refuses is no loss

Found by reading: a start that is answered by another life of its runner has not run, but its run was written off with the runner and counted against its task. Harmless tasks placed within the moment before a crash is noticed would have come nearer to being given up. Test first: 1 loss counted, now 0.

--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -246,7 +246,12 @@
         let (unsure, tries) = (run.unsure, run.tries);
         match why {
             Refusal::Fenced => {}
-            Refusal::OtherLife => self.runner_over(k, now),
+            Refusal::OtherLife => {
+                if !unsure {
+                    self.never_ran(id, now);
+                }
+                self.runner_over(k, now);
+            }
             Refusal::NoAnswer | Refusal::Unreachable if tries < START_TRIES => {
                 self.order_start(id, now, RETRY_START_MS);
             }
--- a/tests/control_crashes.rs
+++ b/tests/control_crashes.rs
@@ -5,9 +5,9 @@
     pub mod runner;
 }
 
-use common::control::{step, Cell};
+use common::control::{step, Cell, STEP_MS};
 use currantgw::control::crashes::{LossRate, Losses};
-use currantgw::control::engine::RunnerKey;
+use currantgw::control::engine::{RunnerKey, Stage};
 use currantgw::control::model::{Attempt, JobId, JobState, Step, StepId, TaskId};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -211,3 +211,24 @@
         busy.finish(40_000);
     }
 }
+
+/// Guards against counting a start that another life of the runner refused.
+#[test]
+fn a_start_refused_by_another_life_is_no_loss() {
+    let mut cell = Cell::new(2, 1);
+    cell.run(300);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 3_000)]);
+    let task = |cell: &Cell| cell.engine.job(job).unwrap().steps[0].tasks[0].clone();
+    let sent = |cell: &Cell| task(cell).run.is_some_and(|r| r.stage == Stage::Sent);
+    while !sent(&cell) {
+        cell.run(STEP_MS);
+    }
+    let id = cell.engine.runners().find(|(k, _)| Some(*k) == task(&cell).run.map(|r| r.runner));
+    let id = id.map(|(_, r)| r.id.clone()).unwrap();
+    let i = cell.runners.iter().position(|r| r.id == id).unwrap();
+    cell.crash(i);
+    cell.runners[i].replaced = true;
+    cell.run(500);
+    assert_eq!(cell.running(), 1);
+    assert_eq!(task(&cell).losses.count, 0);
+}
