--- a/src/control/engine/advice.rs
+++ b/src/control/engine/advice.rs
@@ -19,9 +19,8 @@
 /// Longest time of storing that is allowed for, ms: half of a ticket's life.
 const STORING_MS: u64 = 1_000;
 
-/// Wait before asking again after a failure, ms; doubles with each further refusal. Questions that
-/// were refused because too many wait add to the load if they come again at once, all together: 300
-/// jobs that come at once met 1,997 refusals with a flat wait, 921 with one that doubles (in memory).
+/// Wait before asking again after a failure, ms; doubles with each further refusal, since questions
+/// that are refused because too many wait add to the load if they come again all together.
 const RETRY_ASK_MS: u64 = 200;
 
 /// Most doublings of [`RETRY_ASK_MS`]: 3.2 s, several times the longest question.
@@ -41,9 +40,7 @@
 const LINE_MS: f64 = 900.0;
 
 /// Part of these that gangs' questions may take. Those are long and come first by rank: without a part
-/// of their own other patient steps wait while there are gangs to ask about, after a power loss to the
-/// end of the day. Of 20 such jobs beside gangs that fill all lines none had begun after 6 s, now 15 or
-/// more (in memory).
+/// of their own other patient steps wait as long as there are gangs to ask about.
 const GANGS_PART: f64 = 0.75;
 
 /// Most runners that the service takes in one question.
--- a/src/control/engine/booking.rs
+++ b/src/control/engine/booking.rs
@@ -1,9 +1,7 @@
 //! Room kept for a gang while its tickets are asked for.
 //!
-//! A question about a gang's runners takes the advice service some 400 ms, a ticket lives 2 s, and
-//! at 80 % load room that is free now is gone by then: without a booking a gang of eight asked
-//! some twenty times, its questions kept the service busy for everybody, and it started after up
-//! to a minute.
+//! Room that is free when a question about a gang's runners is sent is gone by the time of its answer.
+//! Without a booking the gang asks again and again, and keeps the service busy for everybody.
 
 use super::{Engine, Now, RunnerKey};
 use crate::control::model::StepId;
@@ -14,8 +12,7 @@
 const BOOKING_MS: u64 = 2_500;
 
 /// ... and after this long in any case, ms, so that a gang whose questions get no answer does not
-/// keep room from others. A question about 27 runners takes the service 630 ms, and 1.5 to 2.9 s
-/// where most lines are in use; a booking given up just before its answer costs both again.
+/// keep room from others.
 const LONGEST_MS: u64 = 5_000;
 
 /// What an answer leaves of its booking at least, ms: rounds to place the gang in.
--- a/src/control/engine/commit.rs
+++ b/src/control/engine/commit.rs
@@ -12,10 +12,8 @@
 use crate::control::rows;
 
 /// A change of nothing but the state shown is stored after this long, ms, unless something else
-/// of the job is stored before. Counts of waiting jobs may be 2 s old, of which a poll and a slow
-/// store take some 0.5 s. Most lookups end before, so that a lookup needs two writes instead of
-/// three: a burst of 110 a second changes 220 rows a second, of the 340 that a store 47 times too slow
-/// takes.
+/// of the job is stored before. Most lookups end before, which saves them a write of three. Counts of
+/// waiting jobs may be 2 s old, poll and store included.
 const LAZY_MS: u64 = 1_000;
 
 /// Share of a batch that goes by rank; the rest goes to the changes that have waited longest, so
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -175,9 +175,8 @@
         out
     }
 
-    /// Runners known to be approved for the step, with the room that it may use there. A round
-    /// visits every waiting step, most of which wait for an answer about a few runners: on a cell of
-    /// 350 looking at all of them for each took most of the time.
+    /// Runners known to be approved for the step, with the room that it may use there. Not all runners:
+    /// most of the waiting steps that a round visits wait for an answer about a few.
     pub(super) fn known(
         &mut self,
         v: &View<'_>,
--- a/src/control/engine/preempt.rs
+++ b/src/control/engine/preempt.rs
@@ -15,16 +15,14 @@
 const TRY_MS: u64 = 200;
 
 /// Nothing is stopped while what waits beside the gang asks for more than this share of the cell's
-/// processors, per cent: stopped tasks would only wait themselves, and lookups for the room. At 125 %
-/// load lookups earned 0.90 of their worth without a limit, 0.96 with 70, 0.98 with 60 and 40; gangs in
-/// bursts on small runners earned 0.92, 0.93, 0.93 and 0.89 (loads played in memory, four seeds).
+/// processors, per cent: stopped tasks would only wait themselves, and lookups for the room.
 const MOST_BACKLOG: u64 = 60;
 
 /// A task is not stopped beyond this percent of its work: it ends soon.
 const NEARLY_DONE: f64 = 85.0;
 
-/// Time that the job of a stopped task must have to spare, ms: a stop (0.9 s), a question for new
-/// tickets (0.1 s), a restore (0.6 s), the way of its rows, and as much again.
+/// Time that the job of a stopped task must have to spare, ms: for the stop, a question for new tickets,
+/// the restore and the way of its rows, twice over.
 const SPARE_MS: u64 = 4_000;
 
 impl Engine {
--- a/src/control/engine/progress.rs
+++ b/src/control/engine/progress.rs
@@ -15,8 +15,7 @@
 /// ... or for this share of its estimate, until it has moved: 1 % of it many times over.
 const STALL_SHARE: u64 = 8;
 
-/// ... or for this many times what each percent took so far: a runner may turn slow on the way
-/// (nine times is the most seen).
+/// ... or for this many times what each percent took so far: a runner may turn slow on the way.
 const STALL_PACES: f64 = 12.0;
 
 /// Percent of a run that has done all its work.
--- a/src/control/engine/reserve.rs
+++ b/src/control/engine/reserve.rs
@@ -11,19 +11,14 @@
 use crate::kernel::res::Resources;
 use std::collections::BTreeSet;
 
-/// Gangs in time for which room is kept back while they wait, as long as the cell keeps up. At 65 %
-/// load with bursts 12 let gangs earn 0.92 to 0.94 of their worth, 2 only 0.91 to 0.92; more add
-/// nothing (loads played in memory, means of four seeds).
+/// Gangs in time for which room is kept back while they wait, as long as the cell keeps up.
 const GANGS_AHEAD: usize = 12;
 
-/// ... and in a cell that does not keep up, or for gangs that are late: at 130 % load 12 used 0.65
-/// of the room instead of 0.83, and lookups earned 0.44 of their worth instead of 0.69 (small
-/// runners, in memory, means of two seeds).
+/// ... and in a cell that does not keep up, or for gangs that are late. Room kept back is room not used,
+/// which lookups lack then.
 const GANGS_AHEAD_FULL: usize = 2;
 
-/// A cell does not keep up while what waits asks for more than this share of its processors, per
-/// cent. Of 20, 40, 70 and 100 played in memory, 20 gives up the gain in bursts, and 100 loses most
-/// at 130 % load.
+/// A cell does not keep up while what waits asks for more than this share of its processors, per cent.
 const FULL_BACKLOG: u64 = 40;
 
 /// Share of the room taken on a runner that a waiting gang counts on, per cent: its tasks end one
--- a/src/control/engine/round.rs
+++ b/src/control/engine/round.rs
@@ -15,8 +15,8 @@
 use std::collections::BTreeMap;
 use std::vec;
 
-/// Runners looked at and steps visited in a round, after which the sweep goes on in the next one. A
-/// look takes some 30 ns of a whole processor: half a millisecond of a round's eight.
+/// Runners looked at and steps visited in a round, after which the sweep goes on in the next one: a small
+/// part of the time between rounds.
 pub const MOST_LOOKS: u64 = 16_000;
 
 /// ... of which urgent steps that are visited before the rest of a sweep may use this many, so that
@@ -64,8 +64,7 @@
     moves: u64,
 }
 
-/// What a round has worked out of the runners, by service. Adding up 350 runners for each waiting
-/// step took two fifths of all planning with thousands of them (loads played in memory).
+/// What a round has worked out of the runners, by service, once for all waiting steps.
 #[derive(Debug, Default)]
 pub(super) struct Round {
     rooms: BTreeMap<String, Room>,
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -29,11 +29,11 @@
 /// First time a runner is passed over after a strike, ms; doubles with each further one.
 const SHUN_MS: u64 = 500;
 
-/// Most doublings of [`SHUN_MS`]: 8 s, the length of the longest runner faults seen.
+/// Most doublings of [`SHUN_MS`].
 const SHUN_DOUBLINGS: u32 = 4;
 
-/// Different jobs that must fail on a runner in a row before it is held to blame: tasks fail by
-/// their own fault in some 2 % of all cases, so that two in a row are rarely chance.
+/// Different jobs that must fail on a runner in a row before it is held to blame: one may have failed by its
+/// own fault.
 const BLAME_JOBS: usize = 2;
 
 /// Whether a runner does what it is given.
--- a/src/control/front.rs
+++ b/src/control/front.rs
@@ -35,11 +35,8 @@
 const COUNT_AGE_MS: u64 = 2_000;
 
 /// When a caller may come back if the store serves nobody, s. Outages last seconds, and callers
-/// have five tries within 3 s: told to come back after 1 s they spend them within 2.6 s, after 2 s
-/// their last comes near the end of their patience. A lookup's objective (1.2 to 1.8 s) has passed
-/// after 1 s as well. Of all jobs of a day with an outage of 4 s 0.065 stayed unserved instead of
-/// 0.079 (means of four plays). A caller in doubt is told so too: asking again with the same id is
-/// safe, and one that comes back at once spends its tries within the same outage.
+/// few tries: told to come back sooner they spend all of them within the same outage. A caller in doubt
+/// is told so too, since asking again with the same id is safe.
 const RETRY_AFTER_S: &str = "2";
 
 /// As [`RETRY_AFTER_S`] if only this instance is cut off: at once, over a new connection, which
--- a/src/control/links/lines.rs
+++ b/src/control/links/lines.rs
@@ -1,10 +1,9 @@
 //! Which line to the advice service takes a question, without I/O.
 //!
 //! The service answers the calls of one machine one after the other, so that a line's answers come as
-//! late as all that waits on it takes. The load this answers: 29 instances, 138 lookups a second whose
-//! questions take 10 ms each, and 10 gangs a second whose questions take 600 to 1,100 ms. Lines filled
-//! by number, whatever each question takes, kept lookups' questions waiting for 300 ms while other lines
-//! were shorter, and took questions of gangs whose answers would have come 20 s later.
+//! late as all that waits on it takes. The load this answers: many short questions about lookups beside
+//! long ones about gangs. Lines filled by number, whatever each question takes, keep the short ones
+//! waiting while other lines are shorter, and take long ones whose answers come too late to be used.
 
 /// Questions that take the service longer than this are kept off the first lines, where lookups'
 /// questions of some 10 ms would wait behind them, ms.
@@ -13,9 +12,7 @@
 /// Lines kept free of long questions at least, while there are twice as many.
 const SHORT_LINES: usize = 2;
 
-/// ... and one line in this many, since lookups come with the size of the cell, and so do lines: 138
-/// lookups a second, 220 in bursts, need 1.5 to 4 of 29 lines. With two, both were full and the rest of
-/// the lookups waited behind questions of gangs, 0.3 s at the median.
+/// ... and one line in this many, since lookups come with the size of the cell, and so do lines.
 const SHORT_PART: usize = 4;
 
 /// Questions that may wait on one line; the service refuses more than 32.
--- a/src/control/office.rs
+++ b/src/control/office.rs
@@ -52,10 +52,8 @@
 const WHOLE: u64 = 1_000;
 
 /// A candidate smaller than the last holder lets others go first, by this long for each time that a
-/// whole processor is larger, ms. A scheduler of 350 runners uses 0.4 of a processor: one that took
-/// office with 0.12 fell behind at once, callers' tries came on top, and larger ones that could have
-/// held the office stood by. With 0.12 against 0.5 it waits 300 ms, the time in which all instances of
-/// a cell start; among equals nobody waits.
+/// whole processor is larger, ms: it would fall behind, and larger ones that could hold the office would
+/// stand by. Among equals nobody waits.
 const SMALL_MS: u64 = 50;
 
 /// How long a candidate of `size` lets others go first where the office needs `wanted`, ms.
--- a/src/control/rows.rs
+++ b/src/control/rows.rs
@@ -211,10 +211,8 @@
     }
 }
 
-/// Number of parts of the jobs table, a power of two. A part takes one transaction at a time:
-/// on a store sixty times too slow 5.5 a second. A burst of 110 lookups a second, taken by nine
-/// instances in transactions of their own, gives each of 16 parts 7 a second, which it cannot take,
-/// and each of 64 less than 2.
+/// Number of parts of the jobs table, a power of two. A part takes one transaction at a time, and every
+/// instance writes its own: with few parts a burst on a slow store would wait in line.
 pub const JOB_PARTS: u64 = 64;
 
 /// Number of the part that a job's rows are in: its id's leading bits.
