--- a/tests/common/control/work.rs
+++ b/tests/common/control/work.rs
@@ -40,6 +40,9 @@
         let mut broken: BTreeSet<(StepId, Attempt)> = BTreeSet::new();
         for r in self.runners.iter_mut().filter(|r| r.up) {
             let lapsed = r.clock(now) > r.lease;
+            if lapsed {
+                r.lapse();
+            }
             let tasks: Vec<TaskId> = r.running.keys().copied().collect();
             for task in tasks {
                 let hangs = r.hangs;
--- a/tests/common/runner.rs
+++ b/tests/common/runner.rs
@@ -82,6 +82,8 @@
     pub ends: Vec<End>,
     /// Highest attempt of each task that was stopped or has ended here.
     pub closed: BTreeMap<TaskId, Attempt>,
+    /// Ends up to this number were listed before its lease ran out: they are void, whoever acknowledges them.
+    pub void: u64,
     offset: u64,
     last: u64,
 }
@@ -104,6 +106,7 @@
             running: BTreeMap::new(),
             ends: Vec::new(),
             closed: BTreeMap::new(),
+            void: 0,
             offset: 77 * (i as u64 + 1),
             last: 0,
         }
@@ -119,6 +122,11 @@
         self.running.values().fold(Resources::ZERO, |sum, r| sum.add(&r.need))
     }
 
+    /// Its lease has run out.
+    pub fn lapse(&mut self) {
+        self.void = self.last;
+    }
+
     /// Ends a run and lists the end.
     pub fn end(&mut self, task: TaskId, kind: EndKind) {
         let Some(run) = self.running.remove(&task) else { return };
--- a/tests/control_crashes.rs
+++ b/tests/control_crashes.rs
@@ -5,13 +5,16 @@
     pub mod runner;
 }
 
-use common::control::{step, Cell, STEP_MS};
+use common::control::{step, Cell, Faults, STEP_MS};
 use currantgw::control::crashes::{LossRate, Losses};
 use currantgw::control::engine::{RunnerKey, Stage};
 use currantgw::control::model::{Attempt, JobId, JobState, Step, StepId, TaskId};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+/// Seeds of mixed faults.
+const SEEDS: u64 = 10;
+
 /// A cell with jobs that crash nothing, a few a second.
 struct Busy {
     cell: Cell,
@@ -232,3 +235,53 @@
     assert_eq!(cell.running(), 1);
     assert_eq!(task(&cell).losses.count, 0);
 }
+
+/// Faults of a moment, drawn anew.
+fn draw_faults(rng: &mut StdRng) -> Faults {
+    let mut drawn = |share: f64| if rng.gen_bool(0.3) { share } else { 0.0 };
+    let (late, unanswered, commits) = (drawn(0.1), drawn(0.2), drawn(0.3));
+    Faults { late, unanswered, commits, store_down: rng.gen_bool(0.1) }
+}
+
+/// Takes the scheduler over, cuts a runner off, crashes or resizes one, or nothing.
+fn disturb(busy: &mut Busy) {
+    let up: Vec<usize> =
+        (0..busy.cell.runners.len()).filter(|&i| busy.cell.runners[i].up).collect();
+    let i = up[busy.rng.gen_range(0..up.len())];
+    match busy.rng.gen_range(0..8) {
+        0 => busy.cell.take_over(),
+        1 => busy.cell.runners[i].cut_until = busy.cell.now + busy.rng.gen_range(500..9_000),
+        2 => busy.cell.crash_for_a_while(i),
+        _ => {}
+    }
+}
+
+/// Guards against crashes that are missed between faults of the store, of calls and of schedulers.
+#[test]
+fn crash_loops_end_under_mixed_faults() {
+    for seed in 0..SEEDS {
+        let mut busy = Busy::new(14, seed);
+        let mut jobs = Vec::new();
+        for n in 1..60 {
+            if n % 12 == 1 {
+                let steps = match busy.rng.gen_range(0..3) {
+                    0 => vec![gang(3)],
+                    1 => vec![Step { lasts: true, ..step(1, 1_000, 1 << 30) }],
+                    _ => vec![step(2, 1_000, 3_000)],
+                };
+                busy.cell.crashes.after = [10, 100, 1_500][busy.rng.gen_range(0..3)];
+                jobs.push(busy.crasher(n, steps));
+            }
+            busy.cell.faults = draw_faults(&mut busy.rng);
+            let ms = busy.rng.gen_range(100..1_500);
+            busy.run(ms);
+            disturb(&mut busy);
+        }
+        busy.cell.faults = Faults::default();
+        busy.cell.run(90_000);
+        busy.cell.check();
+        for id in jobs {
+            assert_eq!(busy.cell.stored(id), JobState::Failed, "seed {seed}: {id}");
+        }
+    }
+}
