--- a/src/control/leader/calls.rs
+++ b/src/control/leader/calls.rs
@@ -126,12 +126,14 @@
                     if after_ms > 0 {
                         self.clock.sleep(after_ms).await;
                     }
+                    let sent = self.clock.mono();
                     let res = self.runners.start(&to, &start).await;
-                    Event::Started(runner, start.task, start.attempt, res)
+                    Event::Started(runner, start.task, start.attempt, res, sent)
                 }
                 Action::Stop { runner, to, order } => {
+                    let sent = self.clock.mono();
                     let res = self.runners.stop(&to, &order).await;
-                    Event::Stopped(runner, order.task, order.attempt, res)
+                    Event::Stopped(runner, order.task, order.attempt, res, sent)
                 }
                 Action::Hold { runner, to, hold } => {
                     Event::Looked(runner, self.runners.hold(&to, &hold).await)
