--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -21,7 +21,7 @@
 /// the start, several times over.
 const TICKET_WAY_MS: u64 = 20;
 
-/// Wait before a stop that had no answer is repeated, ms.
+/// Time between repetitions of a stop that had no answer, ms.
 const RETRY_STOP_MS: u64 = 300;
 
 /// How far a run has come.
@@ -105,8 +105,8 @@
     pub unsure: bool,
     /// How far it is known to have come.
     pub progress: Progress,
-    /// When the last stop was not answered, local ms; none while one is on its way.
-    pub unstopped: Option<u64>,
+    /// When a stop was last sent, local ms.
+    pub stop_at: u64,
     /// Ticket for the start.
     pub ticket: Option<String>,
 }
@@ -115,7 +115,7 @@
     /// A run on `runner`.
     pub fn new(runner: RunnerKey, stage: Stage) -> Self {
         let progress = Progress::default();
-        Self { runner, stage, tries: 0, unsure: false, progress, unstopped: None, ticket: None }
+        Self { runner, stage, tries: 0, unsure: false, progress, stop_at: 0, ticket: None }
     }
 }
 
@@ -156,21 +156,14 @@
         let Some(task) = self.task_mut(id) else { return };
         let attempt = task.attempt;
         let Some(run) = task.run.as_mut() else { return };
-        // A second stop beside one that is on its way says nothing new: on a link that is full each
-        // would make the next later.
-        let on_way = run.stage == (Stage::Stopping { answered: None }) && run.unstopped.is_none();
-        if on_way || matches!(run.stage, Stage::Stopping { answered: Some(_) }) {
+        if matches!(run.stage, Stage::Stopping { answered: Some(_) }) {
             return;
         }
         run.stage = Stage::Stopping { answered: None };
-        // Until it is sent; a runner whose address is not known is tried again.
-        run.unstopped = Some(now.mono);
+        run.stop_at = now.mono;
         let k = run.runner;
         self.stopping.insert(id);
         let Some(to) = self.runners.get(k).call() else { return };
-        if let Some(run) = self.run_mut(k, id, attempt) {
-            run.unstopped = None;
-        }
         log::info!(task:% = id, attempt = attempt.0, runner = to.id, why = why.name(); "stop ordered");
         let order = Order { task: id, attempt, fence };
         self.acts.push(Action::Stop { runner: k, to, order });
@@ -309,11 +302,7 @@
                 // The end shows in the lists within the runner's time to stop: look soon.
                 self.runners.get_mut(k).hold_at = now.mono;
             }
-            Err(_) => {
-                if let Some(run) = self.run_mut(k, id, attempt) {
-                    run.unstopped = Some(now.mono);
-                }
-            }
+            Err(_) => {}
         }
     }
 
@@ -334,7 +323,7 @@
             if run.stage != (Stage::Stopping { answered: None }) {
                 continue;
             }
-            let late = run.unstopped.is_some_and(|at| at + RETRY_STOP_MS <= now.mono);
+            let late = run.stop_at + RETRY_STOP_MS <= now.mono;
             if late && self.runners.get(run.runner).reached(now) {
                 due.push((run.runner, id));
             }
--- a/src/control/leader/calls.rs
+++ b/src/control/leader/calls.rs
@@ -126,14 +126,12 @@
                     if after_ms > 0 {
                         self.clock.sleep(after_ms).await;
                     }
-                    let sent = self.clock.mono();
                     let res = self.runners.start(&to, &start).await;
-                    Event::Started(runner, start.task, start.attempt, res, sent)
+                    Event::Started(runner, start.task, start.attempt, res)
                 }
                 Action::Stop { runner, to, order } => {
-                    let sent = self.clock.mono();
                     let res = self.runners.stop(&to, &order).await;
-                    Event::Stopped(runner, order.task, order.attempt, res, sent)
+                    Event::Stopped(runner, order.task, order.attempt, res)
                 }
                 Action::Hold { runner, to, hold } => {
                     Event::Looked(runner, self.runners.hold(&to, &hold).await)
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -5,12 +5,10 @@
 
 mod calls;
 mod duty;
-mod orders;
 
 pub use duty::Duty;
-pub use orders::Orders;
 
-use super::engine::{Action, Batch, Engine, Now, Outcome, Rules, RunnerKey};
+use super::engine::{Batch, Engine, Now, Outcome, Rules, RunnerKey};
 use super::health::Dependency;
 use super::links::desk::Desk;
 use super::mirror::{Mirror, News, Table};
@@ -62,8 +60,8 @@
 const SWEEP: usize = 20;
 
 enum Event {
-    Started(RunnerKey, TaskId, Attempt, Result<u64, Refusal>, u64),
-    Stopped(RunnerKey, TaskId, Attempt, Result<u64, Refusal>, u64),
+    Started(RunnerKey, TaskId, Attempt, Result<u64, Refusal>),
+    Stopped(RunnerKey, TaskId, Attempt, Result<u64, Refusal>),
     Looked(RunnerKey, Result<Report, Refusal>),
     Advised(StepId, Vec<String>, Result<Advice, AdviceError>),
     Committed(Scope, Batch, Outcome, u64),
@@ -177,7 +175,6 @@
         work.push(self.sweep_later());
         let writes = Dependency::new("store, commits", self.clock.clone());
         let mut duty = Duty::new(self.cross_part, self.clock.mono());
-        let mut orders = Orders::default();
         let mut planned_ms = 0;
         loop {
             // With thousands of steps open a round takes many times [`ROUND_MS`]: events get as much time
@@ -209,15 +206,7 @@
                     let gone = engine.expire(self.now(), SWEEP);
                     work.push(self.sweep(gone));
                 }
-                other => {
-                    match &other {
-                        Event::Started(.., res, sent) | Event::Stopped(.., res, sent) => {
-                            orders.ended(res, *sent, self.clock.mono());
-                        }
-                        _ => {}
-                    }
-                    self.apply(engine, other);
-                }
+                other => self.apply(engine, other),
             })
             .await;
             let now = self.now();
@@ -237,13 +226,7 @@
                 work.push(self.commit(term, scope, engine.take_batch(scope, BATCH, now)));
             }
             for act in engine.take_actions() {
-                match act {
-                    Action::Start { .. } | Action::Stop { .. } => orders.push(act),
-                    Action::Hold { .. } | Action::Ask { .. } => work.push(self.perform(act)),
-                }
-            }
-            while let Some(order) = orders.next(now.mono) {
-                work.push(self.perform(order));
+                work.push(self.perform(act));
             }
             self.show(engine);
             // There may always be one more event: without this, nothing else of the process would
@@ -287,8 +270,8 @@
     fn apply(&self, engine: &mut Engine, event: Event) {
         let now = self.now();
         match event {
-            Event::Started(k, id, attempt, res, _) => engine.started(k, id, attempt, res, now),
-            Event::Stopped(k, id, attempt, res, _) => engine.stopped(k, id, attempt, res, now),
+            Event::Started(k, id, attempt, res) => engine.started(k, id, attempt, res, now),
+            Event::Stopped(k, id, attempt, res) => engine.stopped(k, id, attempt, res, now),
             Event::Looked(k, res) => engine.looked(k, res, now),
             Event::Advised(step, ids, res) => engine.advised(step, &ids, res, now),
             Event::Deposed => engine.deposed = true,
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -103,8 +103,6 @@
     pub depth: f64,
     /// Questions refused.
     pub refused: usize,
-    /// Stops ordered.
-    pub stops: usize,
     /// A part of the store that takes nothing.
     pub away: Option<Part>,
     /// How long the store takes, where that matters.
@@ -195,7 +193,6 @@
             spared: 0,
             depth: f64::INFINITY,
             refused: 0,
-            stops: 0,
             away: None,
             times: None,
             truth: BTreeMap::new(),
--- a/tests/common/control/calls.rs
+++ b/tests/common/control/calls.rs
@@ -23,10 +23,7 @@
             Action::Ask { step, ids, cost_ms } => self.ask(*step, ids.clone(), *cost_ms),
             Action::Hold { .. } => self.at(WAY_MS, Event::Arrive { term, act, answered: true }),
             Action::Start { after_ms, .. } => self.order(*after_ms, act),
-            Action::Stop { .. } => {
-                self.stops += 1;
-                self.order(0, act);
-            }
+            Action::Stop { .. } => self.order(0, act),
         }
     }
 
