A task that has run for long is no suspect on its runner either; names

Found on the read-through: after 30 s of running a task's losses are forgotten, but its runner went on counting it among the suspects, so that placing passed over this runner for as long as a lasting task stayed there. Test first: one suspect left, now none. Renamed: crowd to exposure, tell_lost to log_lost, companions to with_companions, together to lost_together.

--- a/src/control/crashes.rs
+++ b/src/control/crashes.rs
@@ -127,7 +127,7 @@
     }
 
     /// Whether it was last lost together with another task.
-    pub fn together(&self, other: &Self) -> bool {
+    pub fn lost_together(&self, other: &Self) -> bool {
         self.life.is_some() && self.life == other.life
     }
 
--- a/src/control/engine/losses.rs
+++ b/src/control/engine/losses.rs
@@ -63,7 +63,7 @@
         let leaving = runner.entry.as_ref().is_some_and(|e| e.draining);
         // One that stands in the registry when its lease is over is cut off.
         let crashed = why != Loss::LeaseOver || !runner.listed;
-        lost.iter().for_each(|id| self.tell_lost(k, *id, why, silent, now));
+        lost.iter().for_each(|id| self.log_lost(k, *id, why, silent, now));
         if !leaving {
             self.count_lost(k, lost, silent, crashed, now);
         }
@@ -86,7 +86,7 @@
         }
     }
 
-    fn tell_lost(&self, k: RunnerKey, id: TaskId, why: Loss, silent: u64, now: Now) {
+    fn log_lost(&self, k: RunnerKey, id: TaskId, why: Loss, silent: u64, now: Now) {
         let runner = self.runners.get(k);
         let Some(task) = self.task(id) else { return };
         let Some(run) = &task.run else { return };
@@ -109,7 +109,7 @@
 
     /// Of these places the runners on which a task runs that was last lost together with this one: if
     /// both were lost again, they could still not be told apart.
-    pub(super) fn companions(
+    pub(super) fn with_companions(
         &self,
         id: TaskId,
         places: &[Place<RunnerKey>],
@@ -119,7 +119,7 @@
         };
         let meets = |k: &RunnerKey| {
             let mut suspects = self.runners.get(*k).suspects.values();
-            suspects.any(|other| other.together(&losses))
+            suspects.any(|other| other.lost_together(&losses))
         };
         places.iter().map(|p| p.key).filter(meets).collect()
     }
@@ -127,8 +127,12 @@
     /// A run that has lasted for long did not crash its runner.
     pub(super) fn note_stable(&mut self, id: TaskId, now: Now) {
         let Some(task) = self.task_mut(id).filter(|t| t.losses.suspect()) else { return };
-        if known_time(task, now.mono).is_some_and(|ran| ran >= STABLE_MS) {
-            task.losses = Losses::default();
+        if known_time(task, now.mono).is_none_or(|ran| ran < STABLE_MS) {
+            return;
+        }
+        task.losses = Losses::default();
+        if let Some(k) = task.run.as_ref().map(|r| r.runner) {
+            self.runners.get_mut(k).suspects.remove(&id);
         }
     }
 }
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -351,7 +351,7 @@
         let mut out = BTreeSet::new();
         for id in ids {
             out.extend(self.task(id).into_iter().flat_map(|t| &t.avoid));
-            out.append(&mut self.companions(id, places));
+            out.append(&mut self.with_companions(id, places));
         }
         out
     }
--- a/src/control/place.rs
+++ b/src/control/place.rs
@@ -71,9 +71,9 @@
     }
 }
 
-/// How well a place keeps tasks from suspects; lower is better. What runs beside one that has lost its runner
+/// How much a place exposes a task to suspects; lower is better. What runs beside one that has lost its runner
 /// more than once is likely to be lost, and two suspects that are lost together cannot be told apart.
-fn crowd<K>(ask: &Ask, p: &Place<K>) -> (bool, u32) {
+fn exposure<K>(ask: &Ask, p: &Place<K>) -> (bool, u32) {
     (p.risky, if ask.suspect { p.suspects } else { 0 })
 }
 
@@ -103,7 +103,7 @@
         let left = p.free.sub(&ask.need);
         let unproven = failed && !p.proven;
         let order = order(ask, *index, &left);
-        (avoid.contains(&p.key), unproven, crowd(ask, p), far, order, p.key)
+        (avoid.contains(&p.key), unproven, exposure(ask, p), far, order, p.key)
     })?;
     best.suspects += u32::from(ask.suspect);
     best.free = best.free.sub(&ask.need);
--- a/tests/control_crashes.rs
+++ b/tests/control_crashes.rs
@@ -170,6 +170,26 @@
     }
 }
 
+/// Guards against a lasting task that is suspected for ever of crashes that were none of its own.
+#[test]
+fn a_task_that_has_run_for_long_is_no_suspect_any_more() {
+    let mut cell = Cell::new(4, 5);
+    cell.run(300);
+    let job = cell.submit(1, "patient", vec![Step { lasts: true, ..step(1, 1_000, 1 << 30) }]);
+    cell.run(300);
+    for _ in 0..2 {
+        let on = cell.whereabouts(first(job));
+        cell.crash_for_a_while(on[0]);
+        cell.run(4_500);
+    }
+    let suspects =
+        |cell: &Cell| cell.engine.runners().map(|(_, r)| r.suspects.len()).sum::<usize>();
+    let count = |cell: &Cell| cell.engine.job(job).unwrap().steps[0].tasks[0].losses.count;
+    assert_eq!((count(&cell), suspects(&cell)), (2, 1));
+    cell.run(31_000);
+    assert_eq!((count(&cell), suspects(&cell)), (0, 0));
+}
+
 /// Guards against a slow crash, which shows no more than a runner that is lost now and then.
 #[test]
 fn a_task_that_crashes_its_runners_late_is_given_up() {
