--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -193,7 +193,7 @@
 async fn domain_cut_off_from_the_platform_serves_lookups_and_heals() {
     let c = ready_cell(2, 2, 1).await;
     let cut =
-        |target| Fault { from: Some("a".into()), ..Fault::now(target, FaultKind::Outage, 1_500) };
+        |target| Fault { from: Some("a".into()), ..Fault::now(target, FaultKind::Outage, 6_000) };
     c.platform.add_faults([Target::Table, Target::Workers, Target::Instances].map(cut).into());
     for i in 0..20 {
         assert_eq!(get(&format!("{}/lookup?key=cut{i}", c.url(i % 2))).await.0, 200);
@@ -203,7 +203,7 @@
     assert_eq!((status, body["error"].as_str()), (503, Some("unavailable")), "{body}");
     assert!(body["retry_ms"].as_u64() > Some(0), "says when to come back");
     let url = format!("{}/write", c.url(1));
-    assert!(eventually(100, || async { post(&url, &write).await.0 == 200 }).await);
+    assert!(eventually(190, || async { post(&url, &write).await.0 == 200 }).await);
     let ran: u64 = c.runners.iter().filter_map(|r| r.executions().get("cut-write").copied()).sum();
     assert_eq!(ran, 1, "refused while cut off, run once after");
     let jobs = format!("{}/jobs", c.url(1));
