--- a/src/control/engine/gangs.rs
+++ b/src/control/engine/gangs.rs
@@ -64,8 +64,8 @@
         }
     }
 
-    /// The end of a gang's attempt is seen after all. A failure counts, though another attempt
-    /// has been made since.
+    /// The end of a run that was written off is seen after all: its loss is taken back. A gang's failure
+    /// counts, though another attempt has been made since.
     pub(super) fn seen_late(&mut self, id: TaskId, attempt: Attempt, failed: bool, now: Now) {
         if let Some(task) = self.task_mut(id) {
             task.losses.withdraw(attempt);
