Log which incarnation of a runner answers, and decode the start time

The logs of the incident could not tell apart completions that are forgotten or skipped by their number, runs that are kept although their runner does not list them, and late answers: no line says any of it, nor that a runner has started again under its id.

`born` is decoded in platform/ into a type of its own, from registry entries and lists of runs; a value that is no whole number makes the entry or the response unreadable. No decision uses it yet.

--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -4,7 +4,7 @@
 use super::losses::Loss;
 use super::{Action, Engine, Now, RunnerKey};
 use crate::control::crashes::Losses;
-use crate::control::model::{Attempt, JobId, TaskId};
+use crate::control::model::{Attempt, Born, JobId, TaskId};
 use crate::control::ports::{PollRequest, RunnerCall, RunnerEntry};
 use crate::kernel::res::Resources;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -80,6 +80,8 @@
     pub entry: Option<RunnerEntry>,
     /// Whether the registry lists it.
     pub listed: bool,
+    /// When the incarnation that answered last started.
+    pub born: Option<Born>,
     /// Whether this incarnation is over: another one answers at its address.
     pub replaced: bool,
     /// Strikes, and until when it is avoided.
@@ -129,6 +131,7 @@
             id: id.to_string(),
             entry: None,
             listed: false,
+            born: None,
             replaced: false,
             health: RunnerHealth::default(),
             rack: 0,
@@ -271,6 +274,11 @@
                     used_mem = used.mem;
                     "capacity changed");
             }
+            if runner.entry.as_ref().is_some_and(|before| before.born != e.born) {
+                log::info!(runner = id, born:? = e.born, answered_by:? = runner.born,
+                    tasks = runner.tasks.len();
+                    "registry shows another incarnation of a runner");
+            }
             let next = self.racks.len() as u32;
             runner.rack = *self.racks.entry(e.rack.clone()).or_insert(next);
             runner.entry = Some(e);
--- a/src/control/model.rs
+++ b/src/control/model.rs
@@ -140,6 +140,29 @@
     }
 }
 
+/// When an incarnation of a runner started, Unix ms. A runner may start again under its id; two
+/// incarnations of one id differ in this value. It is compared for equality only, since the time of
+/// day of a machine may be set back between two starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "u64")]
+pub struct Born(pub u64);
+
+/// Error: a start time beyond [`MAX_MOMENT`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("start time beyond {MAX_MOMENT}")]
+pub struct BadBorn;
+
+impl TryFrom<u64> for Born {
+    type Error = BadBorn;
+
+    fn try_from(ms: u64) -> Result<Self, BadBorn> {
+        match ms <= MAX_MOMENT {
+            true => Ok(Self(ms)),
+            false => Err(BadBorn),
+        }
+    }
+}
+
 /// How a run of a task ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum EndKind {
--- a/src/control/ports.rs
+++ b/src/control/ports.rs
@@ -1,7 +1,7 @@
 //! Interfaces of the control plane to the store, the runners and the advice service. `platform/`
 //! implements them over the users' protocol; tests implement them in memory.
 
-use super::model::{Attempt, EndKind, StepId, TaskId};
+use super::model::{Attempt, Born, EndKind, StepId, TaskId};
 use crate::kernel::res::Resources;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -146,6 +146,8 @@
     pub service: String,
     /// Address for calls.
     pub addr: SocketAddr,
+    /// When the incarnation that the entry describes started; `None` if the platform does not say.
+    pub born: Option<Born>,
     /// It is draining: nothing new may start there.
     pub draining: bool,
     /// Its capacity.
@@ -242,6 +244,8 @@
 /// Response of a runner to [`Runners::poll`].
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
+    /// When the incarnation that answered started; `None` if the platform does not say.
+    pub born: Option<Born>,
     /// Its clock, ms.
     pub clock: u64,
     /// Active runs.
--- a/tests/common/control/orders.rs
+++ b/tests/common/control/orders.rs
@@ -127,6 +127,7 @@
             percent: x.percent(),
             load: 0.0,
         });
-        Ok(Report { clock: r.clock(now), active: active.collect(), ends: r.ends.clone() })
+        let (born, clock) = (None, r.clock(now));
+        Ok(Report { born, clock, active: active.collect(), ends: r.ends.clone() })
     }
 }
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -5,7 +5,7 @@
 use assert_matches::assert_matches;
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::TcpListener;
-use currantgw::control::model::{self, Attempt, Catalogue, EndKind, Invalid, JobSpec};
+use currantgw::control::model::{self, Attempt, Born, Catalogue, EndKind, Invalid, JobSpec};
 use currantgw::control::ports::{AdviceError, PollRequest, Refusal, RunnerCall, Runners};
 use currantgw::http::ConnPool;
 use currantgw::kernel::clock::Clock;
@@ -20,6 +20,7 @@
 
 const TASK: &str = "5c0e7a21d94b36f8.0.1.17";
 const ENDED: &str = "5c0e7a21d94b36f8.0.1.9";
+const BORN: u64 = 1_790_283_924_575;
 
 /// Inputs that are not a JSON object of the expected form.
 const NOISE: [&[u8]; 7] = [b"", b"\xff\xfe", b"{", b"7", b"null", b"{\"version\":", &[0; 64]];
@@ -120,6 +121,7 @@
         "routes",
         "name",
         "clock_ms",
+        "born",
         "active",
         "finished",
         "approved",
@@ -410,7 +412,7 @@
     use super::*;
 
     fn good() -> Value {
-        json!({"clock_ms": 482_113,
+        json!({"born": BORN, "clock_ms": 482_113,
             "active": [[TASK, 2, "00000bb87a21d94b", 41, 0.5]],
             "finished": [[58, ENDED, 1, "done", ""], [59, TASK, 1, "failed", "c"]]})
     }
@@ -430,6 +432,7 @@
     fn a_complete_response_is_decoded() {
         let read = reports::report(&bytes(&good())).unwrap();
         assert_eq!((read.report.clock, read.bad.len()), (482_113, 0));
+        assert_eq!(read.report.born, Some(Born(BORN)));
         let run = &read.report.active[0];
         assert_eq!((run.attempt, run.percent, run.load), (Attempt(2), 41.0, 0.5));
         let kinds: Vec<EndKind> = read.report.ends.iter().map(|e| e.kind).collect();
@@ -581,6 +584,16 @@
         }
     }
 
+    /// Guards against completions of one incarnation of a runner that are taken for another's: a
+    /// response of which the incarnation cannot be read says nothing about any.
+    #[test]
+    fn a_response_with_an_unreadable_start_time_is_an_error() {
+        corrupt_each(&good(), &["/born"], |_, case, body| match case {
+            Case::Missing => assert_eq!(reports::report(body).unwrap().report.born, None),
+            _ => assert_matches!(reports::report(body), Err(BadReport::Unreadable(_)), "{case:?}"),
+        });
+    }
+
     /// An unknown refusal must not be decoded as one after which nothing runs.
     #[test]
     fn unknown_responses_to_orders_count_as_no_response() {
--- a/tests/platform_entries.rs
+++ b/tests/platform_entries.rs
@@ -4,7 +4,8 @@
 use assert_matches::assert_matches;
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::TcpListener;
-use currantgw::control::ports::Store;
+use currantgw::control::model::Born;
+use currantgw::control::ports::{RunnerEntry, Store};
 use currantgw::http::ConnPool;
 use currantgw::kernel::clock::Clock;
 use currantgw::platform::runners::{self, BadEntry};
@@ -16,12 +17,16 @@
     json!({
         "service": "svc", "address": "127.0.0.1:9000", "zone": "z", "version": "v1", "slots": 8,
         "state": "ready", "cold_remaining_ms": 0, "sequence": 7, "labels": ["a", "r1-3"],
-        "capacity": {"cpu": 32_000, "mem_mb": 65_536},
+        "capacity": {"cpu": 32_000, "mem_mb": 65_536}, "born": 1_790_283_924_575_u64,
     })
 }
 
+fn runner(v: &Value) -> Result<RunnerEntry, BadEntry> {
+    runners::entry(&serde_json::to_vec(v).unwrap())
+}
+
 fn entry(v: &Value) -> Result<(), BadEntry> {
-    runners::entry(&serde_json::to_vec(v).unwrap()).map(drop)
+    runner(v).map(drop)
 }
 
 #[test]
@@ -81,6 +86,19 @@
     assert_matches!(entry(&v), Err(BadEntry::State(s)) if s == "retired");
 }
 
+/// Guards against an incarnation of a runner that is taken for another of the same id.
+#[test]
+fn the_start_time_must_be_a_whole_number_where_it_is_given() {
+    assert_eq!(runner(&good()).unwrap().born, Some(Born(1_790_283_924_575)));
+    let mut v = good();
+    v.as_object_mut().unwrap().remove("born");
+    assert_eq!(runner(&v).unwrap().born, None);
+    for value in [json!(null), json!(-1), json!(0.5), json!(1e30), json!(u64::MAX), json!("7")] {
+        v["born"] = value.clone();
+        assert_matches!(entry(&v), Err(BadEntry::Unreadable(_)), "{value}");
+    }
+}
+
 #[test]
 fn bytes_that_cannot_be_decoded_name_no_runner() {
     for body in [&b""[..], b"\xff\xfe", b"{", b"[]", b"7", b"{\"service\":\"svc\"", &[0; 64]] {
