Keep what is known about a runner by incarnation, not by id

What callers saw: tasks that ran twice (TWICE) and tasks that never ran again (LOST), each after runners had crashed and started again under their ids.

Causes, two of one class (state of an incarnation kept under a name that outlives it): the leader kept completion numbers and acknowledgements by id, so that a restarted runner forgot its first completions before they were received, and their tasks, neither active nor listed, started again; and it kept the runner's clock by id, so that runs of the crashed incarnation were not lost before the new clock had passed the old one, and leases, extended by the old clock, never ended.

Ruled out: tasks that wait for another reason than their run (the run was kept), late answers (not needed).

Change: a RunnerKey stands for one incarnation, told apart by `born`. An answer to a poll with another start time puts a new incarnation in the place of the last one: nothing of it is carried over but the runs that the new one reports; the others are lost and counted, as for a runner with a new id. Ways weighed: resetting the fields on a change (each field is a case of its own, and tickets, strikes and losses are kept elsewhere, by key); ordering by `born` (the time of day of a machine may be set back between two starts). So start times are compared for equality only, and order follows from the polls, one at a time for each runner. The registry may lag: an entry of another incarnation only takes the runner out of placing until a poll is answered.

--- a/src/control/engine/losses.rs
+++ b/src/control/engine/losses.rs
@@ -39,7 +39,7 @@
 
 impl Engine {
     /// Marks all runs on a runner that was replaced or whose lease has expired as lost.
-    pub(super) fn mark_lost(&mut self, k: RunnerKey, why: Loss, now: Now) {
+    pub(super) fn lose_all(&mut self, k: RunnerKey, why: Loss, now: Now) {
         let tasks: Vec<(TaskId, Attempt)> = self.runners.get(k).tasks.keys().copied().collect();
         let lost: Vec<TaskId> = tasks
             .iter()
@@ -47,13 +47,19 @@
             .map(|(id, _)| *id)
             .collect();
         self.record_lost(k, &lost, why, now);
-        for (id, attempt) in tasks {
-            self.counts.written_off += 1;
-            if self.run_mut(k, id, attempt).is_some() {
-                self.release(id, now);
-                self.gang_broken(id, now);
-                self.update_state(id.step.job, now);
-            }
+        self.mark_lost(k, &lost, now);
+    }
+
+    /// Releases lost runs, whose loss is recorded, and all other capacity allocated on their runner.
+    pub(super) fn mark_lost(&mut self, k: RunnerKey, lost: &[TaskId], now: Now) {
+        let allocated: Vec<(TaskId, Attempt)> = self.runners.get(k).tasks.keys().copied().collect();
+        self.counts.written_off += allocated.len() as u64;
+        for &id in lost {
+            self.release(id, now);
+            self.gang_broken(id, now);
+            self.update_state(id.step.job, now);
+        }
+        for (id, attempt) in allocated {
             self.runners.get_mut(k).deallocate(id, attempt);
         }
     }
@@ -64,7 +70,7 @@
         let unanswered_since = runner.unanswered_since.unwrap_or(now.mono);
         let draining = runner.entry.as_ref().is_some_and(|e| e.draining);
         // A runner that is still registered when its lease expires is unreachable and has not
-        // crashed.
+        // crashed; another incarnation has no part in it.
         let crashed = why != Loss::LeaseOver || !runner.listed;
         lost.iter().for_each(|id| self.log_lost(k, *id, why, unanswered_since, now));
         if !draining {
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -11,6 +11,7 @@
 mod forecast;
 mod gang_reservations;
 mod gangs;
+mod incarnations;
 mod jobs;
 mod lifecycle;
 mod losses;
@@ -60,6 +61,8 @@
 pub struct Rules {
     /// Length of the lease that every call to a runner extends, ms.
     pub lease_ms: u64,
+    /// Longest lease that a runner grants, ms.
+    pub hold_max_ms: u64,
     /// For this long after a new leader was elected its predecessor may have extended leases, ms.
     pub step_down_ms: u64,
     /// Time that ended jobs are kept, ms.
@@ -148,6 +151,7 @@
     pub advice_connections: usize,
     cat: Arc<Catalogue>,
     runners: Arena<RunnerKey, Runner>,
+    /// The newest known incarnation of each runner.
     by_id: BTreeMap<String, RunnerKey>,
     jobs: BTreeMap<JobId, Job>,
     /// Steps with tasks to place.
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -15,9 +15,6 @@
 /// unavailable then, and the runner answers such polls at once.
 const UNSTORED_DELAY_MS: u64 = 200;
 
-/// Longest delay of an answer of a runner that is reachable, ms.
-const MAX_ANSWER_DELAY_MS: u64 = 1_000;
-
 /// Delay after a failed poll, ms.
 const POLL_RETRY_MS: u64 = 150;
 
@@ -37,13 +34,8 @@
                     log::info!(runner = runner.id, tasks = runner.tasks.len();
                         "runner answers again");
                 }
-                if runner.born.is_some() && runner.born != report.born {
-                    log::info!(runner = runner.id, born:? = report.born, was:? = runner.born,
-                        clock = report.clock, was_clock:? = runner.clock.map(|(c, _)| c),
-                        last_completion = runner.last_completion, acked = runner.acked,
-                        tasks = runner.tasks.len(); "another incarnation of a runner answers");
-                }
-                runner.born = report.born;
+                let k = self.answering_incarnation(k, &report, now);
+                let runner = self.runners.get_mut(k);
                 runner.record_answer(report.clock, now);
                 let has_new = report.ends.last().map_or(0, |e| e.number) > runner.last_completion;
                 runner.next_poll = now.mono
@@ -71,12 +63,6 @@
         let ended: BTreeSet<(TaskId, Attempt)> =
             report.ends.iter().map(|e| (e.task, e.attempt)).collect();
         for end in report.ends {
-            if end.number <= self.runners.get(k).acked {
-                log::warn!(task:% = end.task, attempt = end.attempt.0, how = end.kind.name(),
-                    runner = self.runners.get(k).id, number = end.number,
-                    acked = self.runners.get(k).acked;
-                    "completion ignored: its number was acknowledged before");
-            }
             if end.number > self.runners.get(k).last_completion {
                 self.runners.get_mut(k).last_completion = end.number;
                 self.process_completion(k, &end, now);
@@ -177,19 +163,10 @@
             Stage::Storing { .. } | Stage::Sent | Stage::Stopping { answered: None } => false,
         };
         let stage = run.stage;
-        if let Stage::Running { clock: confirmed } | Stage::Stopping { answered: Some(confirmed) } =
-            stage
-        {
-            if clock + MAX_ANSWER_DELAY_MS < confirmed {
-                log::warn!(task:% = id, attempt = attempt.0, runner = self.runners.get(k).id,
-                    stage = stage.name(), clock, confirmed;
-                    "run not listed, but kept: the runner's clock is behind its last answer");
-            }
-        }
         if lost {
             let runner = self.runners.get(k);
-            log::info!(task:% = id, attempt = attempt.0, runner = runner.id, stage = stage.name(),
-                acked = runner.acked; "run not listed: written off");
+            log::info!(task:% = id, attempt = attempt.0, runner = runner.id, stage = stage.name();
+                "run not listed: written off");
             self.counts.written_off += 1;
             self.release(id, now);
             self.gang_broken(id, now);
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -80,8 +80,10 @@
     pub entry: Option<RunnerEntry>,
     /// Whether the registry lists it.
     pub listed: bool,
-    /// When the incarnation that answered last started.
+    /// When this incarnation started, as far as the registry or the runner has said.
     pub born: Option<Born>,
+    /// Registry entry of another incarnation of its id, of which no poll has been answered.
+    pub announced: Option<RunnerEntry>,
     /// Whether this incarnation is over: another one answers at its address.
     pub replaced: bool,
     /// Strikes, and until when it is avoided.
@@ -132,6 +134,7 @@
             entry: None,
             listed: false,
             born: None,
+            announced: None,
             replaced: false,
             health: RunnerHealth::default(),
             rack: 0,
@@ -155,9 +158,31 @@
         }
     }
 
+    /// The incarnation of the same id that started at `born`. Orders that were meant for this one
+    /// may have extended its lease up to `lease_until`, ms on its clock.
+    pub(super) fn successor(&mut self, born: Born, lease_until: u64) -> Self {
+        let names = |e: &RunnerEntry| e.born.is_none_or(|b| b == born);
+        let announced = self.announced.take().filter(names);
+        let listed = announced.is_some() || self.listed && self.entry.as_ref().is_some_and(names);
+        Self {
+            born: Some(born),
+            entry: announced.or(self.entry.clone()),
+            listed,
+            rack: self.rack,
+            lease_until,
+            ..Self::new(&self.id)
+        }
+    }
+
     /// Where calls to it are sent, if its address is known.
     pub fn call(&self) -> Option<RunnerCall> {
-        Some(RunnerCall { addr: self.entry.as_ref()?.addr, id: self.id.clone() })
+        let entry = self.announced.as_ref().or(self.entry.as_ref())?;
+        Some(RunnerCall { addr: entry.addr, id: self.id.clone() })
+    }
+
+    /// Whether a registry entry names another incarnation of its id.
+    fn differs(&self, entry: &RunnerEntry) -> bool {
+        self.born.zip(entry.born).is_some_and(|(known, born)| known != born)
     }
 
     /// Its capacity.
@@ -199,12 +224,12 @@
         }
     }
 
-    /// Frees the capacity of a task.
-    pub fn deallocate(&mut self, id: TaskId, attempt: Attempt) {
-        if let Some(need) = self.tasks.remove(&(id, attempt)) {
-            self.used = self.used.sub(&need);
-            self.suspects.remove(&id);
-        }
+    /// Frees the capacity of a task, and returns how much was allocated.
+    pub fn deallocate(&mut self, id: TaskId, attempt: Attempt) -> Option<Resources> {
+        let need = self.tasks.remove(&(id, attempt))?;
+        self.used = self.used.sub(&need);
+        self.suspects.remove(&id);
+        Some(need)
     }
 
     /// Records an answer that carries the runner's clock.
@@ -250,11 +275,15 @@
 }
 
 impl Engine {
-    /// The runner with this id, created if it does not exist.
+    /// The newest known incarnation of the runner with this id, created if it does not exist.
     pub(super) fn runner_named(&mut self, id: &str) -> RunnerKey {
         if let Some(&k) = self.by_id.get(id) {
             return k;
         }
+        self.add_runner(id)
+    }
+
+    fn add_runner(&mut self, id: &str) -> RunnerKey {
         let k = self.runners.push(Runner::new(id));
         self.by_id.insert(id.to_string(), k);
         k
@@ -262,26 +291,38 @@
 
     /// Applies a change of a runner's registry entry; `None` if the entry was removed.
     pub fn register(&mut self, id: &str, entry: Option<RunnerEntry>) {
-        let k = self.runner_named(id);
+        let mut k = self.runner_named(id);
+        let names_other = entry.as_ref().is_some_and(|e| self.runners.get(k).differs(e));
+        if self.runners.get(k).replaced && names_other {
+            k = self.add_runner(id);
+        }
+        let next = self.racks.len() as u32;
         let runner = self.runners.get_mut(k);
         let before = (runner.listed, runner.entry.as_ref().is_some_and(|e| e.draining));
-        runner.listed = entry.is_some();
-        if let Some(e) = entry {
-            let (capacity, used) = (runner.capacity(), runner.used);
-            if runner.entry.is_some() && capacity != e.capacity {
-                log::info!(runner = id, cpu = e.capacity.cpu, mem = e.capacity.mem,
-                    was_cpu = capacity.cpu, was_mem = capacity.mem, used_cpu = used.cpu,
-                    used_mem = used.mem;
-                    "capacity changed");
-            }
-            if runner.entry.as_ref().is_some_and(|before| before.born != e.born) {
-                log::info!(runner = id, born:? = e.born, answered_by:? = runner.born,
+        let names_other = entry.as_ref().is_some_and(|e| runner.differs(e));
+        runner.listed = entry.is_some() && !names_other;
+        match entry {
+            Some(e) if names_other => {
+                log::info!(runner = id, born:? = e.born, was_born:? = runner.born,
                     tasks = runner.tasks.len();
                     "registry shows another incarnation of a runner");
+                runner.announced = Some(e);
+                runner.next_poll = 0;
+            }
+            Some(e) => {
+                let (capacity, used) = (runner.capacity(), runner.used);
+                if runner.entry.is_some() && capacity != e.capacity {
+                    log::info!(runner = id, cpu = e.capacity.cpu, mem = e.capacity.mem,
+                        was_cpu = capacity.cpu, was_mem = capacity.mem, used_cpu = used.cpu,
+                        used_mem = used.mem;
+                        "capacity changed");
+                }
+                runner.rack = *self.racks.entry(e.rack.clone()).or_insert(next);
+                runner.born = runner.born.or(e.born);
+                runner.announced = None;
+                runner.entry = Some(e);
             }
-            let next = self.racks.len() as u32;
-            runner.rack = *self.racks.entry(e.rack.clone()).or_insert(next);
-            runner.entry = Some(e);
+            None => runner.announced = None,
         }
         let after = (runner.listed, runner.entry.as_ref().is_some_and(|e| e.draining));
         if before != after {
@@ -295,7 +336,7 @@
         let unlisted: Vec<String> = self
             .runners
             .iter()
-            .filter(|(_, r)| r.listed && !ids.contains(&r.id))
+            .filter(|(_, r)| (r.listed || r.announced.is_some()) && !ids.contains(&r.id))
             .map(|(_, r)| r.id.clone())
             .collect();
         for id in unlisted {
@@ -310,7 +351,7 @@
         let stored = |id: &JobId, rev: u64| jobs.get(id).is_none_or(|j| j.stored >= rev);
         let mut acts = Vec::new();
         for (k, r) in self.runners.iter_mut() {
-            let needed = r.listed || !r.tasks.is_empty();
+            let needed = r.listed || r.announced.is_some() || !r.tasks.is_empty();
             if r.polling || r.replaced || !needed || r.next_poll > now.mono {
                 continue;
             }
@@ -337,14 +378,14 @@
         self.acts.append(&mut acts);
     }
 
-    /// Another incarnation answers at the runner's address: all runs of this one are lost.
+    /// Another runner answers at the runner's address: all its runs are lost.
     pub(super) fn runner_replaced(&mut self, k: RunnerKey, now: Now) {
         if !self.runners.get(k).replaced {
             log::info!(runner = self.runners.get(k).id, tasks = self.runners.get(k).tasks.len();
                 "runner replaced by another life");
         }
         self.runners.get_mut(k).replaced = true;
-        self.mark_lost(k, Loss::OtherIncarnation, now);
+        self.lose_all(k, Loss::OtherIncarnation, now);
     }
 
     /// When the leases that predecessors sent have expired, local ms. A predecessor that cannot
@@ -369,7 +410,7 @@
             log::warn!(runner = r.id, tasks = r.tasks.len(),
                 silent_ms = now.mono - r.last_contact;
                 "lease over: tasks written off");
-            self.mark_lost(k, Loss::LeaseOver, now);
+            self.lose_all(k, Loss::LeaseOver, now);
         }
     }
 }
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -135,6 +135,7 @@
         let lease_ms = LEASE_MS.min(self.settings.hold_max_ms);
         let rules = Rules {
             lease_ms,
+            hold_max_ms: self.settings.hold_max_ms,
             step_down_ms: STEP_DOWN_MS,
             keep_ms: self.settings.keep_ms,
             placement: self.settings.placement,
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -40,6 +40,7 @@
 /// Limits used by the tests.
 pub const RULES: Rules = Rules {
     lease_ms: 8_000,
+    hold_max_ms: 10_000,
     step_down_ms: 10_000,
     keep_ms: 120_000,
     placement: Placement::BestFit,
@@ -56,6 +57,9 @@
     pub commits: f64,
     /// Whether the store accepts no writes.
     pub store_down: bool,
+    /// Time after which a call to a crashed runner is sent again, ms; 0 if it is not. It reaches the
+    /// runner's next incarnation if there is one by then.
+    pub resent_after: u64,
 }
 
 /// Duration of transactions: each partition carries out one at a time.
@@ -69,7 +73,7 @@
 
 #[derive(Clone, Debug)]
 enum Event {
-    Arrive { term: u64, act: Action, answered: bool },
+    Arrive { term: u64, act: Action, answered: bool, resent: bool },
     Started(RunnerKey, TaskId, Attempt, Result<u64, Refusal>),
     Stopped(RunnerKey, TaskId, Attempt, Result<u64, Refusal>),
     Polled(RunnerKey, Result<Report, Refusal>),
@@ -359,7 +363,9 @@
     fn handle_event(&mut self, term: u64, e: Event) {
         let (now, current) = (self.clocks(), term == self.term);
         match e {
-            Event::Arrive { act, answered, .. } => self.arrive(act, answered && current),
+            Event::Arrive { act, answered, resent, .. } => {
+                self.arrive(act, answered && current, resent)
+            }
             Event::Apply { term, scope, batch, answered, answer_delay } => {
                 let out = self.apply(term, &batch);
                 if answered && current {
--- a/tests/common/control/calls.rs
+++ b/tests/common/control/calls.rs
@@ -23,9 +23,8 @@
             Action::RequestAdvice { step, ids, cost_ms } => {
                 self.request_advice(*step, ids.clone(), *cost_ms)
             }
-            Action::Poll { .. } => {
-                self.schedule(ONE_WAY_MS, Event::Arrive { term, act, answered: true })
-            }
+            Action::Poll { .. } => self
+                .schedule(ONE_WAY_MS, Event::Arrive { term, act, answered: true, resent: false }),
             Action::Start { after_ms, .. } => self.order(*after_ms, act),
             Action::Stop { .. } => self.order(0, act),
         }
@@ -67,13 +66,14 @@
         if self.rng.gen_bool(self.faults.late) {
             self.schedule_timeout(&act);
             let delay = self.rng.gen_range(2_000..12_000);
-            return self.schedule(delay, Event::Arrive { term, act, answered: false });
+            let late = Event::Arrive { term, act, answered: false, resent: true };
+            return self.schedule(delay, late);
         }
         let answered = !self.rng.gen_bool(self.faults.unanswered);
         if !answered {
             self.schedule_timeout(&act);
         }
-        self.schedule(after + ONE_WAY_MS, Event::Arrive { term, act, answered });
+        self.schedule(after + ONE_WAY_MS, Event::Arrive { term, act, answered, resent: false });
     }
 
     /// Schedules the timeout of a call without an answer.
@@ -92,7 +92,7 @@
     }
 
     /// Delivers an order or a poll to its runner, if the runner is reachable.
-    pub(super) fn arrive(&mut self, act: Action, answered: bool) {
+    pub(super) fn arrive(&mut self, act: Action, answered: bool, resent: bool) {
         let (k, id) = match &act {
             Action::Start { runner, to, .. }
             | Action::Stop { runner, to, .. }
@@ -103,6 +103,11 @@
         let r = &self.runners[i];
         let lost = r.unreachable_until > self.now || (!r.exists && !r.replaced);
         if lost {
+            let delay = self.faults.resent_after;
+            if !r.exists && !resent && delay > 0 {
+                let term = self.term;
+                return self.schedule(delay, Event::Arrive { term, act, answered, resent: true });
+            }
             if answered {
                 self.schedule_timeout(&act);
             }
--- a/tests/common/control/crashes.rs
+++ b/tests/common/control/crashes.rs
@@ -19,6 +19,8 @@
     pub jobs: BTreeSet<JobId>,
     /// Time from the start of such a task to the crash, ms.
     pub after: u64,
+    /// Whether crashed runners start again under their ids, with clocks that start at 0.
+    pub same_id: bool,
     /// Number of crashes of runners on which each task ran, and of its starts after [`MAX_CRASHES`]
     /// of them.
     counts: BTreeMap<TaskId, (u32, u32)>,
@@ -36,7 +38,8 @@
 }
 
 impl Cell {
-    /// Crashes a runner, which later comes back with nothing running, as another incarnation.
+    /// Crashes a runner, which later comes back with nothing running: another incarnation, under a
+    /// new id or, with [`Crashes::same_id`], under the same.
     pub fn crash_for_a_while(&mut self, i: usize) {
         let tasks: Vec<TaskId> = self.runners[i].running.keys().copied().collect();
         for task in tasks {
@@ -48,6 +51,9 @@
 
     /// Restarts a crashed runner: another incarnation answers at its address.
     pub(super) fn restart(&mut self, i: usize) {
+        if self.crashes.same_id {
+            return self.start_again(i, 0);
+        }
         self.runners[i].replaced = true;
         self.register(i, false);
         self.add_runner();
--- a/tests/control_leader.rs
+++ b/tests/control_leader.rs
@@ -129,6 +129,7 @@
     let store_health = Arc::new(StoreHealth::new(clock.clone()));
     let rules = Rules {
         lease_ms: 8_000,
+        hold_max_ms: 10_000,
         step_down_ms: 10_000,
         keep_ms: 120_000,
         placement: Placement::default(),
--- a/tests/control_restarts.rs
+++ b/tests/control_restarts.rs
@@ -6,7 +6,7 @@
     pub mod runner;
 }
 
-use common::control::{step, Cell};
+use common::control::{step, Cell, STEP_MS};
 use currantgw::control::model::{JobId, JobState, Step, StepId, TaskId};
 
 /// Time for which a runner is down before it starts again, ms.
@@ -29,6 +29,22 @@
     cell.start_again(i, clock);
 }
 
+/// Crashes a runner and starts it again soon: calls that are sent in between reach its next
+/// incarnation, and the registry does not show it yet.
+fn start_again_unnoticed(cell: &mut Cell, i: usize, clock: u64) {
+    cell.faults.resent_after = 500;
+    cell.crash(i);
+    cell.run(100);
+    cell.runners[i].start_again(cell.now, clock);
+}
+
+/// Advances the time until the scheduler knows that a runner has started again.
+fn run_until_noticed(cell: &mut Cell) {
+    while !cell.engine.runners().any(|(_, r)| r.replaced) {
+        cell.run(STEP_MS);
+    }
+}
+
 /// A cell of one runner that has acknowledged the completions of 20 tasks.
 fn cell_with_acknowledged_completions() -> Cell {
     let mut cell = Cell::new(1, 1);
@@ -67,3 +83,107 @@
         assert_eq!(cell.stored(job), JobState::Completed, "gang {gang}");
     }
 }
+
+/// Guards against a task that runs twice: its runner cannot be reached after the first answer of an
+/// incarnation, whose lease was extended by orders that were meant for the last one.
+#[test]
+fn the_lease_of_a_new_incarnation_counts_from_its_first_answer() {
+    let mut cell = Cell::new(2, 10);
+    cell.run(20_000);
+    cell.register(1, false);
+    start_again_unnoticed(&mut cell, 0, EARLIER_CLOCK);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 4_000)]);
+    run_until_noticed(&mut cell);
+    assert_eq!(cell.runners_of(task(job, 0)), vec![0]);
+    cell.runners[0].unreachable_until = cell.now + 5_000;
+    cell.register(1, true);
+    cell.run(8_000);
+    cell.check();
+    assert_eq!((cell.stored(job), cell.starts[&task(job, 0)]), (JobState::Completed, 1));
+}
+
+/// Guards against a runner that is overcommitted, since it has started again with less capacity
+/// than the registry still shows.
+#[test]
+fn an_incarnation_gets_no_tasks_before_the_registry_shows_it() {
+    let mut cell = Cell::new(1, 11);
+    cell.run(300);
+    start_again_unnoticed(&mut cell, 0, EARLIER_CLOCK);
+    cell.runners[0].capacity.cpu = 2_000;
+    run_until_noticed(&mut cell);
+    let job = cell.submit(1, "patient", vec![step(4, 1_000, 500)]);
+    cell.run(1_000);
+    assert_eq!(cell.stored(job), JobState::Queued);
+    cell.register(0, true);
+    cell.run(3_000);
+    cell.check();
+    assert_eq!(cell.stored(job), JobState::Completed);
+}
+
+/// Guards against tasks that are placed on a runner of which only an outdated registry entry is
+/// known, with another capacity, and against runs that are taken for lost because of one.
+#[test]
+fn an_outdated_registry_entry_neither_ends_runs_nor_takes_tasks() {
+    let mut cell = Cell::new(1, 8);
+    cell.run(300);
+    let mut outdated = cell.runners[0].clone();
+    crash_and_start_again(&mut cell, 0, EARLIER_CLOCK);
+    cell.run(1_000);
+    let first = cell.submit(1, "patient", vec![step(2, 1_000, 2_000)]);
+    cell.run(200);
+    assert_eq!(cell.running(), 2);
+    outdated.capacity.cpu *= 2;
+    let newer = std::mem::replace(&mut cell.runners[0], outdated);
+    cell.register(0, true);
+    cell.runners[0] = newer;
+    let second = cell.submit(2, "patient", vec![step(1, 1_000, 500)]);
+    cell.run(1_000);
+    assert_eq!((cell.running(), cell.stored(second)), (2, JobState::Queued));
+    cell.register(0, true);
+    cell.run(2_000);
+    cell.check();
+    assert!(cell.starts.values().all(|n| *n == 1), "{:?}", cell.starts);
+    assert!([first, second].iter().all(|id| cell.stored(*id) == JobState::Completed));
+}
+
+/// Guards against a runner that is never used again: another runner answered at its address before
+/// it started again under its id.
+#[test]
+fn a_runner_that_starts_again_elsewhere_is_used() {
+    let mut cell = Cell::new(1, 9);
+    cell.run(300);
+    cell.crash(0);
+    cell.runners[0].replaced = true;
+    cell.run(2_000);
+    cell.start_again(0, EARLIER_CLOCK);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 500)]);
+    cell.run(3_000);
+    cell.check();
+    assert_eq!(cell.stored(job), JobState::Completed);
+}
+
+/// Guards against a crash loop that is not noticed since the runners start again under their ids.
+#[test]
+fn a_task_that_crashes_runners_of_lasting_ids_fails_its_job() {
+    for seed in 0..8 {
+        let mut cell = Cell::new(12, seed);
+        cell.crashes.same_id = true;
+        cell.crashes.after = 10;
+        cell.run(300);
+        let gang = Step { gang: true, ..step(4, 4_000, 2_000) };
+        let steps = if seed % 2 == 0 { vec![step(1, 1_000, 3_000)] } else { vec![gang] };
+        cell.crashes.jobs.insert(JobId(1));
+        let job = cell.submit(1, "patient", steps);
+        for n in 0..100 {
+            cell.submit(1_000 + n, "patient", vec![step(2, 1_000, 700)]);
+            cell.run(100);
+        }
+        cell.run(30_000);
+        cell.check();
+        assert_eq!(cell.stored(job), JobState::Failed, "seed {seed}");
+        let harmless = (0..100).map(|n| JobId(1_000 + n));
+        for id in harmless {
+            assert_eq!(cell.stored(id), JobState::Completed, "seed {seed}: {id}");
+        }
+    }
+}
