Acknowledge only completions that the last answer listed

A poll on its way when a runner starts again may reach the next incarnation, whose numbers start anew: its first completions are forgotten before they are received, and their tasks run twice.

Change: a poll acknowledges only if the last answer listed completions, and none after a call without an answer. An idle runner's polls acknowledge nothing, so that what is left is a poll that acknowledges, is sent just before the crash, and arrives after tasks have started and ended on the next incarnation: within one poll's timeout, and only over a connection that was being opened.

Test: the simulated runners report completions that are acknowledged before they were listed.

--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -37,6 +37,7 @@
                 let k = self.answering_incarnation(k, &report, now);
                 let runner = self.runners.get_mut(k);
                 runner.record_answer(report.clock, now);
+                runner.lists_completions = !report.ends.is_empty();
                 let has_new = report.ends.last().map_or(0, |e| e.number) > runner.last_completion;
                 runner.next_poll = now.mono
                     + match (report.ends.is_empty(), has_new) {
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -116,6 +116,8 @@
     pub poll_failed: bool,
     /// When calls began to go unanswered, local ms; `None` while they are answered.
     pub unanswered_since: Option<u64>,
+    /// Whether its last answer listed completions.
+    pub lists_completions: bool,
     /// Highest number of a processed completion.
     pub last_completion: u64,
     /// Processed completions that are not acknowledged: number, job, and the job's revision that
@@ -151,6 +153,7 @@
             unanswered: false,
             poll_failed: false,
             unanswered_since: None,
+            lists_completions: false,
             last_completion: 0,
             unacked: VecDeque::new(),
             acked: 0,
@@ -364,6 +367,9 @@
             // answers are lost, and leases that are sent repeatedly to an unreachable runner would
             // never expire.
             let until = if r.unanswered { None } else { r.extend(lease_ms, now) };
+            // Numbers of completions start anew with each incarnation, and the poll may reach another
+            // than the last one did: only what the last answer listed is acknowledged.
+            let acked = if r.unanswered || !r.lists_completions { 0 } else { r.acked };
             let idle = r.tasks.is_empty() && r.unacked.is_empty();
             let wait_ms = match until {
                 None => 0,
@@ -372,7 +378,7 @@
             };
             r.wait_ms = wait_ms.max(POLL_WAIT_MS);
             r.polling = true;
-            let poll = PollRequest { fence, acked: r.acked, until, wait_ms };
+            let poll = PollRequest { fence, acked, until, wait_ms };
             acts.push(Action::Poll { runner: k, to, poll });
         }
         self.acts.append(&mut acts);
--- a/tests/common/control/orders.rs
+++ b/tests/common/control/orders.rs
@@ -119,7 +119,11 @@
         for end in r.ends.iter().filter(acknowledged).filter(|e| e.kind == EndKind::Done) {
             self.done.insert(end.task, true);
         }
+        if r.ends.iter().any(|e| e.number <= poll.acked && e.number > r.listed) {
+            self.violations.push(format!("{now}: r{i}: completions acknowledged before listed"));
+        }
         r.ends.retain(|e| e.number > poll.acked);
+        r.listed = r.ends.last().map_or(r.listed, |e| e.number);
         let active = r.running.iter().map(|(task, x)| ActiveRun {
             task: *task,
             attempt: x.attempt,
--- a/tests/common/runner.rs
+++ b/tests/common/runner.rs
@@ -83,6 +83,8 @@
     pub ends: Vec<End>,
     /// Highest attempt of each task that was stopped or has ended on this runner.
     pub closed: BTreeMap<TaskId, Attempt>,
+    /// Highest number of a completion that an answer has listed.
+    pub listed: u64,
     /// Completions up to this number were listed before the lease expired, and are void whichever
     /// instance acknowledges them.
     pub void: u64,
@@ -112,6 +114,7 @@
             running: BTreeMap::new(),
             ends: Vec::new(),
             closed: BTreeMap::new(),
+            listed: 0,
             void: 0,
             born: Born(i as u64 + 1),
             offset: 77 * (i as i64 + 1),
--- a/tests/control_restarts.rs
+++ b/tests/control_restarts.rs
@@ -84,6 +84,19 @@
     }
 }
 
+/// Guards against completions of the next incarnation that are acknowledged, before they are
+/// received, by a poll that was meant for the last one.
+#[test]
+fn a_poll_that_reaches_the_next_incarnation_acknowledges_nothing() {
+    let mut cell = cell_with_acknowledged_completions();
+    start_again_unnoticed(&mut cell, 0, EARLIER_CLOCK);
+    let job = cell.submit(2, "patient", vec![step(4, 1_000, 100)]);
+    cell.run(3_000);
+    cell.check();
+    assert_eq!(cell.stored(job), JobState::Completed);
+    assert!((0..4).all(|i| cell.starts[&task(job, i)] == 1), "{:?}", cell.starts);
+}
+
 /// Guards against a task that runs twice: its runner cannot be reached after the first answer of an
 /// incarnation, whose lease was extended by orders that were meant for the last one.
 #[test]
