Stop a run that may yet start on the next incarnation of its runner

Found by reading for the same cause: a run was over as soon as another incarnation answered, since that had a new id and refused orders for the last one. Under a lasting id a start on its way takes effect on the next incarnation. If the task has started elsewhere by then, it runs twice.

Change: a run is over with its incarnation if that has listed it and all its starts were answered. Otherwise it moves to the new incarnation and is stopped there; its task starts again once the stop is acknowledged and a later poll does not list the run (the rule for orders without an answer as it stands). The loss is counted at once, so that crash loops are noticed as before, and is withdrawn if the new incarnation reports how the run ended. Way weighed: asking with the same start again (409 tells that the attempt ended there, but starts it where it had not).

--- a/src/control/engine/incarnations.rs
+++ b/src/control/engine/incarnations.rs
@@ -9,12 +9,33 @@
 //! until a poll has been answered.
 
 use super::losses::Loss;
-use super::runs::Stage;
+use super::runs::{Run, Stage, StopReason};
 use super::{Engine, Now, RunnerKey};
 use crate::control::model::{Attempt, Born, TaskId};
 use crate::control::ports::Report;
 use std::collections::BTreeSet;
 
+/// What becomes of a run when another incarnation of its runner answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    /// It is over: no order that could start it again is on its way.
+    Over,
+    /// The new incarnation reports it, or the runs of its predecessors.
+    Reported,
+    /// An order may yet start it on the new incarnation.
+    Undecided,
+}
+
+fn fate(run: &Run, reported: bool) -> Fate {
+    match run.stage {
+        _ if reported => Fate::Reported,
+        Stage::Inherited => Fate::Reported,
+        Stage::Storing { .. } => Fate::Over,
+        _ if run.listed && !run.outcome_unknown => Fate::Over,
+        Stage::Sent | Stage::Running { .. } | Stage::Stopping { .. } => Fate::Undecided,
+    }
+}
+
 impl Engine {
     /// The incarnation whose answer to a poll of `k` this is: `k`, or one that is new.
     pub(super) fn answering_incarnation(
@@ -33,8 +54,8 @@
         }
     }
 
-    /// Puts a new incarnation in the place of `k`, with the runs that it reports. The other runs are
-    /// lost.
+    /// Puts a new incarnation in the place of `k`, with the runs that it reports or may yet start.
+    /// The other runs are lost.
     fn replace(&mut self, k: RunnerKey, born: Born, report: &Report, now: Now) -> RunnerKey {
         let hold_max_ms = self.rules.hold_max_ms;
         let last = self.runners.get_mut(k);
@@ -55,16 +76,22 @@
             .map(|a| (a.task, a.attempt))
             .chain(report.ends.iter().map(|e| (e.task, e.attempt)))
             .collect();
-        let mut lost = Vec::new();
+        let (mut over, mut undecided) = (Vec::new(), Vec::new());
         for (id, attempt) in self.runners.get(k).tasks.keys().copied().collect::<Vec<_>>() {
             let Some(run) = self.run_mut(k, id, attempt) else { continue };
-            match run.stage == Stage::Inherited || reported.contains(&(id, attempt)) {
-                true => self.move_run(id, next),
-                false => lost.push(id),
+            match fate(run, reported.contains(&(id, attempt))) {
+                Fate::Over => over.push(id),
+                Fate::Reported => self.move_run(id, next),
+                Fate::Undecided => undecided.push(id),
             }
         }
-        self.record_lost(k, &lost, Loss::OtherIncarnation, now);
-        self.mark_lost(k, &lost, now);
+        let unreported: Vec<TaskId> = over.iter().chain(&undecided).copied().collect();
+        self.record_lost(k, &unreported, Loss::OtherIncarnation, now);
+        for id in undecided {
+            self.move_run(id, next);
+            self.stop_undecided(id, now);
+        }
+        self.mark_lost(k, &over, now);
         next
     }
 
@@ -78,4 +105,13 @@
             self.runners.get_mut(to).allocate(id, attempt, need, losses);
         }
     }
+
+    /// Stops a run that has not begun on the new incarnation of its runner, so that no order on its
+    /// way starts it there. Its task may start elsewhere once the stop is acknowledged.
+    fn stop_undecided(&mut self, id: TaskId, now: Now) {
+        if let Some(run) = self.task_mut(id).and_then(|t| t.run.as_mut()) {
+            run.stage = Stage::Sent;
+        }
+        self.order_stop(id, StopReason::Restarted, now);
+    }
 }
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -110,6 +110,7 @@
             task.saved.clone_from(&a.saved);
         }
         let Some(run) = task.run.as_mut().filter(|r| r.runner == k) else { return };
+        run.listed = true;
         run.progress.record(a.percent, now.mono);
         let progress = run.progress;
         match run.stage {
@@ -194,6 +195,7 @@
         let Some(job) = self.jobs.get(&id.step.job) else { return };
         let (gang, lasts) = (job.spec(id.step).gang, job.spec(id.step).lasts);
         if let Some(task) = self.task_mut(id) {
+            task.losses.withdraw(end.attempt);
             if !end.saved.is_empty() {
                 task.saved.clone_from(&end.saved);
             }
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -6,7 +6,8 @@
 //!
 //! - its completion is reported;
 //! - a stop of its attempt was acknowledged, and a later poll does not list it;
-//! - the lease of its runner has expired, or another incarnation has replaced the runner.
+//! - the lease of its runner has expired;
+//! - another incarnation has replaced the runner, and no order can start the run there.
 
 use super::progress::Progress;
 use super::{Action, Engine, Now, RunnerKey};
@@ -79,6 +80,8 @@
     Preempted,
     /// An earlier stop was not answered.
     Repeated,
+    /// Its runner has started again, and its start may take effect there.
+    Restarted,
 }
 
 impl StopReason {
@@ -91,6 +94,7 @@
             Self::NoAnswer => "start not answered",
             Self::Preempted => "makes room for a gang",
             Self::Repeated => "earlier stop not answered",
+            Self::Restarted => "runner restarted",
         }
     }
 }
@@ -106,6 +110,8 @@
     pub tries: u32,
     /// Whether a start was not answered: its outcome is unknown, and it may take effect later.
     pub outcome_unknown: bool,
+    /// Whether the runner has listed it as active.
+    pub listed: bool,
     /// Progress as reported by the runner.
     pub progress: Progress,
     /// When a stop was last sent, local ms.
@@ -118,7 +124,16 @@
     /// A run on `runner` of which no start has been sent by this leader.
     pub fn new(runner: RunnerKey, stage: Stage) -> Self {
         let progress = Progress::default();
-        Self { runner, stage, tries: 0, outcome_unknown: false, progress, stop_at: 0, ticket: None }
+        Self {
+            runner,
+            stage,
+            tries: 0,
+            outcome_unknown: false,
+            listed: false,
+            progress,
+            stop_at: 0,
+            ticket: None,
+        }
     }
 }
 
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -22,7 +22,7 @@
 use currantgw::control::engine::{Action, Batch, Engine, Now, Outcome, Rules, RunnerKey};
 use currantgw::control::leader::CommitBatching;
 use currantgw::control::model::{
-    Approval, Attempt, Catalogue, JobId, JobSpec, JobState, Queue, Step, StepId, TaskId,
+    Approval, Attempt, Born, Catalogue, JobId, JobSpec, JobState, Queue, Step, StepId, TaskId,
 };
 use currantgw::control::partitions::{self, Partition, PartitionScope};
 use currantgw::control::place::Placement;
@@ -71,9 +71,20 @@
     pub round_trip: u64,
 }
 
+/// How a call is delivered to a runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Delivery {
+    /// Sent once so far.
+    Sent,
+    /// Sent again.
+    Resent,
+    /// Held by an incarnation of the runner, which carries it out late unless it crashes.
+    Held(Born),
+}
+
 #[derive(Clone, Debug)]
 enum Event {
-    Arrive { term: u64, act: Action, answered: bool, resent: bool },
+    Arrive { term: u64, act: Action, answered: bool, delivery: Delivery },
     Started(RunnerKey, TaskId, Attempt, Result<u64, Refusal>),
     Stopped(RunnerKey, TaskId, Attempt, Result<u64, Refusal>),
     Polled(RunnerKey, Result<Report, Refusal>),
@@ -363,8 +374,8 @@
     fn handle_event(&mut self, term: u64, e: Event) {
         let (now, current) = (self.clocks(), term == self.term);
         match e {
-            Event::Arrive { act, answered, resent, .. } => {
-                self.arrive(act, answered && current, resent)
+            Event::Arrive { act, answered, delivery, .. } => {
+                self.arrive(act, answered && current, delivery)
             }
             Event::Apply { term, scope, batch, answered, answer_delay } => {
                 let out = self.apply(term, &batch);
--- a/tests/common/control/calls.rs
+++ b/tests/common/control/calls.rs
@@ -1,6 +1,6 @@
 //! Delivery of the scheduler's calls: delays, lost answers, orders that take effect late.
 
-use super::{Cell, Event};
+use super::{Cell, Delivery, Event};
 use currantgw::control::engine::Action;
 use currantgw::control::model::StepId;
 use currantgw::control::ports::{Advice, AdviceError, Refusal, Ticket};
@@ -23,8 +23,10 @@
             Action::RequestAdvice { step, ids, cost_ms } => {
                 self.request_advice(*step, ids.clone(), *cost_ms)
             }
-            Action::Poll { .. } => self
-                .schedule(ONE_WAY_MS, Event::Arrive { term, act, answered: true, resent: false }),
+            Action::Poll { .. } => self.schedule(
+                ONE_WAY_MS,
+                Event::Arrive { term, act, answered: true, delivery: Delivery::Sent },
+            ),
             Action::Start { after_ms, .. } => self.order(*after_ms, act),
             Action::Stop { .. } => self.order(0, act),
         }
@@ -66,14 +68,18 @@
         if self.rng.gen_bool(self.faults.late) {
             self.schedule_timeout(&act);
             let delay = self.rng.gen_range(2_000..12_000);
-            let late = Event::Arrive { term, act, answered: false, resent: true };
-            return self.schedule(delay, late);
+            let held_by = self.receiver(&act).map(|i| self.runners[i].born);
+            let delivery = held_by.map_or(Delivery::Sent, Delivery::Held);
+            return self.schedule(delay, Event::Arrive { term, act, answered: false, delivery });
         }
         let answered = !self.rng.gen_bool(self.faults.unanswered);
         if !answered {
             self.schedule_timeout(&act);
         }
-        self.schedule(after + ONE_WAY_MS, Event::Arrive { term, act, answered, resent: false });
+        self.schedule(
+            after + ONE_WAY_MS,
+            Event::Arrive { term, act, answered, delivery: Delivery::Sent },
+        );
     }
 
     /// Schedules the timeout of a call without an answer.
@@ -91,22 +97,28 @@
         self.schedule(TIMEOUT_MS, e);
     }
 
-    /// Delivers an order or a poll to its runner, if the runner is reachable.
-    pub(super) fn arrive(&mut self, act: Action, answered: bool, resent: bool) {
-        let (k, id) = match &act {
-            Action::Start { runner, to, .. }
-            | Action::Stop { runner, to, .. }
-            | Action::Poll { runner, to, .. } => (*runner, to.id.clone()),
-            Action::RequestAdvice { .. } => return,
+    /// Position of the runner that a call is meant for.
+    fn receiver(&self, act: &Action) -> Option<usize> {
+        let id = match act {
+            Action::Start { to, .. } | Action::Stop { to, .. } | Action::Poll { to, .. } => &to.id,
+            Action::RequestAdvice { .. } => return None,
         };
-        let Some(i) = self.runners.iter().position(|r| r.id == id) else { return };
+        self.runners.iter().position(|r| r.id == *id)
+    }
+
+    /// Delivers an order or a poll to its runner, if the runner is reachable.
+    pub(super) fn arrive(&mut self, act: Action, answered: bool, delivery: Delivery) {
+        let Some(i) = self.receiver(&act) else { return };
         let r = &self.runners[i];
+        if matches!(delivery, Delivery::Held(by) if by != r.born) {
+            return;
+        }
         let lost = r.unreachable_until > self.now || (!r.exists && !r.replaced);
         if lost {
             let delay = self.faults.resent_after;
-            if !r.exists && !resent && delay > 0 {
-                let term = self.term;
-                return self.schedule(delay, Event::Arrive { term, act, answered, resent: true });
+            if !r.exists && delivery == Delivery::Sent && delay > 0 {
+                let (term, delivery) = (self.term, Delivery::Resent);
+                return self.schedule(delay, Event::Arrive { term, act, answered, delivery });
             }
             if answered {
                 self.schedule_timeout(&act);
@@ -115,15 +127,15 @@
         }
         let other = r.replaced.then_some(Refusal::OtherIncarnation);
         let e = match act {
-            Action::Start { start, .. } => {
+            Action::Start { runner: k, start, .. } => {
                 let res = other.map_or_else(|| self.start(i, &start), Err);
                 Event::Started(k, start.task, start.attempt, res)
             }
-            Action::Stop { order, .. } => {
+            Action::Stop { runner: k, order, .. } => {
                 let res = other.map_or_else(|| self.stop(i, &order), Err);
                 Event::Stopped(k, order.task, order.attempt, res)
             }
-            Action::Poll { poll, .. } => {
+            Action::Poll { runner: k, poll, .. } => {
                 let res = other.map_or_else(|| self.poll(i, &poll), Err);
                 Event::Polled(k, res)
             }
--- a/tests/control_restarts.rs
+++ b/tests/control_restarts.rs
@@ -18,6 +18,9 @@
 /// Clock of a runner whose clock starts anew far ahead of that of its last incarnation, ms.
 const LATER_CLOCK: u64 = 10_000_000;
 
+/// Time between two polls of an idle runner, ms.
+const POLL_CYCLE_MS: u64 = 60;
+
 fn task(job: JobId, index: u32) -> TaskId {
     TaskId { step: StepId { job, occurrence: 0, step: 0 }, index }
 }
@@ -84,6 +87,24 @@
     }
 }
 
+/// Guards against a task that runs twice: its start is on its way when its runner starts again, and
+/// takes effect after the first answer of the next incarnation, which does not list it.
+#[test]
+fn a_start_that_reaches_the_next_incarnation_does_not_run_a_second_time() {
+    for offset in (0..POLL_CYCLE_MS).step_by(STEP_MS as usize) {
+        let mut cell = Cell::new(2, 3);
+        cell.run(300 + offset);
+        cell.register(1, false);
+        let job = cell.submit(1, "patient", vec![step(1, 1_000, 2_000)]);
+        start_again_unnoticed(&mut cell, 0, EARLIER_CLOCK);
+        cell.register(1, true);
+        run_until_noticed(&mut cell);
+        cell.run(8_000);
+        cell.check();
+        assert_eq!(cell.stored(job), JobState::Completed, "offset {offset}");
+    }
+}
+
 /// Guards against completions of the next incarnation that are acknowledged, before they are
 /// received, by a poll that was meant for the last one.
 #[test]
@@ -97,6 +118,28 @@
     assert!((0..4).all(|i| cell.starts[&task(job, i)] == 1), "{:?}", cell.starts);
 }
 
+/// Guards against a loss that still counts against a task although the next incarnation of its
+/// runner has run it and reports how it ended.
+#[test]
+fn a_run_that_the_next_incarnation_reports_is_no_loss() {
+    let mut cell = Cell::new(2, 7);
+    cell.run(300);
+    cell.register(1, false);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 10_000)]);
+    cell.run(25);
+    let run = cell.runners[0].running[&task(job, 0)].clone();
+    cell.crash(0);
+    cell.start_again(0, EARLIER_CLOCK);
+    run_until_noticed(&mut cell);
+    assert_eq!(cell.engine.job(job).unwrap().steps[0].tasks[0].losses.count, 1);
+    cell.runners[0].running.insert(task(job, 0), run);
+    cell.run(500);
+    assert_eq!(cell.engine.job(job).unwrap().steps[0].tasks[0].losses.count, 0);
+    cell.run(12_000);
+    cell.check();
+    assert_eq!(cell.stored(job), JobState::Completed);
+}
+
 /// Guards against a task that runs twice: its runner cannot be reached after the first answer of an
 /// incarnation, whose lease was extended by orders that were meant for the last one.
 #[test]
