Write off a broken gang only if no start can reach the next incarnation

One of them had been sent a second start, which the runner's next incarnation carried out after the gang had started elsewhere: its task ran twice. Under the old term the order was refused, since the next incarnation had another id.

Change: the inference holds only for members that the runner has listed and whose starts were all answered. The others wait for the runner's answer or for its lease, as any run does. Inherited members count as before: starts of a predecessor time out (400 ms) before a successor is elected (500 ms and more).

--- a/src/control/engine/gangs.rs
+++ b/src/control/engine/gangs.rs
@@ -7,7 +7,7 @@
 //! that ended first.
 
 use super::losses::Loss;
-use super::runs::StopReason;
+use super::runs::{Run, Stage, StopReason};
 use super::{Engine, Now, RunnerKey};
 use crate::control::model::{Attempt, StepId, TaskId};
 
@@ -92,8 +92,8 @@
 
     /// The runner on which all remaining members of a broken gang must have ended; `None` if that
     /// does not follow. It follows if all other members ended as broken, since the first one to end
-    /// was not broken by another, and polls of the runner fail (a runner that answers will report
-    /// the completion).
+    /// was not broken by another, polls of the runner fail (a runner that answers will report the
+    /// completion), and no start is on its way that may reach the runner's next incarnation.
     fn unreported_runner(
         &self,
         step: StepId,
@@ -102,8 +102,12 @@
         let s = self.step(step)?;
         let &(_, k) = remaining.first()?;
         let same_runner = remaining.iter().all(|&(_, on)| on == k);
+        // Starts that a predecessor sent have timed out before this leader was elected.
+        let settled = |r: &Run| r.settled() || matches!(r.stage, Stage::Inherited);
+        let settled = |&(id, _): &(TaskId, RunnerKey)| self.run_of(id).is_some_and(settled);
         let others_broken = s.broken.count + remaining.len() == s.tasks.len();
-        (same_runner && others_broken && self.runners.get(k).poll_failed).then_some(k)
+        let over = others_broken && remaining.iter().all(settled);
+        (same_runner && over && self.runners.get(k).poll_failed).then_some(k)
     }
 
     /// Whether a gang may be started again. Each completion that was not received may be a failure,
--- a/src/control/engine/incarnations.rs
+++ b/src/control/engine/incarnations.rs
@@ -31,7 +31,7 @@
         _ if reported => Fate::Reported,
         Stage::Inherited => Fate::Reported,
         Stage::Storing { .. } => Fate::Over,
-        _ if run.listed && !run.outcome_unknown => Fate::Over,
+        _ if run.settled() => Fate::Over,
         Stage::Sent | Stage::Running { .. } | Stage::Stopping { .. } => Fate::Undecided,
     }
 }
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -135,6 +135,12 @@
             ticket: None,
         }
     }
+
+    /// Whether no order is on its way that could start it a second time: its runner has listed it,
+    /// and all its starts were answered. It is then over if that incarnation of the runner is.
+    pub fn settled(&self) -> bool {
+        self.listed && !self.outcome_unknown
+    }
 }
 
 impl Engine {
@@ -360,7 +366,7 @@
         }
     }
 
-    fn run_of(&self, id: TaskId) -> Option<&Run> {
+    pub(super) fn run_of(&self, id: TaskId) -> Option<&Run> {
         self.task(id)?.run.as_ref()
     }
 
--- a/tests/control_restarts.rs
+++ b/tests/control_restarts.rs
@@ -6,7 +6,7 @@
     pub mod runner;
 }
 
-use common::control::{step, Cell, STEP_MS};
+use common::control::{step, Cell, Faults, STEP_MS};
 use currantgw::control::model::{JobId, JobState, Step, StepId, TaskId};
 
 /// Time for which a runner is down before it starts again, ms.
@@ -243,3 +243,29 @@
         }
     }
 }
+
+/// Guards against a gang that runs twice: its members on a runner that does not answer are taken
+/// for ended, and a repeated start of one takes effect on the runner's next incarnation.
+#[test]
+fn a_broken_gang_waits_for_starts_that_may_reach_the_next_incarnation() {
+    for offset in (0..POLL_CYCLE_MS).step_by(STEP_MS as usize) {
+        let mut cell = Cell::new(3, 12);
+        cell.run(300 + offset);
+        cell.register(2, false);
+        cell.faults = Faults { unanswered: 1.0, resent_after: 500, ..Faults::default() };
+        let gang = Step { gang: true, ..step(4, 5_000, 3_000) };
+        let job = cell.submit(1, "patient", vec![gang]);
+        cell.run(25);
+        assert_eq!(cell.running(), 4);
+        cell.faults.unanswered = 0.0;
+        cell.runners[0].unreachable_until = cell.now + 300;
+        cell.run(100);
+        cell.crash(0);
+        cell.register(2, true);
+        cell.run(900);
+        cell.start_again(0, EARLIER_CLOCK);
+        cell.run(20_000);
+        cell.check();
+        assert_eq!(cell.stored(job), JobState::Completed, "offset {offset}");
+    }
+}
