Use a ticket only for the incarnation that it was requested for

An answer that was on its way while the runner started again was taken for one about the next incarnation: its starts are refused (409, ticket), and advice is requested again only after that.

Change: the answer is applied to the incarnations that the request named, by key. One that has been replaced gets no tasks, and its successor is asked about. Neither are runners created from ids in answers any more.

Test: simulated runners accept only tickets of their incarnation.

--- a/src/control/engine/advice.rs
+++ b/src/control/engine/advice.rs
@@ -7,7 +7,7 @@
 use super::{Action, Engine, Now, RunnerKey};
 use crate::control::model::StepId;
 use crate::control::partitions::Partition;
-use crate::control::ports::{Advice, AdviceError, Ticket};
+use crate::control::ports::{Advice, AdviceError};
 use crate::kernel::res::Resources;
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3;
@@ -202,11 +202,12 @@
     pub(super) fn send_advice_request(
         &mut self,
         step: StepId,
-        ids: Vec<String>,
+        runners: &[RunnerKey],
         kind: Kind,
         cost: f64,
         now: Now,
     ) {
+        let ids: Vec<String> = runners.iter().map(|k| self.runners.get(*k).id.clone()).collect();
         let Some(s) = self.step_mut(step) else { return };
         s.approvals.pending += 1;
         let waited = now.mono.saturating_sub(s.opened);
@@ -214,7 +215,12 @@
         self.counts.asks += 1;
         log::info!(step:% = step, runners = ids.len(), cost_ms = cost, waited_ms = waited;
             "advice asked");
-        self.acts.push(Action::RequestAdvice { step, ids, cost_ms: cost });
+        self.acts.push(Action::RequestAdvice {
+            step,
+            runners: runners.to_vec(),
+            ids,
+            cost_ms: cost,
+        });
     }
 
     /// Validity that a ticket must have left when a placement of a step is decided, ms. A placement
@@ -224,11 +230,12 @@
             + self.store_backlog.commit_ms(Partition::of(step.job)).min(MAX_STORING_MARGIN_MS)
     }
 
-    /// Handles the advice service's answer to a request that named `ids`.
+    /// Handles the advice service's answer to a request that named `runners`. A ticket is valid for
+    /// one incarnation of its runner: if another has replaced it meanwhile, the ticket is not used.
     pub fn advice_received(
         &mut self,
         step: StepId,
-        ids: &[String],
+        runners: &[RunnerKey],
         res: Result<Advice, AdviceError>,
         now: Now,
     ) {
@@ -241,15 +248,15 @@
         let queue = job.row.queue.clone();
         let approval = self.cat.queues.get(&queue).and_then(|q| q.approval);
         let default_valid = approval.map_or(0, |a| a.valid_ms);
-        let keys: Vec<RunnerKey> = ids.iter().map(|id| self.runner_named(id)).collect();
+        let named: BTreeMap<&str, RunnerKey> =
+            runners.iter().map(|k| (self.runners.get(*k).id.as_str(), *k)).collect();
+        let approved = res.iter().flat_map(|a| &a.approved);
+        let tickets: Vec<(RunnerKey, String)> =
+            approved.filter_map(|t| Some((*named.get(t.id.as_str())?, t.ticket.clone()))).collect();
         if let Ok(advice) = &res {
             let rate = self.approval_rates.entry(queue).or_default();
-            rate.record(ids.len(), advice.approved.len());
+            rate.record(runners.len(), advice.approved.len());
         }
-        let tickets: Option<Vec<(RunnerKey, String)>> = res.as_ref().ok().map(|a| {
-            let keyed = |t: &Ticket| (self.runner_named(&t.id), t.ticket.clone());
-            a.approved.iter().map(keyed).collect()
-        });
         self.updated.insert(step);
         let Some(s) = self.step_mut(step) else { return };
         let a = &mut s.approvals;
@@ -258,11 +265,11 @@
             Ok(advice) => {
                 let valid = if advice.valid_ms > 0 { advice.valid_ms } else { default_valid };
                 let end = now.mono + valid;
-                log::info!(step:% = step, asked = ids.len(), approved = advice.approved.len(),
+                log::info!(step:% = step, asked = runners.len(), approved = advice.approved.len(),
                     valid_ms = valid; "advice given");
                 a.refusals = 0;
-                a.denied.extend(keys.into_iter().filter(|k| !a.tickets.contains_key(k)));
-                for (k, ticket) in tickets.unwrap_or_default() {
+                a.denied.extend(runners.iter().filter(|k| !a.tickets.contains_key(k)));
+                for (k, ticket) in tickets {
                     a.denied.remove(&k);
                     a.tickets.insert(k, (ticket, end));
                 }
--- a/src/control/engine/advice_targets.rs
+++ b/src/control/engine/advice_targets.rs
@@ -223,8 +223,7 @@
         let Some(approval) = v.queue.approval else { return };
         for named in runners.chunks(MAX_NAMED) {
             let cost = approval.cost_ms(named.len());
-            let ids = named.iter().map(|k| self.runners.get(*k).id.clone()).collect();
-            self.send_advice_request(v.id, ids, v.kind(), cost, now);
+            self.send_advice_request(v.id, named, v.kind(), cost, now);
         }
     }
 }
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -107,7 +107,9 @@
     RequestAdvice {
         /// The step.
         step: StepId,
-        /// Ids of the runners to name.
+        /// The runners to name.
+        runners: Vec<RunnerKey>,
+        /// Their ids.
         ids: Vec<String>,
         /// Time that the advice service will take, ms.
         cost_ms: f64,
--- a/src/control/leader/calls.rs
+++ b/src/control/leader/calls.rs
@@ -145,9 +145,9 @@
                 Action::Poll { runner, to, poll } => {
                     Event::Polled(runner, self.runners.poll(&to, &poll).await)
                 }
-                Action::RequestAdvice { step, ids, cost_ms } => {
-                    let res = self.server.request(step, ids.clone(), cost_ms).await;
-                    Event::Advised(step, ids, res)
+                Action::RequestAdvice { step, runners, ids, cost_ms } => {
+                    let res = self.server.request(step, ids, cost_ms).await;
+                    Event::Advised(step, runners, res)
                 }
             }
         }
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -67,7 +67,7 @@
     Started(RunnerKey, TaskId, Attempt, Result<u64, Refusal>),
     Stopped(RunnerKey, TaskId, Attempt, Result<u64, Refusal>),
     Polled(RunnerKey, Result<Report, Refusal>),
-    Advised(StepId, Vec<String>, Result<Advice, AdviceError>),
+    Advised(StepId, Vec<RunnerKey>, Result<Advice, AdviceError>),
     Committed(PartitionScope, Batch, Outcome, u64),
     Replaced,
     HeartbeatDue,
@@ -286,7 +286,7 @@
             Event::Started(k, id, attempt, res) => engine.started(k, id, attempt, res, now),
             Event::Stopped(k, id, attempt, res) => engine.stopped(k, id, attempt, res, now),
             Event::Polled(k, res) => engine.polled(k, res, now),
-            Event::Advised(step, ids, res) => engine.advice_received(step, &ids, res, now),
+            Event::Advised(step, runners, res) => engine.advice_received(step, &runners, res, now),
             Event::Replaced => engine.superseded = true,
             Event::Committed(..) | Event::Heartbeat(..) | Event::HeartbeatDue | Event::GcDue => {}
         }
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -88,7 +88,7 @@
     Started(RunnerKey, TaskId, Attempt, Result<u64, Refusal>),
     Stopped(RunnerKey, TaskId, Attempt, Result<u64, Refusal>),
     Polled(RunnerKey, Result<Report, Refusal>),
-    Advised(StepId, Vec<String>, Advice),
+    Advised(StepId, Vec<RunnerKey>, Advice),
     Apply { term: u64, scope: PartitionScope, batch: Batch, answered: bool, answer_delay: u64 },
     Committed(PartitionScope, Batch, Outcome),
     Restarted(usize),
@@ -122,6 +122,8 @@
     pub queue_limit: f64,
     /// Number of refused requests.
     pub refused: usize,
+    /// Number of starts that were refused for a ticket of another incarnation.
+    pub stale_tickets: usize,
     /// A partition of the store that accepts no writes.
     pub unavailable: Option<Partition>,
     /// Duration of transactions; `None` for a constant delay.
@@ -222,6 +224,7 @@
             short_connections: 0,
             queue_limit: f64::INFINITY,
             refused: 0,
+            stale_tickets: 0,
             unavailable: None,
             times: None,
             work_percent: BTreeMap::new(),
@@ -388,7 +391,9 @@
             Event::Started(k, id, attempt, res) => self.engine.started(k, id, attempt, res, now),
             Event::Stopped(k, id, attempt, res) => self.engine.stopped(k, id, attempt, res, now),
             Event::Polled(k, res) => self.engine.polled(k, res, now),
-            Event::Advised(step, ids, a) => self.engine.advice_received(step, &ids, Ok(a), now),
+            Event::Advised(step, runners, a) => {
+                self.engine.advice_received(step, &runners, Ok(a), now)
+            }
             Event::Committed(scope, batch, out) => self.commit_answered(scope, &batch, &out),
         }
     }
--- a/tests/common/control/calls.rs
+++ b/tests/common/control/calls.rs
@@ -1,7 +1,8 @@
 //! Delivery of the scheduler's calls: delays, lost answers, orders that take effect late.
 
+use super::super::runner::FakeRunner;
 use super::{Cell, Delivery, Event};
-use currantgw::control::engine::Action;
+use currantgw::control::engine::{Action, RunnerKey};
 use currantgw::control::model::StepId;
 use currantgw::control::ports::{Advice, AdviceError, Refusal, Ticket};
 use rand::Rng;
@@ -20,8 +21,8 @@
     pub(super) fn send(&mut self, act: Action) {
         let term = self.term;
         match &act {
-            Action::RequestAdvice { step, ids, cost_ms } => {
-                self.request_advice(*step, ids.clone(), *cost_ms)
+            Action::RequestAdvice { step, runners, ids, cost_ms } => {
+                self.request_advice(*step, runners.clone(), ids, *cost_ms)
             }
             Action::Poll { .. } => self.schedule(
                 ONE_WAY_MS,
@@ -34,22 +35,30 @@
 
     /// Sends an advice request: refused at once if the queues of all connections are full, answered
     /// at once if there are no connections.
-    fn request_advice(&mut self, step: StepId, ids: Vec<String>, cost: f64) {
+    fn request_advice(&mut self, step: StepId, runners: Vec<RunnerKey>, ids: &[String], cost: f64) {
         self.requests.push(ids.len());
         let now = self.now as f64;
         if !self.connections.is_empty()
             && self.connections.iter().all(|busy| busy - now > self.queue_limit * cost)
         {
             self.refused += 1;
-            return self.engine.advice_received(step, &ids, Err(AdviceError::Busy), self.clocks());
+            return self.engine.advice_received(
+                step,
+                &runners,
+                Err(AdviceError::Busy),
+                self.clocks(),
+            );
         }
         let approves = |id: &&String| (self.approves)(step, id[1..].parse().unwrap());
-        let ticket = |id: &String| Ticket { id: id.clone(), ticket: "t".into() };
+        let ticket = |id: &String| {
+            let r = self.runners.iter().find(|r| r.id == *id);
+            Ticket { id: id.clone(), ticket: r.map_or(String::new(), FakeRunner::ticket) }
+        };
         let approved = ids.iter().filter(approves).map(ticket).collect();
         let advice = Advice { approved, valid_ms: 2_000 };
         match self.connection_delay(cost) {
-            Some(delay) => self.schedule(delay, Event::Advised(step, ids, advice)),
-            None => self.engine.advice_received(step, &ids, Ok(advice), self.clocks()),
+            Some(delay) => self.schedule(delay, Event::Advised(step, runners, advice)),
+            None => self.engine.advice_received(step, &runners, Ok(advice), self.clocks()),
         }
     }
 
--- a/tests/common/control/orders.rs
+++ b/tests/common/control/orders.rs
@@ -68,6 +68,10 @@
         if s.until <= clock {
             return Err(Refusal::Expired);
         }
+        if s.ticket.as_ref().is_some_and(|t| *t != r.ticket()) {
+            self.stale_tickets += 1;
+            return Err(Refusal::Ticket);
+        }
         if r.refuses_until > self.now {
             return Err(Refusal::Ticket);
         }
--- a/tests/common/runner.rs
+++ b/tests/common/runner.rs
@@ -138,6 +138,11 @@
         };
     }
 
+    /// Returns a ticket that is valid for this incarnation.
+    pub fn ticket(&self) -> String {
+        format!("{:?}", self.born)
+    }
+
     /// Returns the resources of the running tasks.
     pub fn used(&self) -> Resources {
         self.running.values().fold(Resources::ZERO, |sum, r| sum.add(&r.resources))
--- a/tests/control_restarts.rs
+++ b/tests/control_restarts.rs
@@ -118,6 +118,25 @@
     assert!((0..4).all(|i| cell.starts[&task(job, i)] == 1), "{:?}", cell.starts);
 }
 
+/// Guards against starts that are refused since their ticket was issued to the last incarnation of
+/// the runner.
+#[test]
+fn a_ticket_is_used_only_for_the_incarnation_that_it_was_requested_for() {
+    let mut cell = Cell::new(1, 5);
+    cell.run(300);
+    cell.connections = vec![cell.now as f64 + 900.0];
+    let job = cell.submit(1, "asked", vec![step(1, 1_000, 200)]);
+    cell.run(5);
+    assert_eq!(cell.requests.len(), 1);
+    cell.crash(0);
+    cell.run(5);
+    cell.start_again(0, EARLIER_CLOCK);
+    cell.run(5_000);
+    cell.check();
+    assert_eq!(cell.stale_tickets, 0);
+    assert_eq!(cell.stored(job), JobState::Completed);
+}
+
 /// Guards against a loss that still counts against a task although the next incarnation of its
 /// runner has run it and reports how it ended.
 #[test]
