Store the incarnation of the runner with each placement

A new leader that finds the next incarnation under that id writes the run off as not listed, and the loss counts against no task: a task that crashes its runners while leaders change is started once more for each change.

Change: a task's row has the start time of the runner's incarnation as well (left out by earlier versions, whose rows are read). An inherited run that is not listed, on a runner that has started again since, counts as lost with its runner. What was ruled out for the other rows: the leader's row has a random incarnation of its own; job rows name no runner.

Before: the count after a takeover is 0; after: 1. Versions before this one do not read its rows: instances of both must not run beside each other.

--- a/src/control/engine/commit.rs
+++ b/src/control/engine/commit.rs
@@ -75,7 +75,7 @@
             self.dirty.remove(&id);
             let runners = &self.runners;
             let Some(job) = self.jobs.get_mut(&id) else { continue };
-            let row = job.progress(|k| runners.get(k).id.clone());
+            let row = job.progress(|k| runners.get(k));
             job.storing = Some(job.rev);
             writes.push(Write {
                 job: id,
--- a/src/control/engine/gangs.rs
+++ b/src/control/engine/gangs.rs
@@ -103,7 +103,7 @@
         let &(_, k) = remaining.first()?;
         let same_runner = remaining.iter().all(|&(_, on)| on == k);
         // Starts that a predecessor sent have timed out before this leader was elected.
-        let settled = |r: &Run| r.settled() || matches!(r.stage, Stage::Inherited);
+        let settled = |r: &Run| r.settled() || matches!(r.stage, Stage::Inherited { .. });
         let settled = |&(id, _): &(TaskId, RunnerKey)| self.run_of(id).is_some_and(settled);
         let others_broken = s.broken.count + remaining.len() == s.tasks.len();
         let over = others_broken && remaining.iter().all(settled);
--- a/src/control/engine/incarnations.rs
+++ b/src/control/engine/incarnations.rs
@@ -29,7 +29,7 @@
 fn fate(run: &Run, reported: bool) -> Fate {
     match run.stage {
         _ if reported => Fate::Reported,
-        Stage::Inherited => Fate::Reported,
+        Stage::Inherited { .. } => Fate::Reported,
         Stage::Storing { .. } => Fate::Over,
         _ if run.settled() => Fate::Over,
         Stage::Sent | Stage::Running { .. } | Stage::Stopping { .. } => Fate::Undecided,
--- a/src/control/engine/progress_row.rs
+++ b/src/control/engine/progress_row.rs
@@ -2,7 +2,7 @@
 //! leader reads.
 
 use super::runs::{Run, Stage};
-use super::{Job, RunnerKey, StepRun, Task};
+use super::{Job, Runner, RunnerKey, StepRun, Task};
 use crate::control::crashes::Losses;
 use crate::control::rows::{ProgressRow, StepRow, TaskRow};
 
@@ -26,22 +26,24 @@
             step.gang_fails = *fails;
             step.failed_attempt = *attempt;
             for (task, row) in step.tasks.iter_mut().zip(tasks) {
-                let TaskRow(attempt, fails, done, id, saved, lost) = row;
+                let TaskRow(attempt, fails, done, id, saved, lost, born) = row;
                 task.attempt = *attempt;
                 task.fails = *fails;
                 task.done = *done;
                 task.saved.clone_from(saved);
                 task.losses = Losses::with_count(*lost);
-                task.run = (!id.is_empty()).then(|| Run::new(runner(id), Stage::Inherited));
+                task.run = (!id.is_empty())
+                    .then(|| Run::new(runner(id), Stage::Inherited { born: *born }));
             }
         }
     }
 
     /// The row to store.
-    pub(super) fn progress(&self, name: impl Fn(RunnerKey) -> String) -> ProgressRow {
+    pub(super) fn progress<'a>(&self, runner: impl Fn(RunnerKey) -> &'a Runner) -> ProgressRow {
         let task = |t: &Task| {
-            let id = t.run.as_ref().map_or(String::new(), |r| name(r.runner));
-            TaskRow(t.attempt, t.fails, t.done, id, t.saved.clone(), t.losses.count)
+            let on = t.run.as_ref().map(|r| runner(r.runner));
+            let (id, born) = on.map_or((String::new(), None), |r| (r.id.clone(), r.born));
+            TaskRow(t.attempt, t.fails, t.done, id, t.saved.clone(), t.losses.count, born)
         };
         let step = |s: &StepRun| {
             let tasks = s.tasks.iter().map(task).collect();
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -1,5 +1,6 @@
 //! Handling of a runner's poll results: its active runs and its completions.
 
+use super::losses::Loss;
 use super::progress::{self, Progress};
 use super::runs::{Stage, StopReason};
 use super::{Action, Engine, Now, RunnerKey};
@@ -114,7 +115,7 @@
         run.progress.record(a.percent, now.mono);
         let progress = run.progress;
         match run.stage {
-            Stage::Sent | Stage::Inherited => run.stage = Stage::Running { clock },
+            Stage::Sent | Stage::Inherited { .. } => run.stage = Stage::Running { clock },
             Stage::Running { .. } if !lasts && !job_ended => {
                 let able = if gang { self.able_since(id, &progress) } else { Some(0) };
                 if able.is_some_and(|able| progress.stalled(able, estimate, now.mono)) {
@@ -159,7 +160,7 @@
         // The poll raised the fencing token, so that a predecessor's start that has not arrived yet
         // never takes effect. A start that arrives after the stop of its attempt is refused.
         let lost = match run.stage {
-            Stage::Inherited => true,
+            Stage::Inherited { .. } => true,
             Stage::Running { clock: confirmed } => clock > confirmed,
             Stage::Stopping { answered: Some(stopped) } => clock > stopped,
             Stage::Storing { .. } | Stage::Sent | Stage::Stopping { answered: None } => false,
@@ -169,6 +170,11 @@
             let runner = self.runners.get(k);
             log::info!(task:% = id, attempt = attempt.0, runner = runner.id, stage = stage.name();
                 "run not listed: written off");
+            if let Stage::Inherited { born } = stage {
+                if born.is_some() && born != runner.born {
+                    self.record_lost(k, &[id], Loss::OtherIncarnation, now);
+                }
+            }
             self.counts.written_off += 1;
             self.release(id, now);
             self.gang_broken(id, now);
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -11,7 +11,7 @@
 
 use super::progress::Progress;
 use super::{Action, Engine, Now, RunnerKey};
-use crate::control::model::{Attempt, StepId, TaskId};
+use crate::control::model::{Attempt, Born, StepId, TaskId};
 use crate::control::ports::{Refusal, StartOrder, StopOrder};
 
 /// Delay before an unanswered start is repeated, ms. A runner answers within a few ms, and a
@@ -39,7 +39,10 @@
     /// The start was sent.
     Sent,
     /// Read from the store by a new leader; the runner has not been polled yet.
-    Inherited,
+    Inherited {
+        /// Incarnation of the runner that it was placed on, if the row says so.
+        born: Option<Born>,
+    },
     /// The runner confirmed that it runs.
     Running {
         /// Time of the runner's clock when it confirmed the start, ms.
@@ -58,7 +61,7 @@
         match self {
             Self::Storing { .. } => "storing",
             Self::Sent => "sent",
-            Self::Inherited => "inherited",
+            Self::Inherited { .. } => "inherited",
             Self::Running { .. } => "running",
             Self::Stopping { .. } => "stopping",
         }
--- a/src/control/rows.rs
+++ b/src/control/rows.rs
@@ -9,7 +9,7 @@
 //! | `office` | `cell` | `beat` | time of the last heartbeat, Unix ms | the leader |
 //! | `office` | `p0` to `p7` | `fence` | token of the leader that may write there | a new leader |
 
-use super::model::{Attempt, Invalid, JobId, JobSpec, JobState, MAX_MOMENT};
+use super::model::{Attempt, Born, Invalid, JobId, JobSpec, JobState, MAX_MOMENT};
 use super::partitions::Partition;
 use super::ports::Key;
 use serde::de::DeserializeOwned;
@@ -148,7 +148,7 @@
 pub struct FenceRow(pub u64);
 
 /// Progress of a task: attempt, failures, whether it is done, runner it may run on, checkpoint,
-/// consecutive runs that were lost with their runners.
+/// consecutive runs that were lost with their runners, incarnation of the runner.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskRow(
     pub Attempt,
@@ -157,6 +157,7 @@
     pub String,
     pub String,
     #[serde(default)] pub u32,
+    #[serde(default)] pub Option<Born>,
 );
 
 /// Progress of a step: failures of the gang and the attempt of the last one, its tasks, and
--- a/tests/control_restarts.rs
+++ b/tests/control_restarts.rs
@@ -137,6 +137,24 @@
     assert_eq!(cell.stored(job), JobState::Completed);
 }
 
+/// Guards against crashes of a runner that count against none of its tasks since a new leader finds
+/// the next incarnation under the same id.
+#[test]
+fn a_new_leader_counts_runs_that_were_lost_with_the_last_incarnation() {
+    let mut cell = Cell::new(1, 6);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 5_000)]);
+    cell.run(1_000);
+    assert_eq!(cell.running(), 1);
+    cell.crash(0);
+    cell.start_again(0, EARLIER_CLOCK);
+    cell.change_leader();
+    cell.run(100);
+    assert_eq!(cell.engine.job(job).unwrap().steps[0].tasks[0].losses.count, 1);
+    cell.run(8_000);
+    cell.check();
+    assert_eq!(cell.stored(job), JobState::Completed);
+}
+
 /// Guards against a loss that still counts against a task although the next incarnation of its
 /// runner has run it and reports how it ended.
 #[test]
--- a/tests/unreadable_rows.rs
+++ b/tests/unreadable_rows.rs
@@ -4,7 +4,7 @@
 use assert_matches::assert_matches;
 use ciborium::Value;
 use currantgw::control::mirror::{Mirror, Table};
-use currantgw::control::model::{self, Attempt, JobId, JobSpec, JobState, Step};
+use currantgw::control::model::{self, Attempt, Born, JobId, JobSpec, JobState, Step};
 use currantgw::control::ports::{
     Change, Changes, Commit, CommitError, Key, Page, ReadError, Row, Store, Txn,
 };
@@ -64,8 +64,8 @@
 }
 
 fn progress() -> ProgressRow {
-    let task = TaskRow(Attempt(2), 1, false, "runner".into(), "c".into(), 1);
-    let done = TaskRow(Attempt(1), 0, true, String::new(), String::new(), 0);
+    let task = TaskRow(Attempt(2), 1, false, "runner".into(), "c".into(), 1, Some(Born(7)));
+    let done = TaskRow(Attempt(1), 0, true, String::new(), String::new(), 0, None);
     let first = StepRow(0, Attempt(0), vec![task, done.clone()], BTreeSet::from([Attempt(1)]));
     let second = StepRow(0, Attempt(0), vec![done], BTreeSet::new());
     ProgressRow { state: JobState::Running, ended: 0, steps: vec![first, second] }
@@ -356,5 +356,14 @@
 fn progress_without_losses_is_decoded() {
     let earlier = (Attempt(2), 1_u32, false, "runner", "c");
     let read: TaskRow = rows::decode(&rows::encode(&earlier)).unwrap();
-    assert_eq!(read, TaskRow(Attempt(2), 1, false, "runner".into(), "c".into(), 0));
+    assert_eq!(read, TaskRow(Attempt(2), 1, false, "runner".into(), "c".into(), 0, None));
+}
+
+/// Guards against an error for rows that an earlier version wrote without the incarnation of the
+/// runner.
+#[test]
+fn progress_without_incarnations_is_decoded() {
+    let earlier = (Attempt(2), 1_u32, false, "runner", "c", 3_u32);
+    let read: TaskRow = rows::decode(&rows::encode(&earlier)).unwrap();
+    assert_eq!(read, TaskRow(Attempt(2), 1, false, "runner".into(), "c".into(), 3, None));
 }
