Exclude a runner that refuses a lease until its clock is read again

Found while writing the test of acknowledgements: a runner that has started again with a later clock refuses every start, since the lease in the order, set by the clock of the last incarnation, has expired. Nothing followed from it: the task was placed there again at once, 88 starts in 400 ms until a poll was answered (each a start rejected).

Change: such a refusal excludes the runner until its next poll succeeds, as a start without an answer does.

--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -110,7 +110,7 @@
     pub next_poll: u64,
     /// Whether a poll is pending.
     pub polling: bool,
-    /// Whether the last poll, or a start since, had no answer.
+    /// Whether the last poll, or a start since, had no answer or found another clock.
     pub unanswered: bool,
     /// Whether the last poll had no answer.
     pub poll_failed: bool,
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -305,6 +305,8 @@
             Refusal::Unhealthy | Refusal::Unreachable | Refusal::InsufficientCapacity => {
                 runner.health.strike(now.mono);
             }
+            // Its clock is not the one that the last poll read.
+            Refusal::Expired => runner.unanswered = true,
             _ => {}
         }
         if why == Refusal::Ticket {
--- a/tests/control_restarts.rs
+++ b/tests/control_restarts.rs
@@ -118,6 +118,22 @@
     assert!((0..4).all(|i| cell.starts[&task(job, i)] == 1), "{:?}", cell.starts);
 }
 
+/// Guards against starts that are refused one after the other, since the next incarnation's clock is
+/// past the lease that they carry.
+#[test]
+fn a_refused_lease_excludes_the_runner_until_its_clock_is_read() {
+    let mut cell = Cell::new(1, 4);
+    cell.run(300);
+    start_again_unnoticed(&mut cell, 0, LATER_CLOCK);
+    let job = cell.submit(1, "patient", vec![step(4, 1_000, 300)]);
+    run_until_noticed(&mut cell);
+    cell.register(0, true);
+    cell.run(3_000);
+    cell.check();
+    assert_eq!(cell.stored(job), JobState::Completed);
+    assert!(cell.engine.counts.refused <= 4, "{}", cell.engine.counts.refused);
+}
+
 /// Guards against starts that are refused since their ticket was issued to the last incarnation of
 /// the runner.
 #[test]
