Test restarts under the same id beside all other faults

Runners start again within 0.3 to 2 s with clocks behind, about equal to and far ahead of their last one, beside leader changes, late and unanswered orders, calls that reach the next incarnation, commits without an answer and unreachable runners; 40 seeds. It fails if a start on its way is taken for over, if polls acknowledge again what an earlier answer listed, and if losses of such runs do not count.

--- a/tests/control_restarts.rs
+++ b/tests/control_restarts.rs
@@ -8,6 +8,11 @@
 
 use common::control::{step, Cell, Faults, STEP_MS};
 use currantgw::control::model::{JobId, JobState, Step, StepId, TaskId};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Number of seeds for mixed faults.
+const SEEDS: u64 = 40;
 
 /// Time for which a runner is down before it starts again, ms.
 const DOWN_MS: u64 = 700;
@@ -322,3 +327,47 @@
         assert_eq!(cell.stored(job), JobState::Completed, "offset {offset}");
     }
 }
+
+/// Runners that start again under their ids, beside leader changes, late and unanswered orders,
+/// calls that reach the next incarnation, commits without an answer and unreachable runners.
+#[test]
+fn restarts_under_mixed_faults_violate_no_invariant() {
+    for seed in 0..SEEDS {
+        let mut cell = Cell::new(6, seed);
+        let mut rng = StdRng::seed_from_u64(seed ^ 0xb0_12);
+        let mut jobs = Vec::new();
+        for n in 0..60_u64 {
+            cell.faults = Faults {
+                late: if rng.gen_bool(0.3) { 0.1 } else { 0.0 },
+                unanswered: if rng.gen_bool(0.3) { 0.1 } else { 0.0 },
+                commits: if rng.gen_bool(0.3) { 0.3 } else { 0.0 },
+                resent_after: if rng.gen_bool(0.5) { rng.gen_range(100..600) } else { 0 },
+                ..Faults::default()
+            };
+            let gang = rng.gen_bool(0.3);
+            let work = Step { gang, ..step(rng.gen_range(1..6), 2_500, rng.gen_range(200..2_500)) };
+            let queue = ["urgent", "patient", "asked"][rng.gen_range(0..3)];
+            jobs.push(cell.submit(n + 1, queue, vec![work]));
+            cell.run(rng.gen_range(50..600));
+            let i = rng.gen_range(0..6);
+            match rng.gen_range(0..10) {
+                0 => cell.change_leader(),
+                1 => cell.runners[i].unreachable_until = cell.now + rng.gen_range(500..3_000),
+                2..=5 => {
+                    cell.crash(i);
+                    cell.run(rng.gen_range(300..2_000));
+                    let clock = [0, cell.now + rng.gen_range(0..1_000), LATER_CLOCK];
+                    cell.start_again(i, clock[rng.gen_range(0..3)]);
+                }
+                _ => {}
+            }
+        }
+        cell.faults = Faults::default();
+        cell.run(60_000);
+        cell.check();
+        for id in jobs {
+            assert!(cell.stored(id).ended(), "seed {seed}: {id} is {:?}", cell.stored(id));
+        }
+        assert_eq!(cell.running(), 0, "seed {seed}");
+    }
+}
