Test restarts of a runner under its id over the platform's protocol

Whole instance, adapter and stand-in over HTTP: jobs before, across and after a restart of their runner. The stand-in's runners say `born` in their entries and lists, and a restart forgets everything but the tests' counts.

--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -71,8 +71,10 @@
     ends_at: Instant,
 }
 
-#[derive(Default)]
 struct Runner {
+    /// When it started: the origin of its clock, and the same as its registry entry shows it.
+    began: Instant,
+    born: u64,
     fence: u64,
     lease: u64,
     running: BTreeMap<String, Run>,
@@ -86,11 +88,30 @@
     work_ms: u64,
 }
 
+impl Runner {
+    fn new(born: u64, work_ms: u64) -> Self {
+        Self {
+            began: Instant::now(),
+            born,
+            fence: 0,
+            lease: 0,
+            running: BTreeMap::new(),
+            completions: Vec::new(),
+            last_seq: 0,
+            starts: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            work_ms,
+        }
+    }
+}
+
 /// State of the stand-in, shared by its servers.
 #[derive(Default)]
 pub struct Platform {
     store: Mutex<Store>,
     runners: Mutex<BTreeMap<String, Runner>>,
+    /// Addresses of the runners.
+    addresses: Mutex<BTreeMap<String, SocketAddr>>,
     /// Number of runners in each advice request.
     advice: Mutex<Vec<usize>>,
     /// Number of coming starts that get no answer and are executed late.
@@ -133,6 +154,26 @@
         }
     }
 
+    /// Writes a runner's registry entry.
+    fn register(&self, id: &str) {
+        let born = self.runners.lock().unwrap()[id].born;
+        let at = self.addresses.lock().unwrap()[id];
+        let entry = json!({"service": "svc", "address": at, "zone": "z", "version": "v1",
+            "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": born,
+            "capacity": {"cpu": 4000, "mem_mb": 8000, "gpu": 0}, "labels": ["a", "r1"]});
+        self.put("servers", id, &entry);
+    }
+
+    /// Crashes a runner and starts it again under its id.
+    pub fn restart_runner(&self, id: &str) {
+        let mut runners = self.runners.lock().unwrap();
+        let r = runners.get_mut(id).expect("the runner exists");
+        let starts = std::mem::take(&mut r.starts);
+        *r = Runner { starts, ..Runner::new(r.born + 1, r.work_ms) };
+        drop(runners);
+        self.register(id);
+    }
+
     /// Sets the behaviour of the store.
     pub fn set_store_mode(&self, mode: StoreMode) {
         self.store.lock().unwrap().mode = mode;
@@ -340,12 +381,12 @@
 struct RunnerServer {
     platform: Arc<Platform>,
     id: String,
-    began: Instant,
 }
 
 impl RunnerServer {
-    fn clock(&self) -> u64 {
-        self.began.elapsed().as_millis() as u64 + 5_000
+    /// Start time of the current incarnation.
+    fn born(&self) -> u64 {
+        self.platform.runners.lock().unwrap()[&self.id].born
     }
 
     /// Ends runs whose work is done.
@@ -369,7 +410,7 @@
         let mut runners = self.platform.runners.lock().unwrap();
         let r = runners.get_mut(&self.id).expect("the runner exists");
         self.end_finished(r);
-        let clock = self.clock();
+        let clock = r.began.elapsed().as_millis() as u64 + 5_000;
         let fence = body["fencing_token"].as_u64().unwrap_or(0);
         if fence < r.fence {
             return (409, json!({"clock_ms": clock, "reason": "fence"}));
@@ -402,7 +443,8 @@
                     .collect();
                 return (
                     200,
-                    json!({"clock_ms": clock, "active": active, "finished": r.completions}),
+                    json!({"clock_ms": clock, "born": r.born, "active": active,
+                        "finished": r.completions}),
                 );
             }
         }
@@ -426,7 +468,12 @@
         task::sleep(Duration::from_millis(UNRESPONSIVE_MS)).await;
     }
     let deadline = Instant::now() + Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
+    let born = server.born();
     loop {
+        if server.born() != born {
+            // The incarnation that received the call is gone.
+            return Ok(text(503, &json!({})));
+        }
         let (status, answer) = server.call(&path, &body);
         let idle = answer["finished"].as_array().is_some_and(Vec::is_empty);
         if status != 200 || !idle || Instant::now() >= deadline {
@@ -524,22 +571,16 @@
         servers.push(serve(store_app(&platform), store));
         for n in 0..runners {
             let (id, at) = (format!("i-{n}"), free_addr());
-            let runner = Runner { work_ms, ..Runner::default() };
+            let runner = Runner::new(1, work_ms);
             platform.runners.lock().unwrap().insert(id.clone(), runner);
-            let server = Arc::new(RunnerServer {
-                platform: platform.clone(),
-                id: id.clone(),
-                began: Instant::now(),
-            });
+            let server = Arc::new(RunnerServer { platform: platform.clone(), id: id.clone() });
             let mut app = tide::with_state(server);
             for path in ["/v1/run-start", "/v1/run-stop", "/v1/hold"] {
                 app.at(path).post(runner_call);
             }
             servers.push(serve(app, at));
-            let entry = json!({"service": "svc", "address": at, "zone": "z", "version": "v1",
-                "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
-                "capacity": {"cpu": 4000, "mem_mb": 8000, "gpu": 0}, "labels": ["a", "r1"]});
-            platform.put("servers", &id, &entry);
+            platform.addresses.lock().unwrap().insert(id.clone(), at);
+            platform.register(&id);
         }
         let routes = [route("plain", false), route("asked", true)];
         let config = json!({"version": 3, "routes": routes, "services": [], "limits": {}});
--- a/tests/control_path.rs
+++ b/tests/control_path.rs
@@ -28,6 +28,29 @@
     cell.end().await;
 }
 
+/// Guards against tasks that run twice, and tasks that never run again, after a runner has started
+/// again under its id.
+#[async_std::test]
+async fn jobs_complete_although_their_runner_starts_again_under_its_id() {
+    let cell = Cell::start(1, 1, 2_000).await;
+    assert_eq!(cell.submit(0, "plain", ID, 3).await.0, 200);
+    cell.wait_state(0, "plain", ID, "completed").await;
+    cell.platform.restart_runner("i-0");
+    for (id, starts) in [("00000000000000a2", 1), ("00000000000000a3", 2)] {
+        assert_eq!(cell.submit(0, "plain", id, 3).await.0, 200);
+        cell.wait_state(0, "plain", id, "running").await;
+        if starts == 2 {
+            cell.platform.restart_runner("i-0");
+        }
+        cell.wait_state(0, "plain", id, "completed").await;
+        let counts = cell.platform.starts();
+        let counts: Vec<u64> =
+            counts.iter().filter(|(task, _)| task.starts_with(id)).map(|(_, n)| *n).collect();
+        assert_eq!(counts, [starts; 3], "{id}");
+    }
+    cell.end().await;
+}
+
 #[async_std::test]
 async fn advice_is_requested_for_queues_with_a_policy() {
     let cell = Cell::start(2, 2, 100).await;
