Name the refusal of another runner after what it says

A 421 comes from a runner with another id; the next incarnation of the one that a call was meant for no longer answers it. Log text of a refused call, `why`: `another incarnation` is now `another runner`. Two tests are renamed, with their assertions as they were.

--- a/src/control/engine/losses.rs
+++ b/src/control/engine/losses.rs
@@ -11,7 +11,7 @@
 /// Reason for which runs without a reported completion are lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Loss {
-    /// Another incarnation answers at their runner's address.
+    /// Another incarnation of their runner, or another runner, answers at its address.
     OtherIncarnation,
     /// Their runner's lease has expired.
     LeaseOver,
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -52,7 +52,7 @@
                 runner.next_poll = now.mono + POLL_RETRY_MS;
                 match why {
                     Refusal::Fenced => self.record_fenced(k),
-                    Refusal::OtherIncarnation => self.runner_replaced(k, now),
+                    Refusal::OtherRunner => self.runner_replaced(k, now),
                     _ if unanswered => {}
                     _ => log::warn!(runner = runner.id, why:% = why,
                         tasks = runner.tasks.len(); "runner does not answer"),
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -275,7 +275,7 @@
         let (outcome_unknown, tries) = (run.outcome_unknown, run.tries);
         match why {
             Refusal::Fenced => {}
-            Refusal::OtherIncarnation => {
+            Refusal::OtherRunner => {
                 if !outcome_unknown {
                     self.release_unstarted(id, now);
                 }
@@ -328,7 +328,7 @@
     ) {
         match res {
             Err(Refusal::Fenced) => self.record_fenced(k),
-            Err(Refusal::OtherIncarnation) => self.runner_replaced(k, now),
+            Err(Refusal::OtherRunner) => self.runner_replaced(k, now),
             Ok(clock) => {
                 if let Some(run) = self.run_mut(k, id, attempt) {
                     run.stage = Stage::Stopping { answered: Some(clock) };
--- a/src/control/ports.rs
+++ b/src/control/ports.rs
@@ -163,7 +163,7 @@
 pub struct RunnerCall {
     /// Address.
     pub addr: SocketAddr,
-    /// Id of the incarnation; another incarnation at that address refuses the call.
+    /// Its id; a runner with another id refuses the call, the next incarnation of this one does not.
     pub id: String,
 }
 
@@ -278,9 +278,9 @@
     /// The runner is unhealthy and has done nothing.
     #[error("unhealthy")]
     Unhealthy,
-    /// Another incarnation runs at that address.
-    #[error("another incarnation")]
-    OtherIncarnation,
+    /// A runner with another id answers at that address.
+    #[error("another runner")]
+    OtherRunner,
     /// No connection: nothing was sent.
     #[error("unreachable")]
     Unreachable,
--- a/tests/common/control/calls.rs
+++ b/tests/common/control/calls.rs
@@ -134,7 +134,7 @@
             }
             return;
         }
-        let other = r.replaced.then_some(Refusal::OtherIncarnation);
+        let other = r.replaced.then_some(Refusal::OtherRunner);
         let e = match act {
             Action::Start { runner: k, start, .. } => {
                 let res = other.map_or_else(|| self.start(i, &start), Err);
--- a/tests/common/runner.rs
+++ b/tests/common/runner.rs
@@ -67,7 +67,7 @@
     pub stalled: bool,
     /// Whether all its tasks fail.
     pub failing: bool,
-    /// Whether another incarnation answers at its address.
+    /// Whether a runner with another id answers at its address.
     pub replaced: bool,
     /// Time until which the runner refuses tickets, ms.
     pub refuses_until: u64,
--- a/tests/control_crashes.rs
+++ b/tests/control_crashes.rs
@@ -242,9 +242,9 @@
     }
 }
 
-/// Guards against counting a start that another incarnation of the runner refused.
+/// Guards against counting a start that another runner, at the address of the first, refused.
 #[test]
-fn a_start_refused_by_another_incarnation_is_no_loss() {
+fn a_start_refused_by_another_runner_is_no_loss() {
     let mut cell = Cell::new(2, 1);
     cell.run(300);
     let job = cell.submit(1, "patient", vec![step(1, 1_000, 3_000)]);
--- a/tests/control_engine.rs
+++ b/tests/control_engine.rs
@@ -121,10 +121,10 @@
     cell.check();
 }
 
-/// A crashed runner comes back as another incarnation at the same address: its runs are lost, and
-/// start elsewhere at once instead of after the lease.
+/// Another runner answers at the address of one that has crashed: the runs there are lost, and start
+/// elsewhere at once instead of after the lease.
 #[test]
-fn a_new_incarnation_of_a_runner_frees_its_tasks_at_once() {
+fn another_runner_at_the_address_frees_the_tasks_at_once() {
     let mut cell = Cell::new(2, 5);
     let job = cell.submit(1, "patient", vec![step(1, 1_000, 60_000)]);
     cell.run(300);
@@ -449,7 +449,7 @@
 }
 
 /// All faults together, over many seeds: leader changes, late and unanswered orders, commits
-/// without an answer, unreachable runners, crashes with and without a new incarnation,
+/// without an answer, unreachable runners, crashes with and without another runner at the address,
 /// cancellations.
 #[test]
 fn mixed_faults_violate_no_invariant() {
