Count only registered runners in the capacity of the state dump

Before: a test that waits for the capacity of the one runner (4,000) after two restarts times out; after: passes, two of two runs.

--- a/src/control/engine/losses.rs
+++ b/src/control/engine/losses.rs
@@ -70,7 +70,7 @@
         let unanswered_since = runner.unanswered_since.unwrap_or(now.mono);
         let draining = runner.entry.as_ref().is_some_and(|e| e.draining);
         // A runner that is still registered when its lease expires is unreachable and has not
-        // crashed; another incarnation has no part in it.
+        // crashed.
         let crashed = why != Loss::LeaseOver || !runner.listed;
         lost.iter().for_each(|id| self.log_lost(k, *id, why, unanswered_since, now));
         if !draining {
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -313,7 +313,7 @@
                 tasks += r.tasks.len();
                 usable += usize::from(r.usable(now));
                 used += r.used.cpu;
-                capacity += r.capacity().cpu;
+                capacity += if r.listed { r.capacity().cpu } else { 0 };
             }
             let resources: BTreeMap<&str, u64> =
                 BTreeMap::from([("used_cpu", used), ("cpu", capacity)]);
--- a/tests/control_path.rs
+++ b/tests/control_path.rs
@@ -48,6 +48,8 @@
             counts.iter().filter(|(task, _)| task.starts_with(id)).map(|(_, n)| *n).collect();
         assert_eq!(counts, [starts; 3], "{id}");
     }
+    let capacity = || async { cell.dump(0).await["scheduler"]["room"]["cpu"] == 4_000 };
+    cell.wait("the capacity of one runner is shown", capacity).await;
     cell.end().await;
 }
 
