--- a/src/control/engine/gangs.rs
+++ b/src/control/engine/gangs.rs
@@ -7,7 +7,7 @@
 //! that ended first.
 
 use super::losses::Loss;
-use super::runs::{Run, Stage, StopReason};
+use super::runs::{Stage, StopReason};
 use super::{Engine, Now, RunnerKey};
 use crate::control::model::{Attempt, StepId, TaskId};
 
@@ -103,10 +103,12 @@
         let &(_, k) = remaining.first()?;
         let same_runner = remaining.iter().all(|&(_, on)| on == k);
         // Starts that a predecessor sent have timed out before this leader was elected.
-        let settled = |r: &Run| r.settled() || matches!(r.stage, Stage::Inherited { .. });
-        let settled = |&(id, _): &(TaskId, RunnerKey)| self.run_of(id).is_some_and(settled);
+        let no_start_pending = |&(id, _): &(TaskId, RunnerKey)| {
+            let run = self.run_of(id);
+            run.is_some_and(|r| r.settled() || matches!(r.stage, Stage::Inherited { .. }))
+        };
         let others_broken = s.broken.count + remaining.len() == s.tasks.len();
-        let over = others_broken && remaining.iter().all(settled);
+        let over = others_broken && remaining.iter().all(no_start_pending);
         (same_runner && over && self.runners.get(k).poll_failed).then_some(k)
     }
 
--- a/src/control/engine/incarnations.rs
+++ b/src/control/engine/incarnations.rs
@@ -20,15 +20,18 @@
 enum Fate {
     /// It is over: no order that could start it again is on its way.
     Over,
-    /// The new incarnation reports it, or the runs of its predecessors.
+    /// The report of the new incarnation tells.
     Reported,
     /// An order may yet start it on the new incarnation.
     Undecided,
 }
 
-fn fate(run: &Run, reported: bool) -> Fate {
+/// What becomes of `run`; `listed` is whether the report of the new incarnation lists it or its
+/// completion.
+fn fate(run: &Run, listed: bool) -> Fate {
     match run.stage {
-        _ if reported => Fate::Reported,
+        _ if listed => Fate::Reported,
+        // The poll has fenced off the orders of predecessors.
         Stage::Inherited { .. } => Fate::Reported,
         Stage::Storing { .. } => Fate::Over,
         _ if run.settled() => Fate::Over,
@@ -64,11 +67,11 @@
             was_clock:? = last.clock.map(|(c, _)| c), last_completion = last.last_completion;
             "runner replaced by another life");
         metrics::counter!("control_runner_restarts").increment(1);
-        let next = last.successor(born, report.clock + hold_max_ms);
+        let successor = last.successor(born, report.clock + hold_max_ms);
         last.listed = false;
         last.replaced = true;
-        let id = next.id.clone();
-        let next = self.runners.push(next);
+        let id = successor.id.clone();
+        let next = self.runners.push(successor);
         self.by_id.insert(id, next);
         let reported: BTreeSet<(TaskId, Attempt)> = report
             .active
@@ -85,8 +88,8 @@
                 Fate::Undecided => undecided.push(id),
             }
         }
-        let unreported: Vec<TaskId> = over.iter().chain(&undecided).copied().collect();
-        self.record_lost(k, &unreported, Loss::OtherIncarnation, now);
+        let lost: Vec<TaskId> = over.iter().chain(&undecided).copied().collect();
+        self.record_lost(k, &lost, Loss::OtherIncarnation, now);
         for id in undecided {
             self.move_run(id, next);
             self.stop_undecided(id, now);
@@ -110,6 +113,7 @@
     /// way starts it there. Its task may start elsewhere once the stop is acknowledged.
     fn stop_undecided(&mut self, id: TaskId, now: Now) {
         if let Some(run) = self.task_mut(id).and_then(|t| t.run.as_mut()) {
+            // A stop that was acknowledged was the last incarnation's.
             run.stage = Stage::Sent;
         }
         self.order_stop(id, StopReason::Restarted, now);
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -20,6 +20,7 @@
 mod progress;
 mod progress_row;
 mod provisional;
+mod registry;
 mod reports;
 mod round;
 mod runners;
