Teams of callers: keys, and which jobs a caller may see

A call on a route that is not open needs a key of a team; the job belongs to that team, with its row. An instance that the store does not serve learns the catalogue from the leader over its link. No key is accepted by a catalogue older than the bounds allow. A job of another team is answered as if it did not exist, its id with 409.

Ways weighed for the catalogue's way to instances without the store: a broadcast of the leader (a large catalogue times 42 links at each change), neighbour to neighbour (every instance opens links to every other), and asking the leader. The last costs nothing while the store serves.

--- a/src/control/front.rs
+++ b/src/control/front.rs
@@ -4,6 +4,7 @@
 //! answered from the local cache and by the leader as far as these suffice, else with an error that
 //! says when to retry.
 
+use super::access::{self, Access, AccessRules, Caller, Denied};
 use super::links::client::LinkClient;
 use super::links::server::LinkServer;
 use super::mirror::{Mirror, Table};
@@ -12,6 +13,7 @@
 use super::rows::{self, JobRow};
 use super::store_health::StoreHealth;
 use super::submissions::{SubmissionWriter, WriteOutcome};
+use super::teams::ApiKey;
 use crate::kernel::clock::Clock;
 use crate::platform::callers;
 use std::sync::Arc;
@@ -34,6 +36,9 @@
 /// against the 3 s that a caller waits, since the store can be read instead.
 const LINK_TIMEOUT_MS: u64 = 300;
 
+/// A read of the catalogue also serves callers that arrive within this time after it was sent, ms.
+const SHARED_READ_MS: u64 = 100;
+
 /// Maximum age of the data that a count of waiting jobs is based on, ms: the bound of the
 /// interface.
 const MAX_COUNT_AGE_MS: u64 = 2_000;
@@ -59,6 +64,8 @@
     pub server: Arc<LinkServer>,
     /// Link client, connected to the leader.
     pub link: Arc<LinkClient>,
+    /// Rules of access.
+    pub access: AccessRules,
     /// The clock.
     pub clock: Clock,
 }
@@ -89,6 +96,11 @@
     res
 }
 
+fn id_taken(id: JobId) -> Response {
+    log::info!(job:% = id; "job refused: its id is in use by another team");
+    refuse(409, "the id is in use")
+}
+
 fn invalid(e: &Invalid) -> Response {
     let status = if matches!(e, Invalid::TooLong(_)) { 413 } else { 400 };
     refuse(status, &e.to_string())
@@ -108,6 +120,17 @@
             log::info!(host = host, path = path, catalogue = cat.version; "no such queue");
             return refuse(404, "no such queue");
         };
+        let caller = match self.caller_of(&req, &host, &path, queue).await {
+            Ok(caller) => caller,
+            Err(res) => return res,
+        };
+        // The catalogue may have been read again to find the caller's team.
+        let newest = self.mirror.catalogue();
+        let queue = match newest.version == cat.version {
+            true => Some(queue),
+            false => newest.find(&host, &path),
+        };
+        let Some(queue) = queue else { return refuse(404, "no such queue") };
         let rest = &path[queue.prefix.len()..];
         let method = req.method();
         if method == Method::Get && rest.is_empty() {
@@ -115,9 +138,9 @@
         }
         let Ok(id) = rest.parse::<JobId>() else { return invalid(&Invalid::Id) };
         let res = match method {
-            Method::Post => self.submit(&mut req, id, queue, cat.version, began).await,
-            Method::Get => self.state(id).await,
-            Method::Delete => self.cancel(id, self.remaining_ms(&req, began)).await,
+            Method::Post => self.submit(&mut req, id, queue, &caller, cat.version, began).await,
+            Method::Get => self.state(id, &caller).await,
+            Method::Delete => self.cancel(id, &caller, self.remaining_ms(&req, began)).await,
             _ => refuse(405, "method not allowed"),
         };
         let res = if self.store_lost_here() { retry_elsewhere(res) } else { res };
@@ -146,6 +169,67 @@
         }
     }
 
+    /// On whose behalf a request to `queue` is made; an error response if it may not be made. The
+    /// catalogue is read again where the decision needs a newer one.
+    async fn caller_of(
+        &self,
+        req: &Request<Arc<Self>>,
+        host: &str,
+        path: &str,
+        queue: &Queue,
+    ) -> Result<Caller, Response> {
+        let text = req.header(callers::KEY_HEADER).map(|h| h.as_str().to_string());
+        let key = text.and_then(|k| ApiKey::try_from(k).ok());
+        let cat = self.mirror.catalogue();
+        let age = self.mirror.catalogue_age();
+        let access = match access::decide(&self.access, queue, &cat.teams, key.as_ref(), age, false)
+        {
+            Access::Reread => {
+                self.reread_catalogue().await;
+                let cat = self.mirror.catalogue();
+                let Some(queue) = cat.find(host, path) else {
+                    return Err(refuse(404, "no such queue"));
+                };
+                let age = self.mirror.catalogue_age();
+                access::decide(&self.access, queue, &cat.teams, key.as_ref(), age, true)
+            }
+            access => access,
+        };
+        match access {
+            Access::Granted(caller) => Ok(caller),
+            Access::Denied(why) => Err(self.deny(queue, key.as_ref(), why)),
+            Access::Reread | Access::Stale => {
+                log::info!(queue = queue.name, age_ms:? = self.mirror.catalogue_age();
+                    "call refused: the catalogue is too old to check its key");
+                Err(retry_elsewhere(refuse(503, "keys cannot be checked here")))
+            }
+        }
+    }
+
+    /// Reads the catalogue again: from the store, or from the leader if the store does not answer.
+    /// Concurrent callers share one read of the store.
+    async fn reread_catalogue(&self) {
+        if !self.store_health.unavailable() {
+            let since = self.clock.mono().saturating_sub(SHARED_READ_MS);
+            let read = self.mirror.renew(Table::Config, since);
+            if let Ok(Ok(())) = self.clock.timeout(REFRESH_TIMEOUT_MS, read).await {
+                return;
+            }
+        }
+        self.link.learn_config().await;
+    }
+
+    /// Refuses a call that is not authorised.
+    fn deny(&self, queue: &Queue, key: Option<&ApiKey>, why: Denied) -> Response {
+        let removed = key.and_then(|k| self.mirror.removed_key(k));
+        let (team, removed) = removed.map_or((None, None), |(t, v)| (Some(t), Some(v)));
+        log::info!(queue = queue.name, catalogue = self.mirror.catalogue().version,
+            age_ms:? = self.mirror.catalogue_age(), team:? = team, key_removed_in:? = removed,
+            why:% = why; "call refused: not authorised");
+        metrics::counter!("control_denied", "why" => why.to_string()).increment(1);
+        refuse(401, &why.to_string())
+    }
+
     /// Time that remains to answer a request, ms.
     fn remaining_ms(&self, req: &Request<Arc<Self>>, began: u64) -> u64 {
         let requested = req.header(callers::DEADLINE_HEADER).and_then(|h| h.as_str().parse().ok());
@@ -175,6 +259,7 @@
         req: &mut Request<Arc<Self>>,
         id: JobId,
         queue: &Queue,
+        caller: &Caller,
         version: u64,
         began: u64,
     ) -> Response {
@@ -194,11 +279,16 @@
                 return invalid(&e);
             }
         };
-        if self.mirror.job_state(id).is_some() {
-            log::info!(job:% = id; "job submitted again");
-            return answer(200, callers::state(JobState::Queued));
+        match self.mirror.visible(id, caller) {
+            Some(true) => {
+                log::info!(job:% = id; "job submitted again");
+                return answer(200, callers::state(JobState::Queued));
+            }
+            Some(false) => return id_taken(id),
+            None => {}
         }
-        let row = JobRow { queue: queue.name.clone(), at: self.clock.wall(), spec };
+        let (team, at) = (caller.team().map(str::to_string), self.clock.wall());
+        let row = JobRow { queue: queue.name.clone(), team, at, spec };
         let out = self.submissions.submit(id, &row, self.remaining_ms(req, began)).await;
         let ms = self.clock.mono() - began;
         log::info!(job:% = id, queue = queue.name, steps = row.spec.steps.len(),
@@ -210,6 +300,7 @@
                 answer(200, callers::state(JobState::Queued))
             }
             WriteOutcome::Known => answer(200, callers::state(JobState::Queued)),
+            WriteOutcome::Taken => id_taken(id),
             WriteOutcome::NotStored => {
                 retry_later(503, "not accepted: the store cannot be written")
             }
@@ -219,9 +310,9 @@
 
     /// The state of a job according to the leader; none if the leader has no entry or is not
     /// reachable.
-    async fn state_from_leader(&self, id: JobId) -> Option<JobState> {
+    async fn state_from_leader(&self, id: JobId, caller: &Caller) -> Option<JobState> {
         match self.link.is_live() {
-            true => self.link.find(id, LINK_TIMEOUT_MS).await,
+            true => self.link.find(id, caller, LINK_TIMEOUT_MS).await,
             false => None,
         }
     }
@@ -239,21 +330,27 @@
         }
     }
 
-    /// State of a job, none if it does not exist; an error response if that cannot be determined.
-    async fn find_state(&self, id: JobId) -> Result<Option<JobState>, Response> {
-        if self.mirror.has_state(id) {
-            return Ok(self.mirror.job_state(id));
+    /// State of a job, none if it does not exist or the caller may not see it; an error response if
+    /// that cannot be determined.
+    async fn find_state(&self, id: JobId, caller: &Caller) -> Result<Option<JobState>, Response> {
+        match self.mirror.visible(id, caller) {
+            Some(false) => {
+                log::info!(job:% = id, team:? = caller.team(); "job of another team asked for");
+                return Ok(None);
+            }
+            Some(true) if self.mirror.has_state(id) => return Ok(self.mirror.job_state(id)),
+            _ => {}
         }
         // A job that the leader does not list may still have been stored: only the store can show
         // that it does not exist.
-        if let Some(state) = self.state_from_leader(id).await {
+        if let Some(state) = self.state_from_leader(id, caller).await {
             return Ok(Some(state));
         }
         if self.store_health.unavailable() {
             log::info!(job:% = id; "unknown job, and the store is silent");
             return Err(retry_later(503, "the store cannot be read"));
         }
-        let found = self.clock.timeout(REFRESH_TIMEOUT_MS, self.mirror.find_job(id)).await;
+        let found = self.clock.timeout(REFRESH_TIMEOUT_MS, self.mirror.find_job(id, caller)).await;
         match found.unwrap_or_else(|_| Err(ReadError::Unreachable("timed out".into()))) {
             Ok(state) => Ok(state),
             Err(e) => {
@@ -279,8 +376,8 @@
         self.store_health.unavailable() && !self.link.is_live()
     }
 
-    async fn state(&self, id: JobId) -> Response {
-        match self.find_state(id).await {
+    async fn state(&self, id: JobId, caller: &Caller) -> Response {
+        match self.find_state(id, caller).await {
             // Another instance may have a newer state; the caller reaches it over a new connection.
             Ok(Some(s)) if !s.ended() && self.isolated() => {
                 retry_later(503, "the state of the job cannot be read")
@@ -291,8 +388,8 @@
         }
     }
 
-    async fn cancel(&self, id: JobId, ms: u64) -> Response {
-        match self.find_state(id).await {
+    async fn cancel(&self, id: JobId, caller: &Caller, ms: u64) -> Response {
+        match self.find_state(id, caller).await {
             Ok(Some(s)) if s.ended() => return answer(200, callers::state(s)),
             Ok(Some(_)) => {}
             Ok(None) => return refuse(410, "no such job"),
@@ -306,7 +403,7 @@
                 self.mirror.put_cancel(id);
                 answer(200, callers::state(JobState::Cancelled))
             }
-            WriteOutcome::NotStored => {
+            WriteOutcome::NotStored | WriteOutcome::Taken => {
                 retry_later(503, "not cancelled: the store cannot be written")
             }
             WriteOutcome::Unknown => {
--- a/src/control/links/client.rs
+++ b/src/control/links/client.rs
@@ -1,6 +1,7 @@
 //! Client side of links: an instance's link to the leader.
 
 use super::{decode, encode, write_frames, Frame, Relay, LINK_TIMEOUT_MS, QUEUED_FRAMES};
+use crate::control::access::Caller;
 use crate::control::election::Election;
 use crate::control::mirror::Mirror;
 use crate::control::model::{JobId, JobState};
@@ -23,6 +24,10 @@
 /// intervals.
 const FRESH_MS: u64 = 700;
 
+/// Timeout of a request for the leader's catalogue, ms: covers the transfer of a large one over a
+/// small link.
+const CONFIG_TIMEOUT_MS: u64 = 1_000;
+
 /// Delay before a link is opened again, ms.
 const RECONNECT_MS: u64 = 100;
 
@@ -142,15 +147,38 @@
         }
     }
 
-    /// Requests the state of a job from the leader; none if it has no entry, or there is no
-    /// answer within `ms`.
-    pub async fn find(&self, job: JobId, ms: u64) -> Option<JobState> {
-        match self.call(|id| Frame::Find { id, job }, ms).await {
-            Ok(Frame::Found { state, .. }) => state,
+    /// Requests the state of a job from the leader; none if it has no entry that `caller` may see,
+    /// or there is no answer within `ms`.
+    pub async fn find(&self, job: JobId, caller: &Caller, ms: u64) -> Option<JobState> {
+        let caller = Some(caller.clone());
+        match self.call(|id| Frame::Find { id, job, caller }, ms).await {
+            Ok(Frame::Found { state, checked: true, .. }) => state,
+            _ => None,
+        }
+    }
+
+    /// Requests the catalogue from the leader, unless it is not newer than `version`: the encoded
+    /// catalogue, and how long ago, ms, the leader knew that it was the newest. None if the leader
+    /// does not know, or there is no answer within `ms`.
+    pub async fn config(&self, version: u64, ms: u64) -> Option<(Option<Vec<u8>>, u64)> {
+        match self.call(|id| Frame::Config { id, version }, ms).await {
+            Ok(Frame::ConfigIs { newer, age: Some(age), .. }) => Some((newer, age)),
             _ => None,
         }
     }
 
+    /// Updates the catalogue from the leader's, if the link is alive.
+    pub async fn learn_config(&self) {
+        if !self.is_live() {
+            return;
+        }
+        let (sent, version) = (self.clock.mono(), self.mirror.catalogue().version);
+        if let Some((newer, age)) = self.config(version, CONFIG_TIMEOUT_MS).await {
+            let age = age + (self.clock.mono() - sent);
+            self.mirror.learn_config(version, newer.as_deref(), age);
+        }
+    }
+
     /// Requests the number of waiting jobs of a queue from the leader; none if it lacks some
     /// jobs, or there is no answer within `ms`.
     pub async fn count(&self, queue: &str, ms: u64) -> Option<u64> {
@@ -283,7 +311,10 @@
                     self.mirror.put_state(id, version, state);
                 }
             }
-            Frame::Written { id, .. } | Frame::Found { id, .. } | Frame::Counted { id, .. } => {
+            Frame::Written { id, .. }
+            | Frame::Found { id, .. }
+            | Frame::Counted { id, .. }
+            | Frame::ConfigIs { id, .. } => {
                 if let Some(done) = self.calls.lock().unwrap().remove(&id) {
                     let _ = done.send(frame);
                 }
--- a/src/control/links/mod.rs
+++ b/src/control/links/mod.rs
@@ -2,15 +2,16 @@
 //!
 //! Most of what they carry can also be read from the store, only later: an instance sends the
 //! leader the jobs that it has stored, and the leader sends every instance the job states that it
-//! has stored. Two kinds of calls go over links alone: advice requests, because the advice service
-//! serves one call at a time for each calling instance, and writes of an instance whose calls the
-//! store refuses. An instance that doesn't cache jobs requests from the leader the state of a job
+//! has stored. Three kinds of calls go over links alone: advice requests, because the advice service
+//! serves one call at a time for each calling instance, and writes and reads of the catalogue of an
+//! instance whose calls the store refuses. An instance that doesn't cache jobs requests from the leader the state of a job
 //! and the number of waiting jobs.
 
 pub mod advice_queues;
 pub mod client;
 pub mod server;
 
+use super::access::Caller;
 use super::model::{JobId, JobState, StepId};
 use super::ports::{Advice, AdviceError};
 use super::rows::{self, LeaderRow};
@@ -62,10 +63,26 @@
     States { list: Vec<(JobId, u64, JobState)> },
     /// Whether the sender caches jobs, and is to be sent their states.
     Follows { yes: bool },
-    /// Request the state of a job.
-    Find { id: u64, job: JobId },
-    /// Answer to [`Self::Find`]; none if the sender does not have the state.
-    Found { id: u64, state: Option<JobState> },
+    /// Request the state of a job for a caller; none from versions that knew no teams.
+    Find {
+        id: u64,
+        job: JobId,
+        #[serde(default)]
+        caller: Option<Caller>,
+    },
+    /// Answer to [`Self::Find`]; none if the sender does not have the state, or the caller may not
+    /// see it. `checked` is whether the sender has checked that.
+    Found {
+        id: u64,
+        state: Option<JobState>,
+        #[serde(default)]
+        checked: bool,
+    },
+    /// Request the catalogue if it is newer than `version`.
+    Config { id: u64, version: u64 },
+    /// Answer to [`Self::Config`]: the encoded catalogue if it is newer, and how long ago the sender
+    /// knew that it was the newest, ms; none if the sender has none.
+    ConfigIs { id: u64, newer: Option<Vec<u8>>, age: Option<u64> },
     /// Request the number of waiting jobs of a queue.
     Count { id: u64, queue: String },
     /// Answer to [`Self::Count`]; none if the sender lacks some jobs.
@@ -83,7 +100,10 @@
 impl Frame {
     /// Whether this is a call to the leader.
     fn is_call(&self) -> bool {
-        matches!(self, Self::Write { .. } | Self::Find { .. } | Self::Count { .. })
+        matches!(
+            self,
+            Self::Write { .. } | Self::Find { .. } | Self::Count { .. } | Self::Config { .. }
+        )
     }
 }
 
--- a/src/control/links/server.rs
+++ b/src/control/links/server.rs
@@ -321,9 +321,16 @@
     async fn handle_call(&self, call: Frame) -> Frame {
         match call {
             Frame::Write { id, relay } => self.store_relayed(id, relay).await,
-            Frame::Find { id, job } => {
-                let state = self.mirror.job_state(job).filter(|_| self.mirror.has_state(job));
-                Frame::Found { id, state }
+            Frame::Find { id, job, caller } => {
+                let visible = caller.is_none_or(|c| self.mirror.visible(job, &c) == Some(true));
+                let known = visible && self.mirror.has_state(job);
+                let state = self.mirror.job_state(job).filter(|_| known);
+                Frame::Found { id, state, checked: true }
+            }
+            Frame::Config { id, version } => {
+                // The age goes first: a newer catalogue may be read in between.
+                let age = self.mirror.catalogue_age();
+                Frame::ConfigIs { id, newer: self.mirror.newer_config(version), age }
             }
             Frame::Count { id, queue } => {
                 let complete = self.mirror.ensure_fresh(MAX_COUNT_AGE_MS).await;
--- a/src/control/mirror/mod.rs
+++ b/src/control/mirror/mod.rs
@@ -7,12 +7,14 @@
 pub mod reading;
 mod state;
 
+use super::access::Caller;
 use super::health::Dependency;
 use super::model::{Catalogue, JobId, JobState};
 use super::partitions::Partition;
 use super::ports::{Change, Page, ReadError, RunnerEntry, Store};
 use super::rows::{self, JobRow, ProgressRow};
 use super::store_health::StoreHealth;
+use super::teams::ApiKey;
 use crate::kernel::clock::Clock;
 use crate::platform::{catalogue, runners};
 use async_std::channel::Sender;
@@ -137,6 +139,44 @@
         self.state.lock().unwrap().catalogue.clone()
     }
 
+    /// Time since the catalogue was known to be the newest one, ms; none before it was read.
+    pub fn catalogue_age(&self) -> Option<u64> {
+        let known = self.state.lock().unwrap().config_known?;
+        Some(self.clock.mono().saturating_sub(known))
+    }
+
+    /// The encoded catalogue, for an instance that has `version`; none if that is as new.
+    pub fn newer_config(&self, version: u64) -> Option<Vec<u8>> {
+        let st = self.state.lock().unwrap();
+        (st.catalogue.version > version).then(|| st.config_row.clone())
+    }
+
+    /// Applies the newest catalogue as another instance knew it `age` ms ago: an encoded one if it
+    /// is newer than that of this instance, whose version was `version` when it asked.
+    pub fn learn_config(&self, version: u64, newer: Option<&[u8]>, age: u64) {
+        let mut st = self.state.lock().unwrap();
+        if let Some(value) = newer {
+            st.apply_config(value);
+        }
+        // An unreadable row confirms nothing.
+        if newer.is_none() || st.catalogue.version > version {
+            st.confirm_config(self.clock.mono().saturating_sub(age));
+        }
+    }
+
+    /// The team that had a removed key, and the version of the catalogue that removed it.
+    pub fn removed_key(&self, key: &ApiKey) -> Option<(String, u64)> {
+        let st = self.state.lock().unwrap();
+        st.removed_keys.get(key).map(|(team, version)| (team.to_string(), version))
+    }
+
+    /// Whether a caller may see a cached job; none if the job is not in the cache.
+    pub fn visible(&self, id: JobId, caller: &Caller) -> Option<bool> {
+        let st = self.state.lock().unwrap();
+        let row = st.jobs.get(&id)?.row.as_ref()?;
+        Some(caller.may_see(row))
+    }
+
     /// Timeout of a write, ms: between `least` and `MAX_WRITE_TIMEOUT_MS`, many times the current
     /// latency of the store. A fixed timeout would be too long for an instance that has been cut
     /// off, or too short for a slow store, which would then execute both the write and its retry.
@@ -356,6 +396,9 @@
         let version = st.versions.entry(table).or_default();
         *version = changes.version.max(*version);
         st.polled.insert(table, sent);
+        if table == Table::Config {
+            st.confirm_config(sent);
+        }
         if let Some(reading) = st.readings.get_mut(&table) {
             reading.feed_polled = sent;
         }
@@ -453,15 +496,21 @@
         let reading = st.readings.remove(&table)?;
         log::info!(table = table.name(), rows = reading.rows, version:? = st.versions.get(&table),
             ms = self.clock.mono() - reading.began; "table read");
-        if table == Table::Registry {
-            st.notify(Update::Runners(reading.keys));
+        match table {
+            Table::Registry => st.notify(Update::Runners(reading.keys)),
+            Table::Config => st.confirm_config(reading.began),
+            Table::Jobs | Table::Progress => {}
         }
         Some(reading.rows)
     }
 
     /// Reads a job from the store, and its progress unless the progress table is cached. Returns
-    /// the job's state, or none if there is no such job.
-    pub async fn find_job(&self, id: JobId) -> Result<Option<JobState>, ReadError> {
+    /// the job's state, or none if there is no such job that `caller` may see.
+    pub async fn find_job(
+        &self,
+        id: JobId,
+        caller: &Caller,
+    ) -> Result<Option<JobState>, ReadError> {
         let key = rows::job_key(id);
         let end = rows::cancel_key(id).key + "~";
         let job = self.store.page(&key.table, &key.part, &key.key, Some(&end), MAX_JOB_ROWS);
@@ -480,7 +529,10 @@
             found.put(table, row.clone());
             st.put(table, row);
         }
-        Ok(st.job_state(id).or(found.job_state(id)))
+        let row_of = |st: &State| st.jobs.get(&id).and_then(|j| j.row.clone());
+        let row = row_of(&found).or(row_of(&st));
+        let visible = row.is_none_or(|row| caller.may_see(&row));
+        Ok(st.job_state(id).or(found.job_state(id)).filter(|_| visible))
     }
 
     async fn find_progress(&self, id: JobId) -> Result<Page, ReadError> {
--- a/src/control/mirror/state.rs
+++ b/src/control/mirror/state.rs
@@ -5,6 +5,7 @@
 use crate::control::model::{Catalogue, JobId, JobState};
 use crate::control::ports::{Key, Page, Row};
 use crate::control::rows::{self, JobKey, JobRow, ProgressRow};
+use crate::control::teams::RemovedKeys;
 use crate::platform::{catalogue, runners};
 use async_std::channel::Sender;
 use std::collections::{BTreeMap, BTreeSet};
@@ -34,6 +35,12 @@
     /// Jobs and their progress are not cached.
     pub without_jobs: bool,
     pub catalogue: Arc<Catalogue>,
+    /// The row that the catalogue was read from, for instances that cannot read it.
+    pub config_row: Vec<u8>,
+    /// When the catalogue was known to be the newest one, local ms; none before it was read.
+    pub config_known: Option<u64>,
+    /// Keys that newer catalogues no longer have.
+    pub removed_keys: RemovedKeys,
     pub jobs: BTreeMap<JobId, JobEntry>,
     pub progress: BTreeMap<JobId, Progress>,
     /// Version up to which a table is cached.
@@ -131,6 +138,11 @@
         }
     }
 
+    /// Records that the catalogue was the newest one at `at`, local ms.
+    pub fn confirm_config(&mut self, at: u64) {
+        self.config_known = self.config_known.max(Some(at));
+    }
+
     /// Sends a change to the scheduler, if it runs on this instance.
     pub fn notify(&self, update: Update) {
         if let Some(tx) = &self.subscriber {
@@ -203,11 +215,18 @@
         if row.key.key != catalogue::CONFIG_KEY {
             return;
         }
-        match catalogue::decode(&row.value) {
+        self.apply_config(&row.value);
+    }
+
+    /// Applies an encoded catalogue. One that is not newer, or is unreadable, has no effect.
+    pub fn apply_config(&mut self, value: &[u8]) {
+        match catalogue::decode(value) {
             Ok(cat) if cat.version > self.catalogue.version => {
                 log::info!(version = cat.version, queues = cat.queues.len(),
-                    row_version = row.version; "catalogue in force");
+                    teams = cat.teams.len(), keys = cat.teams.key_count(); "catalogue in force");
+                self.removed_keys.record(&self.catalogue.teams, &cat.teams, cat.version);
                 self.catalogue = Arc::new(cat);
+                self.config_row = value.to_vec();
                 self.notify(Update::Catalogue(self.catalogue.clone()));
             }
             Ok(_) => {}
--- a/src/control/model.rs
+++ b/src/control/model.rs
@@ -1,6 +1,7 @@
 //! Data model of the control plane: jobs, steps, tasks, queues and the catalogue, with the bounds
 //! on their fields.
 
+use super::teams::Teams;
 use crate::kernel::res::Resources;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -14,7 +15,7 @@
 /// take; both are some ten times what callers send.
 const MAX_STEPS: usize = 64;
 /// Maximum number of tasks of a step, see [`MAX_STEPS`].
-const MAX_WIDTH: u32 = 1_000;
+pub const MAX_WIDTH: u32 = 1_000;
 /// Maximum number of tasks of a job over all its occurrences, so that its progress fits one row of
 /// the store.
 const MAX_TASKS: u64 = 2_000;
@@ -427,6 +428,8 @@
     pub timeout_ms: u64,
     /// Cost of advice requests if the queue's policy must approve runners; none if it need not.
     pub approval: Option<Approval>,
+    /// Whether calls need no key.
+    pub open: bool,
 }
 
 /// The operator's configuration: all queues.
@@ -436,6 +439,8 @@
     pub version: u64,
     /// Queues by name.
     pub queues: BTreeMap<String, Queue>,
+    /// Teams of callers.
+    pub teams: Teams,
 }
 
 impl Catalogue {
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -49,6 +49,13 @@
 /// calls.
 const ROLE_CHECK_MS: u64 = 50;
 
+/// The leader is asked for the catalogue if it was not confirmed for this long, ms: longer than a
+/// poll of it takes.
+const LEARN_AGE_MS: u64 = 1_000;
+
+/// Interval between two checks whether to ask the leader for the catalogue, ms.
+const LEARN_CHECK_MS: u64 = 250;
+
 /// Delay after a failed poll, ms.
 const RETRY_MS: u64 = 150;
 
@@ -205,12 +212,25 @@
         }
     }
 
+    /// Learns the catalogue from the leader while the store does not serve this instance; never
+    /// returns.
+    async fn learn_config(self: Arc<Self>) {
+        loop {
+            if self.mirror.catalogue_age().is_none_or(|ms| ms > LEARN_AGE_MS) {
+                self.link.learn_config().await;
+            }
+            self.clock.sleep(LEARN_CHECK_MS).await;
+        }
+    }
+
     fn dump(&self) -> serde_json::Value {
         let cat = self.mirror.catalogue();
         serde_json::json!({
             "role": "control", "id": self.settings.id, "domain": self.settings.domain,
             "ready": self.ready(), "jobs": self.mirror.job_count(),
-            "catalogue": { "version": cat.version, "queues": cat.queues.len() },
+            "catalogue": { "version": cat.version, "queues": cat.queues.len(),
+                "teams": cat.teams.len(), "keys": cat.teams.key_count(),
+                "age_ms": self.mirror.catalogue_age() },
             "store_heard_ms": self.clock.mono().saturating_sub(self.store_health.last_served()),
             "parts_lost": self.submissions.lost(),
             "link": { "fresh": self.link.is_live(), "opened": self.link.open_count() },
@@ -259,6 +279,7 @@
         submissions: instance.submissions.clone(),
         server: instance.server.clone(),
         link: instance.link.clone(),
+        access: s.access_rules(),
         clock: clock.clone(),
     });
     let drain = Drain {
@@ -284,6 +305,7 @@
         loops.push(task::spawn(instance.clone().follow(table, interval_ms)));
     }
     loops.push(task::spawn(instance.clone().update_role()));
+    loops.push(task::spawn(instance.clone().learn_config()));
     let acceptor = LinkAcceptor {
         server: instance.server.clone(),
         mirror: instance.mirror.clone(),
--- a/src/control/rows.rs
+++ b/src/control/rows.rs
@@ -86,6 +86,8 @@
 pub struct JobRow {
     /// Queue that it was submitted to.
     pub queue: String,
+    /// Team that it belongs to; none if it was submitted without a key.
+    pub team: Option<String>,
     /// When it was accepted, Unix ms on the clock of the accepting instance.
     pub at: u64,
     /// The job's specification.
@@ -95,6 +97,9 @@
 #[derive(Deserialize)]
 struct WireJob {
     queue: String,
+    /// Missing in rows of versions that knew no teams.
+    #[serde(default)]
+    team: Option<String>,
     at: u64,
     spec: JobSpec,
 }
@@ -104,7 +109,8 @@
 
     fn try_from(w: WireJob) -> Result<Self, InvalidValue> {
         w.spec.check()?;
-        Ok(Self { queue: w.queue, at: check_time(w.at)?, spec: w.spec })
+        let at = check_time(w.at)?;
+        Ok(Self { queue: w.queue, team: w.team, at, spec: w.spec })
     }
 }
 
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -1,11 +1,19 @@
 //! Settings of one instance of the control plane (JSON); they are checked before it starts.
 
+use super::access::AccessRules;
+use super::model::MAX_MS;
 use super::place::Placement;
 use crate::options::SettingsError;
+use crate::platform::contracts;
 use serde::Deserialize;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
 
+/// Minimum of the bounds on configuration, ms: an instance learns of a new catalogue within some
+/// 300 ms.
+const MIN_CONFIG_MS: u64 = 500;
+
 /// Settings of one instance.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -38,6 +46,22 @@
     pub grace_ms: u64,
     /// Time for which an ended job is kept and its state can be queried, ms; at least 1,000.
     pub keep_ms: u64,
+    /// Parts of the platform's interface that are in force, by its names for them.
+    #[serde(default)]
+    pub contracts: BTreeSet<String>,
+    /// Time within which a new catalogue has to be in force, ms; at least 500.
+    #[serde(default = "default_apply_ms")]
+    pub config_apply_ms: u64,
+    /// Additional time while the store does not serve this instance, ms.
+    #[serde(default = "default_stretch_ms")]
+    pub max_stretch_ms: u64,
+    /// Whether keys are accepted for no longer than `revoke_ms` by an instance that cannot learn
+    /// whether they were taken away. Else they are for as long as the catalogue may be old.
+    #[serde(default)]
+    pub revoke_strict: bool,
+    /// See [`Self::revoke_strict`], ms; at least 500.
+    #[serde(default = "default_revoke_ms")]
+    pub revoke_ms: u64,
     /// Placement policy: `best-fit`, or `first-fit` or `random` for comparison.
     #[serde(default)]
     pub placement: Placement,
@@ -47,12 +71,34 @@
     1.0
 }
 
+fn default_apply_ms() -> u64 {
+    2_000
+}
+
+fn default_stretch_ms() -> u64 {
+    5_000
+}
+
+fn default_revoke_ms() -> u64 {
+    5_000
+}
+
 impl NodeSettings {
     /// [`Self::share`] in thousandths of a processor.
     pub fn millis(&self) -> u64 {
         (self.share * 1_000.0) as u64
     }
 
+    /// Rules of access that follow from the bounds on configuration.
+    pub fn access_rules(&self) -> AccessRules {
+        let stretched = self.config_apply_ms + self.max_stretch_ms;
+        AccessRules {
+            teams: contracts::has_teams(&self.contracts),
+            fresh_ms: self.config_apply_ms / 2,
+            max_age_ms: if self.revoke_strict { self.revoke_ms.min(stretched) } else { stretched },
+        }
+    }
+
     /// Reads and checks the file at `path`.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let text = std::fs::read_to_string(path)
@@ -71,6 +117,18 @@
         check_min("hold_max_ms", s.hold_max_ms, 1_000)?;
         check_min("grace_ms", s.grace_ms, 1_000)?;
         check_min("keep_ms", s.keep_ms, 1_000)?;
+        check_min("config_apply_ms", s.config_apply_ms, MIN_CONFIG_MS)?;
+        check_min("revoke_ms", s.revoke_ms, MIN_CONFIG_MS)?;
+        let max = MAX_MS;
+        let too_long = |(_, value): &(&str, u64)| *value > max;
+        let spans = [
+            ("config_apply_ms", s.config_apply_ms),
+            ("max_stretch_ms", s.max_stretch_ms),
+            ("revoke_ms", s.revoke_ms),
+        ];
+        if let Some((field, value)) = spans.into_iter().find(too_long) {
+            return Err(SettingsError::Range { field: field.into(), value, min: 0, max });
+        }
         Ok(s)
     }
 }
--- a/src/control/submissions.rs
+++ b/src/control/submissions.rs
@@ -46,6 +46,8 @@
     Stored,
     /// The row already existed.
     Known,
+    /// A job of another team has this id.
+    Taken,
     /// The row is not stored and will not be stored later.
     NotStored,
     /// The row may be stored, now or later.
@@ -81,6 +83,18 @@
     }
 }
 
+impl Request {
+    /// Outcome of a submission whose id has the stored row `found`. An unreadable row counts as the
+    /// same job, since its team is not known.
+    fn outcome_where_stored(&self, found: &[u8]) -> WriteOutcome {
+        let team = |row: &[u8]| rows::decode::<JobRow>(row).ok().map(|job| job.team);
+        match (self.row.as_deref().and_then(team), team(found)) {
+            (Some(mine), Some(stored)) if mine != stored => WriteOutcome::Taken,
+            _ => WriteOutcome::Known,
+        }
+    }
+}
+
 /// Sends the outcome to all requests of a batch. A caller that no longer waits is ignored.
 fn answer_all(batch: Vec<Request>, out: WriteOutcome) {
     for r in batch {
@@ -243,7 +257,9 @@
         let mut remaining = relayed;
         for (r, out) in local.into_iter().zip(outs) {
             match out {
-                Some(w) if w.is_stored() => drop(r.done.send(w).is_err()),
+                Some(w) if w.is_stored() || w == WriteOutcome::Taken => {
+                    let _ = r.done.send(w);
+                }
                 Some(WriteOutcome::NotStored) => remaining.push(r),
                 _ => remaining.push(Request { outcome_unknown: true, ..r }),
             }
@@ -275,7 +291,11 @@
             Ok(Commit::Conflict(found)) => {
                 let known = |r: &Request| found.iter().any(|f| f.key == r.key());
                 let (existing, remaining): (Vec<_>, Vec<_>) = batch.into_iter().partition(known);
-                answer_all(existing, WriteOutcome::Known);
+                for r in existing {
+                    let row = found.iter().find(|f| f.key == r.key());
+                    let out = row.map_or(WriteOutcome::Known, |f| r.outcome_where_stored(&f.value));
+                    let _ = r.done.send(out);
+                }
                 remaining
             }
             Err(CommitError::Rejected(status)) => {
--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -19,7 +19,7 @@
 use currantgw::kernel::stop::{self, Trigger};
 use currantgw::platform::store::RowStore;
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -64,6 +64,8 @@
     /// A partition that refuses writes.
     lost_partition: Option<String>,
     writes: u64,
+    /// Polls of the feed and reads of rows, by table.
+    reads: BTreeMap<String, u64>,
 }
 
 struct Run {
@@ -143,7 +145,8 @@
     pub fn store_jobs(&self, queue: &str, ids: &[JobId], payload: usize) {
         let steps = vec![Step { count: 1, ..Step::default() }];
         let spec = JobSpec { payload: "x".repeat(payload), steps, ..JobSpec::default() };
-        let value = STANDARD.encode(rows::encode(&JobRow { queue: queue.into(), at: 1, spec }));
+        let value =
+            STANDARD.encode(rows::encode(&JobRow { queue: queue.into(), team: None, at: 1, spec }));
         let mut st = self.store.lock().unwrap();
         for &id in ids {
             st.version += 1;
@@ -210,6 +213,18 @@
         is_late
     }
 
+    /// Number of polls of the feed and reads of rows of a table so far.
+    pub fn reads(&self, table: &str) -> u64 {
+        self.store.lock().unwrap().reads.get(table).copied().unwrap_or(0)
+    }
+
+    /// Values of all rows of a table, as bytes.
+    pub fn values(&self, table: &str) -> Vec<Vec<u8>> {
+        let st = self.store.lock().unwrap();
+        let rows = st.rows.iter().filter(|(k, _)| k.0 == table);
+        rows.map(|(_, (value, _))| STANDARD.decode(value).unwrap()).collect()
+    }
+
     /// Number of rows in a table.
     pub fn count(&self, table: &str) -> usize {
         self.store.lock().unwrap().rows.keys().filter(|k| k.0 == table).count()
@@ -265,7 +280,12 @@
         text(200, &json!({"schema_version": version, "now_ms": 1}))
     }
 
+    fn count_read(&self, table: &str) {
+        *self.store.lock().unwrap().reads.entry(table.into()).or_default() += 1;
+    }
+
     fn get(&self, q: &BTreeMap<String, String>) -> Response {
+        self.count_read(&q["table"]);
         let st = self.store.lock().unwrap();
         let arg = |f: &str| q.get(f).cloned().unwrap_or_default();
         let in_range = |k: &(String, String, String)| {
@@ -353,6 +373,7 @@
     let platform = req.state().clone();
     let q = query(&req);
     let number = |f: &str| q.get(f).and_then(|v| v.parse().ok()).unwrap_or(0);
+    platform.count_read(&q["table"]);
     let deadline = Instant::now() + Duration::from_millis(number("wait_ms"));
     loop {
         if let Some(res) = mode_answer(&platform, false).await {
@@ -526,6 +547,8 @@
     settings: Vec<NodeSettings>,
     servers: Vec<JoinHandle<()>>,
     nodes: Vec<Option<(Trigger, JoinHandle<()>)>>,
+    /// Parts of the platform's interface that are in force.
+    contracts: BTreeSet<String>,
     /// Address of the store.
     pub store: SocketAddr,
 }
@@ -565,6 +588,19 @@
 
     /// Starts `nodes` instances and `runners` runners whose tasks take `work_ms`.
     pub async fn start(nodes: usize, runners: usize, work_ms: u64) -> Self {
+        let config = json!({"version": 3, "services": [], "limits": {},
+            "routes": [route("plain", false), route("asked", true)]});
+        Self::start_with(nodes, runners, work_ms, &config, &[]).await
+    }
+
+    /// As [`Self::start`], with a configuration and the contracts in force.
+    pub async fn start_with(
+        nodes: usize,
+        runners: usize,
+        work_ms: u64,
+        config: &Value,
+        contracts: &[&str],
+    ) -> Self {
         let platform = Arc::new(Platform::default());
         let mut servers = Vec::new();
         let store = free_addr();
@@ -582,15 +618,14 @@
             platform.addresses.lock().unwrap().insert(id.clone(), at);
             platform.register(&id);
         }
-        let routes = [route("plain", false), route("asked", true)];
-        let config = json!({"version": 3, "routes": routes, "services": [], "limits": {}});
-        platform.put("op", "config", &config);
+        platform.put("op", "config", config);
         let mut cell = Self {
             platform,
             fronts: Vec::new(),
             settings: Vec::new(),
             servers,
             nodes: Vec::new(),
+            contracts: contracts.iter().map(|c| c.to_string()).collect(),
             store,
         };
         for n in 0..nodes {
@@ -621,6 +656,11 @@
             hold_max_ms: 10_000,
             grace_ms: 2_600,
             keep_ms: 120_000,
+            contracts: self.contracts.clone(),
+            config_apply_ms: 2_000,
+            max_stretch_ms: 5_000,
+            revoke_strict: false,
+            revoke_ms: 5_000,
             placement: Placement::default(),
         }
     }
@@ -688,12 +728,28 @@
 
     /// Sends a client's request to an instance.
     pub async fn call(&self, n: usize, method: &str, path: &str, body: &str) -> Answer {
+        self.call_with(n, None, method, path, body).await
+    }
+
+    /// As [`Self::call`], with a key.
+    pub async fn call_with(
+        &self,
+        n: usize,
+        key: Option<&str>,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Answer {
         let method: tide::http::Method = method.parse().unwrap();
         let url = tide::http::Url::parse(&format!("http://{}{path}", self.fronts[n])).unwrap();
         let req = surf::RequestBuilder::new(method, url)
             .header("Host", "h.example")
             .header("X-Deadline-Ms", "3000")
             .body_string(body.to_string());
+        let req = match key {
+            Some(key) => req.header("Api-Key", key),
+            None => req,
+        };
         let mut res = req.await.expect("an answer");
         let text = res.body_string().await.unwrap();
         (res.status().into(), serde_json::from_str(&text).unwrap_or(Value::Null))
--- a/tests/control_leader.rs
+++ b/tests/control_leader.rs
@@ -120,6 +120,11 @@
         hold_max_ms: 10_000,
         grace_ms: 2_600,
         keep_ms: 120_000,
+        contracts: Default::default(),
+        config_apply_ms: 2_000,
+        max_stretch_ms: 5_000,
+        revoke_strict: false,
+        revoke_ms: 5_000,
         placement: Placement::default(),
     }
 }
@@ -194,7 +199,7 @@
     longest_poll(&mut serve, Duration::from_millis(100));
     let steps = vec![Step { count: 1, ..Step::default() }];
     let spec = JobSpec { steps, ..JobSpec::default() };
-    let row = Arc::new(JobRow { queue: "q".into(), at: clock.wall(), spec });
+    let row = Arc::new(JobRow { queue: "q".into(), team: None, at: clock.wall(), spec });
     let last = JobId(u64::MAX);
     for id in (0..waiting).map(JobId).chain([last]) {
         leader.mirror.put_job(id, row.clone());
--- a/tests/control_links.rs
+++ b/tests/control_links.rs
@@ -101,6 +101,11 @@
         hold_max_ms: 10_000,
         grace_ms: 2_600,
         keep_ms: 120_000,
+        contracts: Default::default(),
+        config_apply_ms: 2_000,
+        max_stretch_ms: 5_000,
+        revoke_strict: false,
+        revoke_ms: 5_000,
         placement: Placement::default(),
     }
 }
--- a/tests/control_mirror.rs
+++ b/tests/control_mirror.rs
@@ -29,7 +29,7 @@
         for &id in ids {
             let steps = vec![Step { count: 1, ..Step::default() }];
             let spec = JobSpec { steps, ..JobSpec::default() };
-            let row = JobRow { queue: "q".into(), at: 1, spec };
+            let row = JobRow { queue: "q".into(), team: None, at: 1, spec };
             let row = Row { key: rows::job_key(id), value: rows::encode(&row), version: 5 };
             partitions.entry(row.key.part.clone()).or_default().push(row);
         }
--- a/tests/control_policy.rs
+++ b/tests/control_policy.rs
@@ -351,7 +351,7 @@
         every_ms: 2_000,
         times: 2,
     };
-    let row = Arc::new(JobRow { queue: "patient".into(), at: cell.now, spec });
+    let row = Arc::new(JobRow { queue: "patient".into(), team: None, at: cell.now, spec });
     let now = Now { mono: cell.now, wall: cell.now };
     let engine: &mut Engine = &mut cell.engine;
     engine.add_job(JobId(9), row, None, now);
@@ -473,7 +473,27 @@
         .replace("{{recommendation|json}}", "\"127.0.0.1:6\"")
         .replace("{{bounds.hold_max_ms}}", "10000")
         .replace("{{bounds.grace_s}}", "6")
-        .replace("{{bounds.status_s}}", "120");
+        .replace("{{bounds.status_s}}", "120")
+        .replace("{{contracts|json}}", r#"["base","tenants"]"#)
+        .replace("{{bounds.config_apply_ms}}", "3000")
+        .replace("{{bounds.max_stretch_ms}}", "6000");
+    // Sections: once without a value, once with one.
+    let sections = [
+        ("{{#bounds.revoke_strict}}", "{{/bounds.revoke_strict}}", ""),
+        ("{{#bounds.revoke_ms}}", "{{/bounds.revoke_ms}}", "4000"),
+    ];
+    let render = |present: bool| {
+        sections.iter().fold(filled.clone(), |text, (begin, end, value)| {
+            let (before, rest) = text.split_once(begin).expect("the section begins");
+            let (inside, after) = rest.split_once(end).expect("the section ends");
+            let inside = if present { inside.replace("{{.}}", value) } else { String::new() };
+            format!("{before}{inside}{after}")
+        })
+    };
+    let s = NodeSettings::parse(&render(true)).expect("a template filled in");
+    let rules = s.access_rules();
+    assert_eq!((s.revoke_strict, rules.teams, rules.max_age_ms), (true, true, 4_000));
+    let filled = render(false);
     let s = NodeSettings::parse(&filled).expect("a template filled in");
     assert_eq!((s.keep_ms, s.grace_ms, s.millis()), (120_000, 6_000, 250));
 }
--- a/tests/control_roles.rs
+++ b/tests/control_roles.rs
@@ -11,6 +11,7 @@
 use common::narrow::Link;
 use common::table::MemoryStore;
 use common::users::{Cell, StoreMode};
+use currantgw::control::access::Caller;
 use currantgw::control::mirror::{Mirror, Table};
 use currantgw::control::model::{JobId, JobSpec, JobState, Step};
 use currantgw::control::ports::{Changes, Commit, CommitError, Page, ReadError, Store, Txn};
@@ -158,7 +159,7 @@
 async fn a_feed_answer_from_before_jobs_were_dropped_is_ignored() {
     let rows = MemoryStore::default();
     let spec = JobSpec { steps: vec![Step { count: 1, ..Step::default() }], ..JobSpec::default() };
-    let row = rows::encode(&JobRow { queue: "q".into(), at: 1, spec });
+    let row = rows::encode(&JobRow { queue: "q".into(), team: None, at: 1, spec });
     for id in ids() {
         rows.put(rows::job_key(id), row.clone());
     }
@@ -178,5 +179,5 @@
     assert_eq!(mirror.cached_version(Table::Jobs), None);
     mirror.poll(Table::Jobs, 0).await.unwrap();
     assert_eq!(mirror.job_count() as u64, JOBS);
-    assert_eq!(mirror.find_job(ids()[3]).await, Ok(Some(JobState::Queued)));
+    assert_eq!(mirror.find_job(ids()[3], &Caller::Anyone).await, Ok(Some(JobState::Queued)));
 }
--- a/tests/control_views.rs
+++ b/tests/control_views.rs
@@ -14,6 +14,7 @@
 use common::narrow::Link;
 use common::ports;
 use common::users::{Cell, StoreMode};
+use currantgw::control::access::Caller;
 use currantgw::control::mirror::reading::SliceSizer;
 use currantgw::control::mirror::{Mirror, Table};
 use currantgw::control::model::{JobId, JobState};
@@ -148,7 +149,7 @@
     let clock = Clock::real();
     let mirror = Mirror::new(cell.store_client(), Arc::new(StoreHealth::new(clock.clone())), clock);
     let id = done.parse().unwrap();
-    assert_matches!(mirror.find_job(id).await, Ok(Some(_)));
+    assert_matches!(mirror.find_job(id, &Caller::Anyone).await, Ok(Some(_)));
     assert_eq!(mirror.job_state(id), Some(JobState::Completed));
     cell.end().await;
 }
--- a/tests/unreadable_rows.rs
+++ b/tests/unreadable_rows.rs
@@ -60,7 +60,7 @@
     let step = Step { count: 2, estimate: 900, ..Step::default() };
     let next = Step { count: 1, after: vec![0], ..Step::default() };
     let spec = JobSpec { payload: "s".into(), steps: vec![step, next], ..JobSpec::default() };
-    JobRow { queue: "q".into(), at: 1_700_000_000_000, spec }
+    JobRow { queue: "q".into(), team: Some("t".into()), at: 1_700_000_000_000, spec }
 }
 
 fn progress() -> ProgressRow {
