Caps of teams in the scheduler

Change: a run counts against its team's cap from its placement until it is over, as it does against its runner's capacity: stored, ordered, unanswered, being stopped, inherited, and stray runs from when they are listed. Provisional reservations of gangs count, too. A placement whose team's cap was lowered before the start is released. A step that its team's cap does not allow requests no advice and reserves nothing; a gang that waits for the cap goes before the team's other non-urgent steps, unless it is larger than the cap.

--- a/src/control/engine/gang_reservations.rs
+++ b/src/control/engine/gang_reservations.rs
@@ -5,6 +5,7 @@
 //! A waiting gang therefore reserves runners, on which only urgent queues may place tasks. The
 //! number of gangs with reservations is bounded.
 
+use super::teams::TeamKey;
 use super::{Engine, RunnerKey};
 use crate::control::model::StepId;
 use crate::control::place::{self, Candidate};
@@ -49,6 +50,9 @@
     runners: BTreeSet<RunnerKey>,
     gangs: usize,
     backlog: Backlog,
+    /// Teams of which a gang waits for the team's cap. Their other non-urgent steps of lower rank
+    /// wait, too: else these would take each part of the cap that becomes free.
+    teams: BTreeSet<TeamKey>,
 }
 
 impl GangReservations {
@@ -65,6 +69,16 @@
         }
     }
 
+    /// Records that a gang waits for the cap of its team.
+    pub fn hold_team(&mut self, team: TeamKey) {
+        self.teams.insert(team);
+    }
+
+    /// Whether a gang of higher rank waits for the cap of this team.
+    pub fn holds_team(&self, team: TeamKey) -> bool {
+        self.teams.contains(&team)
+    }
+
     /// Whether a runner is reserved.
     pub fn contains(&self, k: RunnerKey) -> bool {
         self.runners.contains(&k)
--- a/src/control/engine/incarnations.rs
+++ b/src/control/engine/incarnations.rs
@@ -104,8 +104,8 @@
         let (attempt, losses) = (task.attempt, task.losses);
         let Some(run) = task.run.as_mut() else { return };
         let from = std::mem::replace(&mut run.runner, to);
-        if let Some(need) = self.runners.get_mut(from).deallocate(id, attempt) {
-            self.runners.get_mut(to).allocate(id, attempt, need, losses);
+        if let Some(allocation) = self.deallocate(from, id, attempt) {
+            self.put_allocation(to, id, attempt, allocation, losses);
         }
     }
 
--- a/src/control/engine/jobs.rs
+++ b/src/control/engine/jobs.rs
@@ -3,6 +3,7 @@
 use super::gangs::Broken;
 use super::runs::{Run, Stage};
 use super::store_backlog::Unstored;
+use super::teams::TeamKey;
 use super::RunnerKey;
 use crate::control::crashes::Losses;
 use crate::control::model::{Attempt, JobId, JobState, Queue, Step, StepId, TaskId};
@@ -118,6 +119,8 @@
 pub struct Job {
     /// The job as submitted.
     pub row: Arc<JobRow>,
+    /// Its team; none if it was submitted without a key.
+    pub team: Option<TeamKey>,
     /// State shown to callers once it is stored.
     pub state: JobState,
     /// When it ended, Unix ms; 0 before.
@@ -153,6 +156,7 @@
         let (state, ended) = (JobState::Queued, 0);
         Self {
             row,
+            team: None,
             state,
             ended,
             steps,
--- a/src/control/engine/lifecycle.rs
+++ b/src/control/engine/lifecycle.rs
@@ -1,9 +1,9 @@
 //! Life cycle of jobs: added, opened step by step, cancelled, ended and removed.
 
 use super::runs::StopReason;
-use super::{Engine, Job, Now, StepRun};
+use super::{Engine, Job, Now, RunnerKey, StepRun, Task};
 use crate::control::crashes::Losses;
-use crate::control::model::{JobId, JobState, StepId};
+use crate::control::model::{Attempt, JobId, JobState, StepId, TaskId};
 use crate::control::rows::{JobRow, ProgressRow};
 use std::sync::Arc;
 
@@ -21,20 +21,17 @@
             return;
         }
         let mut job = Job::new(id, row);
+        job.team = self.team_of_new(&job);
         if let Some((version, row)) = &progress {
             job.version = *version;
             let leases_end = self.predecessor_leases_end();
             job.load(row, leases_end, &mut |name| self.runner_named(name));
         }
-        for step in &job.steps {
-            for task in step.ids() {
-                let t = &step.tasks[task.index as usize];
-                if let Some(run) = &t.run {
-                    let need = job.spec(step.id).demand();
-                    self.runners.get_mut(run.runner).allocate(task, t.attempt, need, t.losses);
-                }
-            }
-        }
+        let tasks = job.steps.iter().flat_map(|s| s.ids().zip(&s.tasks));
+        let run_of = |(task, t): (TaskId, &Task)| {
+            t.run.as_ref().map(|run| (run.runner, task, t.attempt, t.losses))
+        };
+        let runs: Vec<(RunnerKey, TaskId, Attempt, Losses)> = tasks.filter_map(run_of).collect();
         // A new leader adds all jobs of the last minutes at once, most of which have ended: a log
         // line for each would displace those about the leader change.
         if job.state.ended() {
@@ -44,6 +41,9 @@
                 version = job.version; "job known to the scheduler");
         }
         self.jobs.insert(id, job);
+        for (k, task, attempt, losses) in runs {
+            self.allocate(k, task, attempt, losses);
+        }
         self.forecast(id);
         self.open_steps_of(id, now);
         if progress.is_some() {
--- a/src/control/engine/losses.rs
+++ b/src/control/engine/losses.rs
@@ -60,7 +60,7 @@
             self.update_state(id.step.job, now);
         }
         for (id, attempt) in allocated {
-            self.runners.get_mut(k).deallocate(id, attempt);
+            self.deallocate(k, id, attempt);
         }
     }
 
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -26,12 +26,14 @@
 mod runners;
 mod runs;
 mod store_backlog;
+mod teams;
 
 pub use commit::{Batch, Outcome, Write};
 pub use jobs::{Job, StepRun, Task};
 pub use round::MAX_CHECKS_PER_ROUND;
 pub use runners::{Runner, RunnerHealth};
 pub use runs::{Run, Stage};
+pub use teams::{TeamKey, TeamUse, TeamView};
 
 use super::crashes::LossRate;
 use super::model::{Attempt, Catalogue, JobId, StepId, TaskId};
@@ -195,6 +197,8 @@
     loss_rate: LossRate,
     /// Racks by name; runners and steps use their numbers.
     racks: BTreeMap<String, u32>,
+    /// What teams have running.
+    teams: teams::TeamTable,
 }
 
 impl Engine {
@@ -230,12 +234,14 @@
             run_times: BTreeMap::new(),
             loss_rate: LossRate::default(),
             racks: BTreeMap::new(),
+            teams: teams::TeamTable::default(),
         }
     }
 
     /// Applies a catalogue; one that is not newer is ignored.
     pub fn set_catalogue(&mut self, cat: Arc<Catalogue>) {
         if cat.version > self.cat.version {
+            self.teams.set_caps(&cat.teams);
             self.cat = cat;
         }
     }
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -23,7 +23,7 @@
     pub queue: &'a Queue,
     waiting: usize,
     /// Whether its queue is not an urgent one.
-    non_urgent: bool,
+    pub non_urgent: bool,
 }
 
 impl StepView<'_> {
@@ -170,7 +170,7 @@
         Backlog { demand, capacity }
     }
 
-    fn waiting(&self, id: StepId) -> usize {
+    pub(super) fn waiting(&self, id: StepId) -> usize {
         self.step(id).map_or(0, |s| s.tasks.iter().filter(|t| t.waits()).count())
     }
 
@@ -299,11 +299,13 @@
         if self.advice_blocked(v.id, now) && self.needs_ticket(v, now) {
             return;
         }
+        let Some(allowed) = self.tasks_allowed(v, reserved) else { return };
         let candidates = self.candidates(v, reserved, now);
         let mut approved = self.with_valid_ticket(v, &candidates, now);
         let mut budget = if v.non_urgent { self.non_urgent_capacity(v, now) } else { u64::MAX };
         let request = self.placement_request(v);
-        let waiting: Vec<TaskId> = self.waiting_ids(v.id);
+        let mut waiting: Vec<TaskId> = self.waiting_ids(v.id);
+        waiting.truncate(allowed);
         let mut missing = waiting.len();
         for id in waiting {
             if request.need.cpu > budget {
@@ -338,6 +340,9 @@
         if self.provisional.contains_key(&v.id) {
             return self.place_reserved(v, now);
         }
+        if !self.gang_allowed(v, count, reserved) {
+            return;
+        }
         // Nothing can be placed, requested or reserved.
         if self.advice_pending(v.id) && self.needs_ticket(v, now) && !reserved.allows(rank) {
             return;
@@ -418,7 +423,6 @@
 
     /// Decides the placement of a task. Its start is ordered once the placement is stored.
     fn decide_placement(&mut self, v: &StepView<'_>, id: TaskId, k: RunnerKey, now: Now) {
-        let need = v.step.demand();
         let name = self.runners.get(k).id.clone();
         let free = self.runners.get(k).free();
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
@@ -431,7 +435,7 @@
         run.ticket = ticket;
         task.run = Some(run);
         let (attempt, losses) = (task.attempt, task.losses);
-        self.runners.get_mut(k).allocate(id, attempt, need, losses);
+        self.allocate(k, id, attempt, losses);
         self.round.changes += 1;
         log::info!(task:% = id, attempt = attempt.0, runner = name, free_cpu = free.cpu,
             free_mem = free.mem, cat = self.cat.version; "task placed");
--- a/src/control/engine/preempt.rs
+++ b/src/control/engine/preempt.rs
@@ -80,7 +80,7 @@
     fn victims(&self, k: RunnerKey, now: Now) -> Vec<Victim<TaskId>> {
         let tasks = self.runners.get(k).tasks.iter();
         let preemptible = tasks.filter(|((id, _), _)| self.may_preempt(*id, now).unwrap_or(false));
-        preemptible.map(|((id, _), need)| Victim { id: *id, need: *need }).collect()
+        preemptible.map(|((id, _), a)| Victim { id: *id, need: a.need }).collect()
     }
 
     fn may_preempt(&self, id: TaskId, now: Now) -> Option<bool> {
--- a/src/control/engine/provisional.rs
+++ b/src/control/engine/provisional.rs
@@ -4,6 +4,7 @@
 //! the answer arrives. Without a reservation the gang repeats its request again and again, and
 //! loads the service at the expense of all other steps. The time of a reservation is bounded.
 
+use super::teams::TeamKey;
 use super::{Engine, Now, RunnerKey};
 use crate::control::model::StepId;
 use crate::kernel::res::Resources;
@@ -27,6 +28,9 @@
     /// Runner of each member.
     pub keys: Vec<RunnerKey>,
     need: Resources,
+    /// Its team, and what counts against the team's cap.
+    team: Option<TeamKey>,
+    charge: Resources,
     /// When it expires, local ms; extended while an advice request for the step is pending.
     until: u64,
     /// Latest time to which `until` may be extended, local ms.
@@ -49,6 +53,9 @@
         need: Resources,
         now: Now,
     ) {
+        let Some(job) = self.jobs.get(&id.job) else { return };
+        let (team, charge) = (job.team, job.spec(id).charge().times(keys.len() as u64));
+        self.team_reserve(team, &charge);
         self.round.changes += 1;
         for k in &keys {
             let r = self.runners.get_mut(*k);
@@ -56,12 +63,14 @@
         }
         log::info!(step:% = id, members = keys.len(); "room booked while tickets are asked for");
         let (until, limit) = (now.mono + PROVISIONAL_MS, now.mono + MAX_PROVISIONAL_MS);
-        self.provisional.insert(id, ProvisionalReservation { keys, need, until, limit });
+        let reservation = ProvisionalReservation { keys, need, team, charge, until, limit };
+        self.provisional.insert(id, reservation);
     }
 
     /// Removes a provisional reservation and frees its capacity.
     pub(super) fn release_provisional(&mut self, id: StepId) -> Option<ProvisionalReservation> {
         let b = self.provisional.remove(&id)?;
+        self.team_unreserve(b.team, &b.charge);
         self.round.changes += 1;
         for k in &b.keys {
             let r = self.runners.get_mut(*k);
@@ -82,13 +91,14 @@
         }
     }
 
-    /// Releases reservations that have expired, whose step no longer waits, or that include a
-    /// runner that takes no new tasks.
+    /// Releases reservations that have expired, whose step no longer waits, that include a
+    /// runner that takes no new tasks, or whose team's cap has been lowered.
     pub(super) fn expire_provisional(&mut self, now: Now) {
         self.extend_provisional(now);
         let expired = |id: &StepId, b: &ProvisionalReservation| {
             let usable = b.keys.iter().all(|k| self.runners.get(*k).usable(now));
-            b.until <= now.mono || !usable || !self.open.contains(id)
+            let over_cap = self.team_overbooked(id.job);
+            b.until <= now.mono || !usable || over_cap || !self.open.contains(id)
         };
         let due: Vec<StepId> =
             self.provisional.iter().filter(|(id, b)| expired(id, b)).map(|(id, _)| *id).collect();
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -4,6 +4,7 @@
 use super::progress::{self, Progress};
 use super::runs::{Stage, StopReason};
 use super::{Action, Engine, Now, RunnerKey};
+use crate::control::crashes::Losses;
 use crate::control::model::{Attempt, EndKind, TaskId};
 use crate::control::ports::{ActiveRun, End, Refusal, Report, StopOrder};
 use std::collections::{BTreeMap, BTreeSet};
@@ -83,16 +84,20 @@
                 None => self.run_not_listed(k, id, attempt, report.clock, now),
             }
         }
-        let runner = self.runners.get(k);
-        let orphans: Vec<(TaskId, Attempt)> =
-            active.keys().filter(|t| !runner.tasks.contains_key(t)).copied().collect();
-        for (task, attempt) in orphans {
-            self.stop_orphan(k, task, attempt);
+        for (task, attempt) in active.into_keys() {
+            if self.run_mut(k, task, attempt).is_none() {
+                self.stop_orphan(k, task, attempt);
+            }
         }
     }
 
-    /// Stops an orphaned run: a start that took effect late.
+    /// Stops an orphaned run: a start that took effect late. It takes capacity until it is no longer
+    /// listed.
     fn stop_orphan(&mut self, k: RunnerKey, task: TaskId, attempt: Attempt) {
+        let job = self.jobs.get(&task.step.job);
+        if job.is_some_and(|j| (task.step.step as usize) < j.row.spec.steps.len()) {
+            self.allocate(k, task, attempt, Losses::default());
+        }
         let Some(to) = self.runners.get(k).call() else { return };
         log::warn!(task:% = task, attempt = attempt.0, runner = to.id; "stray run stopped");
         let order = StopOrder { task, attempt, fence: self.fence };
@@ -154,7 +159,7 @@
     /// Handles a run that the runner does not list, while its capacity is still allocated.
     fn run_not_listed(&mut self, k: RunnerKey, id: TaskId, attempt: Attempt, clock: u64, now: Now) {
         let Some(run) = self.run_mut(k, id, attempt) else {
-            self.runners.get_mut(k).deallocate(id, attempt);
+            self.deallocate(k, id, attempt);
             return;
         };
         // The poll raised the fencing token, so that a predecessor's start that has not arrived yet
@@ -189,7 +194,7 @@
         if self.run_mut(k, id, end.attempt).is_none() {
             log::info!(task:% = id, attempt = end.attempt.0, runner = name, how = end.kind.name();
                 "completion of a run already marked as lost");
-            self.runners.get_mut(k).deallocate(id, end.attempt);
+            self.deallocate(k, id, end.attempt);
             self.late_completion(id, end.attempt, end.kind == EndKind::Failed, now);
             return;
         }
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -2,6 +2,7 @@
 //! expires.
 
 use super::losses::Loss;
+use super::teams::TeamKey;
 use super::{Action, Engine, Now, RunnerKey};
 use crate::control::crashes::Losses;
 use crate::control::model::{Attempt, Born, JobId, TaskId};
@@ -71,6 +72,17 @@
     }
 }
 
+/// Capacity allocated to a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Allocation {
+    /// Capacity of its runner.
+    pub need: Resources,
+    /// What counts against the cap of its team.
+    pub charge: Resources,
+    /// Its team.
+    pub team: Option<TeamKey>,
+}
+
 /// One incarnation of a runner.
 #[derive(Clone, Debug)]
 pub struct Runner {
@@ -97,7 +109,7 @@
     /// Capacity that steps whose pending advice requests name this runner will probably use.
     pub anticipated: Resources,
     /// Tasks that run or may run there, and the capacity allocated to each.
-    pub tasks: BTreeMap<(TaskId, Attempt), Resources>,
+    pub tasks: BTreeMap<(TaskId, Attempt), Allocation>,
     /// Those of its tasks that have lost runs with their runners.
     pub suspects: BTreeMap<TaskId, Losses>,
     /// Its clock and the local time when it was read, ms.
@@ -217,22 +229,31 @@
         ready && self.listed && !self.replaced && answers && self.health.avoid_until <= now.mono
     }
 
-    /// Allocates capacity for a task whose history of lost runs is `losses`.
-    pub fn allocate(&mut self, id: TaskId, attempt: Attempt, need: Resources, losses: Losses) {
+    /// Allocates capacity for a task whose history of lost runs is `losses`. Returns whether none
+    /// was allocated before.
+    pub(super) fn allocate(
+        &mut self,
+        id: TaskId,
+        attempt: Attempt,
+        allocation: Allocation,
+        losses: Losses,
+    ) -> bool {
         if losses.suspect() {
             self.suspects.insert(id, losses);
         }
-        if self.tasks.insert((id, attempt), need).is_none() {
-            self.used = self.used.add(&need);
+        let added = self.tasks.insert((id, attempt), allocation).is_none();
+        if added {
+            self.used = self.used.add(&allocation.need);
         }
+        added
     }
 
-    /// Frees the capacity of a task, and returns how much was allocated.
-    pub fn deallocate(&mut self, id: TaskId, attempt: Attempt) -> Option<Resources> {
-        let need = self.tasks.remove(&(id, attempt))?;
-        self.used = self.used.sub(&need);
+    /// Frees the capacity of a task, and returns what was allocated.
+    pub(super) fn deallocate(&mut self, id: TaskId, attempt: Attempt) -> Option<Allocation> {
+        let allocation = self.tasks.remove(&(id, attempt))?;
+        self.used = self.used.sub(&allocation.need);
         self.suspects.remove(&id);
-        Some(need)
+        Some(allocation)
     }
 
     /// Records an answer that carries the runner's clock.
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -216,7 +216,7 @@
         let Some(task) = self.task_mut(id) else { return };
         let attempt = task.attempt;
         let Some(run) = task.run.take() else { return };
-        self.runners.get_mut(run.runner).deallocate(id, attempt);
+        self.deallocate(run.runner, id, attempt);
         self.mark_changed(id.step.job);
         self.open_steps_of(id.step.job, now);
     }
@@ -392,7 +392,8 @@
 
     /// Orders the starts of a step whose placements are stored up to revision `stored`. While the
     /// store was slow or unavailable, a ticket may have expired or a runner's capacity may have
-    /// shrunk. Such a placement is released, and for a gang the placements of all its members.
+    /// shrunk, or the cap of the team been lowered. Such a placement is released, and for a gang the
+    /// placements of all its members.
     pub(super) fn start_stored(&mut self, step: StepId, stored: u64, now: Now) {
         let Some(s) = self.step(step) else { return };
         let due: Vec<TaskId> = s
@@ -408,19 +409,26 @@
         let (mut expired, mut valid): (Vec<_>, Vec<_>) = due
             .into_iter()
             .partition(|id| self.ticket_expired(*id, now) || self.capacity_shrunk(*id));
-        if gang && !expired.is_empty() {
+        let over_cap = self.team_over_cap(step.job);
+        if gang && (!expired.is_empty() || over_cap) {
             expired.append(&mut valid);
         }
         if !expired.is_empty() {
             let shrunk = expired.iter().filter(|id| self.capacity_shrunk(**id)).count();
-            log::info!(step:% = step, tasks = expired.len(), shrunk;
+            log::info!(step:% = step, tasks = expired.len(), shrunk, over_cap;
                 "ticket or room gone before the start");
         }
         for id in expired {
             self.release(id, now);
         }
         for id in valid {
-            self.order_start(id, now, 0);
+            // Only a cap that was lowered since the placement can be exceeded here.
+            if self.team_over_cap(step.job) {
+                log::info!(task:% = id; "cap of the team lowered before the start");
+                self.release(id, now);
+            } else {
+                self.order_start(id, now, 0);
+            }
         }
     }
 }
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -16,6 +16,7 @@
 use super::model::{Attempt, JobId, JobState, StepId, TaskId};
 use super::partitions::{self, PartitionScope};
 use super::ports::{Advice, AdviceError, CommitError, Refusal, Report, Runners, Store};
+use super::teams;
 use crate::kernel::clock::Clock;
 use crate::kernel::stop::Stop;
 use async_std::channel::{self, Receiver};
@@ -58,6 +59,9 @@
 /// runner's link, and shorter than the platform's maximum.
 pub const LEASE_MS: u64 = 8_000;
 
+/// Most teams in the state dump and in the metrics: those with most running.
+const MAX_TEAMS_SHOWN: usize = 32;
+
 /// Most ended jobs that one garbage collection deletes from the store.
 const GC_JOBS: usize = 20;
 
@@ -317,10 +321,19 @@
             }
             let resources: BTreeMap<&str, u64> =
                 BTreeMap::from([("used_cpu", used), ("cpu", capacity)]);
+            let teams = engine.team_views(MAX_TEAMS_SHOWN);
+            for team in teams.iter().filter(|t| teams::has_label(&t.name)) {
+                let gauge = |what: &'static str, value: u64| {
+                    metrics::gauge!(what, "team" => team.name.clone()).set(value as f64);
+                };
+                gauge("control_team_used_cpu", team.used_cpu);
+                gauge("control_team_used_mem", team.used_mem);
+                gauge("control_team_waiting", team.waiting as u64);
+            }
             *self.view.lock().unwrap() = serde_json::json!({
                 "fence": engine.fence, "jobs": engine.job_count(), "tasks": tasks,
                 "open_steps": engine.open_steps(), "usable_runners": usable,
-                "room": resources, "counts": engine.counts,
+                "room": resources, "counts": engine.counts, "teams": teams,
                 "advice_lines": self.server.advice_connections(),
             });
         }
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -13,10 +13,13 @@
 mod orders;
 #[path = "control/store.rs"]
 mod store;
+#[path = "control/teams.rs"]
+mod teams;
 #[path = "control/work.rs"]
 mod work;
 
 pub use crashes::Crashes;
+pub use teams::cores;
 
 use super::runner::FakeRunner;
 use currantgw::control::engine::{Action, Batch, Engine, Now, Outcome, Rules, RunnerKey};
@@ -142,6 +145,7 @@
     pub began: BTreeMap<JobId, u64>,
     /// Duration of each planning round.
     pub planning: Vec<std::time::Duration>,
+    caps: teams::CapHistory,
     capacity: Resources,
     cat: Arc<Catalogue>,
     jobs: BTreeMap<JobId, Arc<JobRow>>,
@@ -176,6 +180,7 @@
         latency_ms: 1_000,
         timeout_ms: 3_000,
         approval,
+        open: false,
     }
 }
 
@@ -207,7 +212,7 @@
         seed: u64,
     ) -> Self {
         let queues = queues.into_iter().map(|q| (q.name.clone(), q)).collect();
-        let cat = Arc::new(Catalogue { version: 1, queues });
+        let cat = Arc::new(Catalogue { version: 1, queues, ..Catalogue::default() });
         let now = 1_000;
         let mut cell = Self {
             engine: Engine::new(rules, 1, Now { mono: now, wall: now }),
@@ -234,6 +239,7 @@
             ended: BTreeMap::new(),
             began: BTreeMap::new(),
             planning: Vec::new(),
+            caps: BTreeMap::new(),
             cat,
             jobs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
@@ -285,9 +291,17 @@
 
     /// Submits a job.
     pub fn submit(&mut self, id: u64, queue: &str, steps: Vec<Step>) -> JobId {
-        let id = JobId(id);
+        let row = self.new_row(queue, steps);
+        self.add(id, row)
+    }
+
+    fn new_row(&self, queue: &str, steps: Vec<Step>) -> JobRow {
         let spec = JobSpec { payload: "p".into(), steps, ..JobSpec::default() };
-        let row = Arc::new(JobRow { queue: queue.into(), at: self.now, spec });
+        JobRow { queue: queue.into(), team: None, at: self.now, spec }
+    }
+
+    fn add(&mut self, id: u64, row: JobRow) -> JobId {
+        let (id, row) = (JobId(id), Arc::new(row));
         self.jobs.insert(id, row.clone());
         self.engine.add_job(id, row, None, self.clocks());
         id
--- a/tests/common/control/orders.rs
+++ b/tests/common/control/orders.rs
@@ -80,6 +80,7 @@
         let fails = run.fails || r.failing;
         r.running.insert(s.task, Running { fails, ..run });
         self.check_start(i, s.task);
+        self.check_cap(s.task);
         self.check_crashes(s.task);
         *self.starts.entry(s.task).or_default() += 1;
         Ok(clock)
