--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -7,8 +7,10 @@
 use async_std::net::TcpListener;
 use currantgw::control::model::{self, Attempt, Born, Catalogue, EndKind, Invalid, JobSpec};
 use currantgw::control::ports::{AdviceError, PollRequest, Refusal, RunnerCall, Runners};
+use currantgw::control::teams::{self, ApiKey, BadTeam};
 use currantgw::http::ConnPool;
 use currantgw::kernel::clock::Clock;
+use currantgw::kernel::res::Resources;
 use currantgw::platform::advice::{self, BadApproval};
 use currantgw::platform::callers;
 use currantgw::platform::catalogue::{self, BadCatalogue, BadRoute};
@@ -134,6 +136,10 @@
         "cpu",
         "estimate_ms",
         "slack_factor",
+        "tenants",
+        "api_keys",
+        "weight",
+        "cap",
     ];
     let leaf = prop_oneof![
         Just(Value::Null),
@@ -166,17 +172,37 @@
              "timeout_ms": 3000,
              "recommendation": {"decision_ms": 6.5, "per_item_ms": 0.1, "validity_ms": 2000}},
             {"name": "b", "host": "h.example", "path_prefix": "/y/", "service": "s"},
+        ], "tenants": [
+            {"name": "t", "api_keys": ["secret-1", "secret-2"], "weight": 1.5,
+             "cap": {"cpu": 4000, "mem_mb": 100, "gpu": 1}},
+            {"name": "u", "api_keys": ["secret-3"]},
         ]})
     }
 
+    fn key(text: &str) -> ApiKey {
+        ApiKey::try_from(text.to_string()).unwrap()
+    }
+
+    /// Name of the team of a key.
+    fn team_of(cat: &Catalogue, text: &str) -> Option<String> {
+        cat.teams.of_key(&key(text)).map(|t| t.name.clone())
+    }
+
     fn bounded(cat: &Catalogue) -> bool {
         let span = |ms: f64| (0.0..=model::MAX_MS as f64).contains(&ms);
-        cat.queues.iter().all(|(name, q)| {
-            let approval = q.approval.is_none_or(|a| span(a.base_ms) && span(a.each_ms));
-            let times = q.latency_ms.max(q.timeout_ms) <= model::MAX_MS;
-            let sound = (0.0..=1_000.0).contains(&q.slack) && q.max_fails > 0;
-            *name == q.name && !q.prefix.is_empty() && approval && times && sound
-        })
+        let teams_bounded = cat.teams.iter().all(|t| {
+            let cap = t.cap.cpu.max(t.cap.mem).max(t.cap.acc);
+            !t.name.is_empty()
+                && (0.0..=teams::MAX_WEIGHT).contains(&t.weight)
+                && cap <= teams::MAX_CAP
+        });
+        teams_bounded
+            && cat.queues.iter().all(|(name, q)| {
+                let approval = q.approval.is_none_or(|a| span(a.base_ms) && span(a.each_ms));
+                let times = q.latency_ms.max(q.timeout_ms) <= model::MAX_MS;
+                let sound = (0.0..=1_000.0).contains(&q.slack) && q.max_fails > 0;
+                *name == q.name && !q.prefix.is_empty() && approval && times && sound
+            })
     }
 
     /// Guards against one invalid route that keeps all queues from being updated, or whose queue is
@@ -233,6 +259,89 @@
         });
     }
 
+    /// Guards against one invalid team that locks out the others, or that runs without a cap because
+    /// its cap could not be decoded.
+    #[test]
+    fn an_invalid_team_does_not_affect_the_others() {
+        let paths = [
+            "/tenants/0/name",
+            "/tenants/0/api_keys",
+            "/tenants/0/weight",
+            "/tenants/0/cap",
+            "/tenants/0/cap/cpu",
+            "/tenants/0/cap/mem_mb",
+            "/tenants/0/cap/gpu",
+        ];
+        corrupt_each(&good(), &paths, |path, case, body| {
+            let read = catalogue::read(body).unwrap();
+            let cat = &read.catalogue;
+            assert_eq!(team_of(cat, "secret-3").as_deref(), Some("u"), "{path} {case:?}");
+            assert!(cat.queues.len() == 2 && bounded(cat), "{path} {case:?}");
+            let valid = match (path, case) {
+                ("/tenants/0/name", Case::Word) => true,
+                ("/tenants/0/name", _) => false,
+                (_, Case::Missing) => true,
+                ("/tenants/0/weight", Case::Fraction) => true,
+                ("/tenants/0/cap", Case::Object) => true,
+                _ => false,
+            };
+            assert_eq!(read.bad_teams.is_empty(), valid, "{path} {case:?} {:?}", read.bad_teams);
+            let expected = if valid { 2 } else { 1 };
+            assert_eq!(cat.teams.len(), expected, "{path} {case:?}");
+            let shown = format!("{:?}", read.bad_teams);
+            assert!(!shown.contains("secret"), "{shown}");
+        });
+        let good = catalogue::read(&bytes(&good())).unwrap().catalogue;
+        let team = good.teams.get("t").unwrap();
+        assert_eq!((team.weight, team.cap.cpu, team.cap.mem, team.cap.acc), (1.5, 4_000, 100, 1));
+        assert_eq!(good.teams.get("u").unwrap().cap, Resources::ZERO);
+        assert_eq!(good.teams.key_count(), 3);
+    }
+
+    /// Of two teams with one name the first holds; a key of two teams is the first one's; an empty
+    /// or endless key is no key, and the team keeps its others.
+    #[test]
+    fn keys_and_names_are_unique() {
+        let mut v = good();
+        let long = "x".repeat(teams::MAX_KEY + 1);
+        v["tenants"][1]["api_keys"] = json!(["", long, "secret-1", "secret-3", "secret-3"]);
+        let read = catalogue::read(&bytes(&v)).unwrap();
+        let bad = [
+            BadTeam::Key("u".into()),
+            BadTeam::Key("u".into()),
+            BadTeam::SharedKey("u".into(), "t".into()),
+        ];
+        assert_eq!(read.bad_teams, bad);
+        assert_eq!(team_of(&read.catalogue, "secret-1").as_deref(), Some("t"));
+        assert_eq!(team_of(&read.catalogue, "secret-3").as_deref(), Some("u"));
+        v["tenants"][1]["name"] = json!("t");
+        let read = catalogue::read(&bytes(&v)).unwrap();
+        assert_eq!(read.bad_teams, [BadTeam::Duplicate("t".into())]);
+        assert_eq!(team_of(&read.catalogue, "secret-3"), None);
+        v["tenants"] = json!([{"name": "t", "cap": {"cpu": teams::MAX_CAP + 1}}, {"name": "u"}]);
+        let read = catalogue::read(&bytes(&v)).unwrap();
+        assert_eq!(read.bad_teams, [BadTeam::Cap("t".into())]);
+        assert_eq!(read.catalogue.teams.len(), 1);
+    }
+
+    /// Tens of thousands of teams and keys are decoded, and looked up, in a fraction of the time in
+    /// which a configuration must be in force.
+    #[test]
+    fn tens_of_thousands_of_teams_are_decoded() {
+        let tenant = |n: u64| {
+            json!({"name": format!("team-{n}"), "weight": 1,
+            "api_keys": [format!("a-{n}"), format!("b-{n}")], "cap": {"cpu": n, "mem_mb": n}})
+        };
+        let mut v = good();
+        v["tenants"] = (0..20_000).map(tenant).collect();
+        let body = bytes(&v);
+        let began = Instant::now();
+        let read = catalogue::read(&body).unwrap();
+        assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
+        assert_eq!((read.catalogue.teams.len(), read.bad_teams.len()), (20_000, 0));
+        assert_eq!(team_of(&read.catalogue, "b-19999").as_deref(), Some("team-19999"));
+    }
+
     #[test]
     fn the_first_of_two_routes_with_one_name_holds() {
         let mut two = good();
@@ -281,7 +390,8 @@
 
         #[test]
         fn any_json_yields_an_error_or_queues_within_bounds(v in any_json()) {
-            for body in [v.clone(), json!({"version": 1, "routes": [v]})] {
+            let teams = json!({"version": 1, "tenants": [v.clone()]});
+            for body in [v.clone(), json!({"version": 1, "routes": [v]}), teams] {
                 if let Ok(read) = catalogue::read(&bytes(&body)) {
                     prop_assert!(bounded(&read.catalogue));
                 }
