Rank jobs beyond their team's share behind those of teams within theirs

A team's share is a token bucket of its weight, in jobs a second, with 2 s saved up. A job beyond it is planned after all others that still earn something, and neither preempts nor reserves. Comes with the limits of caps in one function, and with the charge of a step in the model.

--- a/src/control/engine/gang_reservations.rs
+++ b/src/control/engine/gang_reservations.rs
@@ -96,7 +96,7 @@
         } else {
             MAX_RESERVING_GANGS
         };
-        rank.non_urgent && self.gangs < limit
+        rank.non_urgent && !rank.excess && self.gangs < limit
     }
 }
 
--- a/src/control/engine/jobs.rs
+++ b/src/control/engine/jobs.rs
@@ -121,6 +121,8 @@
     pub row: Arc<JobRow>,
     /// Its team; none if it was submitted without a key.
     pub team: Option<TeamKey>,
+    /// Whether it is beyond its team's share.
+    pub excess: bool,
     /// State shown to callers once it is stored.
     pub state: JobState,
     /// When it ended, Unix ms; 0 before.
@@ -157,6 +159,7 @@
         Self {
             row,
             team: None,
+            excess: false,
             state,
             ended,
             steps,
--- a/src/control/engine/lifecycle.rs
+++ b/src/control/engine/lifecycle.rs
@@ -22,6 +22,7 @@
         }
         let mut job = Job::new(id, row);
         job.team = self.team_of_new(&job);
+        job.excess = job.team.is_some_and(|k| !self.record_submission(k, job.row.at));
         if let Some((version, row)) = &progress {
             job.version = *version;
             let leases_end = self.predecessor_leases_end();
@@ -37,8 +38,9 @@
         if job.state.ended() {
             self.ended_jobs.insert((job.ended, id));
         } else {
-            log::info!(job:% = id, queue = job.row.queue, state = job.state.name(),
-                version = job.version; "job known to the scheduler");
+            log::info!(job:% = id, queue = job.row.queue, team:? = job.row.team,
+                excess = job.excess, state = job.state.name(), version = job.version;
+                "job known to the scheduler");
         }
         self.jobs.insert(id, job);
         for (k, task, attempt, losses) in runs {
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -241,7 +241,7 @@
     /// Applies a catalogue; one that is not newer is ignored.
     pub fn set_catalogue(&mut self, cat: Arc<Catalogue>) {
         if cat.version > self.cat.version {
-            self.teams.set_caps(&cat.teams);
+            self.teams.apply(&cat.teams);
             self.cat = cat;
         }
     }
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -22,7 +22,7 @@
     pub step: &'a Step,
     pub queue: &'a Queue,
     waiting: usize,
-    /// Whether its queue is not an urgent one.
+    /// Whether its queue is not an urgent one, or its job is beyond its team's share.
     pub non_urgent: bool,
 }
 
@@ -86,7 +86,7 @@
     /// rank.
     fn urgent_steps(&self, ids: BTreeSet<StepId>, now: Now) -> Vec<(Rank, StepId)> {
         let mut order = self.ranked(ids.into_iter(), now);
-        order.retain(|(rank, _)| !rank.non_urgent && !rank.no_value);
+        order.retain(|(rank, _)| !rank.non_urgent && !rank.no_value && !rank.excess);
         order
     }
 
@@ -105,13 +105,13 @@
             self.open.remove(&id);
             return;
         }
-        if self.store_busy(id.job, rank.non_urgent, now) {
+        if self.store_busy(id.job, rank.non_urgent || rank.excess, now) {
             return;
         }
         let Some(queue) = cat.queues.get(&row.queue) else { return };
         let step = &row.spec.steps[id.step as usize];
-        let view =
-            StepView { id, step, queue, waiting: self.waiting(id), non_urgent: rank.non_urgent };
+        let non_urgent = rank.non_urgent || rank.excess;
+        let view = StepView { id, step, queue, waiting: self.waiting(id), non_urgent };
         match step.gang {
             true => self.place_gang(&view, rank, reserved, now),
             false => self.place_tasks(&view, reserved, now),
@@ -150,6 +150,7 @@
         let queue = self.cat.queues.get(&job.row.queue)?;
         let input = RankInput {
             priority: queue.priority,
+            excess: job.excess,
             begin: job.begin(id.occurrence),
             objective: job.objective(queue),
             chain: job.path_ms[id.step as usize],
--- a/src/control/engine/preempt.rs
+++ b/src/control/engine/preempt.rs
@@ -43,6 +43,7 @@
         let demand = need.cpu * count as u64;
         if !rank.non_urgent
             || rank.no_value
+            || rank.excess
             || reserved.without(demand).exceeds(MAX_BACKLOG_PERCENT)
             || s.preempt_tried + PREEMPT_INTERVAL_MS > now.mono
         {
--- a/src/control/engine/teams.rs
+++ b/src/control/engine/teams.rs
@@ -14,8 +14,9 @@
 use super::{Engine, Job, RunnerKey};
 use crate::arena_key;
 use crate::control::crashes::Losses;
-use crate::control::model::{Attempt, JobId, Step, TaskId, MAX_WIDTH};
-use crate::control::teams::Teams;
+use crate::control::fair_share::Share;
+use crate::control::model::{Attempt, JobId, TaskId, MAX_WIDTH};
+use crate::control::teams::{self, Teams};
 use crate::kernel::arena::Arena;
 use crate::kernel::res::Resources;
 use std::collections::BTreeMap;
@@ -37,40 +38,27 @@
     pub used: Resources,
     /// Resources provisionally reserved for its gangs.
     pub provisional: Resources,
-}
-
-/// `amount` where there is a limit, and else the largest value.
-fn limited(limit: u64, amount: u64) -> u64 {
-    if limit == 0 {
-        u64::MAX
-    } else {
-        amount
-    }
+    /// Its share when capacity is short, jobs a second.
+    weight: f64,
+    share: Share,
 }
 
 impl TeamUse {
     /// What it may start besides what it has running and reserved.
     pub fn room(&self) -> Resources {
         let left = self.cap.sub(&self.used).sub(&self.provisional);
-        Resources {
-            cpu: limited(self.cap.cpu, left.cpu),
-            mem: limited(self.cap.mem, left.mem),
-            acc: limited(self.cap.acc, left.acc),
-        }
+        teams::limit(&self.cap, &left)
     }
 
     /// Whether what it has running is beyond its cap.
     pub fn over_cap(&self) -> bool {
-        let Resources { cpu, mem, acc } = self.cap;
-        let cap =
-            Resources { cpu: limited(cpu, cpu), mem: limited(mem, mem), acc: limited(acc, acc) };
+        let cap = teams::limit(&self.cap, &self.cap);
         !self.used.fits(&cap)
     }
 
     /// Whether it could ever have `need` running.
     fn may_ever_run(&self, need: &Resources) -> bool {
-        let idle = Self { used: Resources::ZERO, provisional: Resources::ZERO, ..self.clone() };
-        need.fits(&idle.room())
+        need.fits(&teams::limit(&self.cap, &self.cap))
     }
 }
 
@@ -99,16 +87,16 @@
 }
 
 impl TeamTable {
-    /// Applies the caps of a newer catalogue.
-    pub fn set_caps(&mut self, listed: &Teams) {
+    /// Applies the caps and weights of a newer catalogue.
+    pub fn apply(&mut self, listed: &Teams) {
         for (_, team) in self.teams.iter_mut() {
-            let Some(cap) = listed.get(&team.name).map(|t| t.cap) else { continue };
+            let Some(&teams::Team { cap, weight, .. }) = listed.get(&team.name) else { continue };
             if cap != team.cap {
                 log::info!(team = team.name, cpu = cap.cpu, mem = cap.mem, acc = cap.acc,
                     was_cpu = team.cap.cpu, was_mem = team.cap.mem, used_cpu = team.used.cpu,
                     used_mem = team.used.mem; "cap of a team changed");
             }
-            team.cap = cap;
+            (team.cap, team.weight) = (cap, weight);
         }
     }
 
@@ -122,20 +110,14 @@
             cap: listed.get(name).map_or(Resources::ZERO, |t| t.cap),
             used: Resources::ZERO,
             provisional: Resources::ZERO,
+            weight: listed.get(name).map_or(0.0, |t| t.weight),
+            share: Share::default(),
         });
         self.by_name.insert(name.to_string(), k);
         k
     }
 }
 
-impl Step {
-    /// Resources of one task that count against its team's cap: all that it requests, also where it
-    /// takes no processor capacity of its runner.
-    pub fn charge(&self) -> Resources {
-        self.need
-    }
-}
-
 impl Engine {
     /// What teams with accepted jobs have running.
     pub fn teams(&self) -> impl Iterator<Item = (TeamKey, &TeamUse)> {
@@ -278,6 +260,12 @@
         allowed
     }
 
+    /// Records a job that a team submitted at `at`, Unix ms. Returns whether it is within its share.
+    pub(super) fn record_submission(&mut self, team: TeamKey, at: u64) -> bool {
+        let team = self.teams.teams.get_mut(team);
+        team.share.record(team.weight, at)
+    }
+
     /// The team of a job that is about to be added.
     pub(super) fn team_of_new(&mut self, job: &Job) -> Option<TeamKey> {
         let name = job.row.team.as_deref()?;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,8 +2,9 @@
 //! and one of them, the elected leader, runs the scheduler, which places tasks on runners.
 //!
 //! - `engine` decides without I/O, `leader` drives it, and `election` elects the leader.
-//! - `queue`, `place`, `preemption`, `crashes` and `run_times` are policies of the engine: queue
-//!   order, placement, preemption, crash-loop detection and the run-time model.
+//! - `queue`, `fair_share`, `place`, `preemption`, `crashes` and `run_times` are policies of the
+//!   engine: queue order, shares of teams, placement, preemption, crash-loop detection and the
+//!   run-time model.
 //! - `mirror` is the local cache of the store's tables, `submissions` writes submissions in
 //!   batches, `partitions` spreads progress over the partitions of the store, and `rows` encodes
 //!   the rows.
@@ -18,6 +19,7 @@
 pub mod crashes;
 pub mod election;
 pub mod engine;
+pub mod fair_share;
 pub mod front;
 pub mod health;
 pub mod leader;
--- a/src/control/model.rs
+++ b/src/control/model.rs
@@ -234,6 +234,18 @@
 }
 
 impl Step {
+    /// Resources of one task that count against its team's cap: all that it requests, also where it
+    /// takes no processor capacity of its runner.
+    pub fn charge(&self) -> Resources {
+        self.need
+    }
+
+    /// Resources that must be available to its team at once for it to make progress: those of one
+    /// task, or of all tasks of a gang.
+    pub fn charge_at_once(&self) -> Resources {
+        self.charge().times(if self.gang { self.count.into() } else { 1 })
+    }
+
     /// Resources that one task occupies on a runner.
     pub fn demand(&self) -> Resources {
         match self.fills {
--- a/src/control/queue.rs
+++ b/src/control/queue.rs
@@ -4,8 +4,8 @@
 //! of urgent queues come first. The others are ordered by the latest moment at which a step can
 //! start and still meet its job's objective, so that a job with a tight objective passes one with
 //! time to spare. A late job is ordered by the latest start that still earns something: fresh jobs
-//! pass it at first, and cannot starve it. Jobs that earn nothing any more come last; they still
-//! have to be run.
+//! pass it at first, and cannot starve it. Jobs beyond the share of their team come after all others,
+//! and jobs that earn nothing any more come last; they still have to be run.
 
 /// Multiple of the objective after which a job earns nothing.
 const NO_VALUE_FACTOR: u64 = 3;
@@ -15,6 +15,8 @@
 pub struct Rank {
     /// The job earns nothing any more.
     pub no_value: bool,
+    /// The job is beyond its team's share.
+    pub excess: bool,
     /// The queue is not urgent.
     pub non_urgent: bool,
     /// Latest start that meets the objective or, for a late job, that still earns something, Unix
@@ -29,6 +31,8 @@
 pub struct RankInput {
     /// Priority of the queue; 0 is urgent.
     pub priority: u32,
+    /// Whether the job is beyond its team's share.
+    pub excess: bool,
     /// When the step could start, Unix ms.
     pub begin: u64,
     /// Objective of the whole job, ms.
@@ -48,6 +52,7 @@
     let deadline = if late { no_value_at } else { due };
     Rank {
         no_value: end > no_value_at,
+        excess: input.excess,
         non_urgent: input.priority > 0,
         latest_start: deadline.saturating_sub(input.chain + input.capacity_wait),
         late,
--- a/src/control/teams.rs
+++ b/src/control/teams.rs
@@ -1,7 +1,7 @@
 //! Teams of callers: the keys that they call with, their weight, and what each may have running.
 //! No I/O.
 
-use super::model::MAX_NEED;
+use super::model::{JobSpec, MAX_NEED};
 use crate::kernel::res::Resources;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -57,6 +57,25 @@
     pub cap: Resources,
 }
 
+/// `amount` in each resource that `cap` limits, and the largest value in the others.
+pub fn limit(cap: &Resources, amount: &Resources) -> Resources {
+    let limited = |cap: u64, amount: u64| if cap == 0 { u64::MAX } else { amount };
+    Resources {
+        cpu: limited(cap.cpu, amount.cpu),
+        mem: limited(cap.mem, amount.mem),
+        acc: limited(cap.acc, amount.acc),
+    }
+}
+
+impl Team {
+    /// Index of the first step of a job that can never run under the team's cap: a task or a gang
+    /// that is larger.
+    pub fn step_beyond_cap(&self, job: &JobSpec) -> Option<usize> {
+        let cap = limit(&self.cap, &self.cap);
+        job.steps.iter().position(|step| !step.charge_at_once().fits(&cap))
+    }
+}
+
 /// Error: why a team, or one of its keys, is ignored.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BadTeam {
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -14,12 +14,11 @@
 #[path = "control/store.rs"]
 mod store;
 #[path = "control/teams.rs"]
-mod teams;
+pub mod teams;
 #[path = "control/work.rs"]
 mod work;
 
 pub use crashes::Crashes;
-pub use teams::cores;
 
 use super::runner::FakeRunner;
 use currantgw::control::engine::{Action, Batch, Engine, Now, Outcome, Rules, RunnerKey};
--- a/tests/common/control/teams.rs
+++ b/tests/common/control/teams.rs
@@ -22,11 +22,17 @@
 }
 
 impl Cell {
-    /// Brings a catalogue into force that has these teams.
+    /// Brings a catalogue into force that has these teams, with caps.
     pub fn set_caps(&mut self, caps: &[(&str, Resources)]) {
+        let teams: Vec<_> = caps.iter().map(|(name, cap)| (*name, *cap, 0.0)).collect();
+        self.set_teams(&teams);
+    }
+
+    /// Brings a catalogue into force that has these teams, with caps and weights.
+    pub fn set_teams(&mut self, listed: &[(&str, Resources, f64)]) {
         let mut teams = Teams::default();
-        for (name, cap) in caps {
-            let team = Team { name: name.to_string(), weight: 1.0, cap: *cap };
+        for (name, cap, weight) in listed {
+            let team = Team { name: name.to_string(), weight: *weight, cap: *cap };
             assert_eq!(teams.add(team, vec![format!("key-{name}")]), []);
             self.caps.entry(name.to_string()).or_default().push((self.now, *cap));
         }
--- a/tests/control_policy.rs
+++ b/tests/control_policy.rs
@@ -28,7 +28,7 @@
  "advice": "127.0.0.1:6", "hold_max_ms": 10000, "grace_ms": 6000, "keep_ms": 120000}"#;
 
 fn rank_input(priority: u32, begin: u64, objective: u64, chain: u64) -> RankInput {
-    RankInput { priority, begin, objective, chain, capacity_wait: 0 }
+    RankInput { priority, excess: false, begin, objective, chain, capacity_wait: 0 }
 }
 
 /// A job that has been late for long ranks before a fresh one that has time; one that has just
--- a/tests/control_teams.rs
+++ b/tests/control_teams.rs
@@ -6,7 +6,8 @@
     pub mod runner;
 }
 
-use common::control::{cores, step, Cell, Faults};
+use common::control::teams::cores;
+use common::control::{step, Cell, Faults};
 use currantgw::control::model::{JobId, JobState, Step, StepId, TaskId};
 use currantgw::kernel::res::Resources;
 use rand::rngs::StdRng;
@@ -254,6 +255,42 @@
     assert_eq!(cell.stored(job), JobState::Completed);
 }
 
+/// Lookups of two teams of weight 8 on a cell that serves some 32 a second. `TWO` sends its share,
+/// `ONE` sends `factor` times its share. Returns for each team the part of its lookups that ended
+/// within 1.5 s.
+fn served_in_time(factor: u64) -> [f64; 2] {
+    let mut cell = Cell::new(2, 7);
+    cell.set_teams(&[(ONE, cores(0), 8.0), (TWO, cores(0), 8.0)]);
+    let mut jobs = Vec::new();
+    for n in 0..400_u64 {
+        let teams = [(TWO, n % 5 == 0), (ONE, n % 5 < factor)];
+        for (team, _) in teams.into_iter().filter(|(_, sends)| *sends) {
+            let id = n * 10 + jobs.len() as u64 * 10_000;
+            let job = cell.submit_for(team, id, "urgent", vec![step(1, 1_000, 1_000)]);
+            jobs.push((team, cell.now, job));
+        }
+        cell.run(25);
+    }
+    cell.run(30_000);
+    cell.check();
+    [ONE, TWO].map(|team| {
+        let mine: Vec<_> = jobs.iter().filter(|(t, ..)| *t == team).collect();
+        let in_time = |(_, at, id): &&&(&str, u64, JobId)| cell.ended[id].0 <= at + 1_500;
+        mine.iter().filter(in_time).count() as f64 / mine.len() as f64
+    })
+}
+
+/// Guards against a team that sends several times its share and makes all other teams wait: 40
+/// lookups a second, where the cell serves 32.
+#[test]
+fn a_team_beyond_its_share_delays_only_itself() {
+    let [one, two] = served_in_time(4);
+    assert!(two >= 0.95, "{two}");
+    assert!(one >= 0.3, "{one}");
+    let [one, two] = served_in_time(1);
+    assert!(one == 1.0 && two == 1.0, "{one} {two}");
+}
+
 /// The state dump's view of teams: what runs, the cap, and what waits; no key.
 #[test]
 fn teams_are_shown_with_their_use_and_waiting_tasks() {
