Refuse jobs at once that can never run under their team's cap

A task or a gang that is larger than the cap would wait for good. A configuration could raise the cap, and the caller can submit again then: it learns at once instead of after its objective. A job that was accepted under a higher cap stays accepted.

Test: a_gang_beyond_its_teams_cap_is_refused_at_once (answered 200 before).

--- a/src/control/front.rs
+++ b/src/control/front.rs
@@ -8,7 +8,7 @@
 use super::links::client::LinkClient;
 use super::links::server::LinkServer;
 use super::mirror::{Mirror, Table};
-use super::model::{Catalogue, Invalid, JobId, JobState, Queue};
+use super::model::{Catalogue, Invalid, JobId, JobSpec, JobState, Queue};
 use super::ports::ReadError;
 use super::rows::{self, JobRow};
 use super::store_health::StoreHealth;
@@ -287,6 +287,9 @@
             Some(false) => return id_taken(id),
             None => {}
         }
+        if let Some(res) = self.refuse_beyond_cap(id, caller, &spec).await {
+            return res;
+        }
         let (team, at) = (caller.team().map(str::to_string), self.clock.wall());
         let row = JobRow { queue: queue.name.clone(), team, at, spec };
         let out = self.submissions.submit(id, &row, self.remaining_ms(req, began)).await;
@@ -308,6 +311,31 @@
         }
     }
 
+    /// The refusal of a job that can never run under its team's cap, so that its caller need not wait
+    /// for it. A job that was accepted under a higher cap is not refused. A later configuration may
+    /// raise the cap, and the job may be submitted again then.
+    async fn refuse_beyond_cap(
+        &self,
+        id: JobId,
+        caller: &Caller,
+        spec: &JobSpec,
+    ) -> Option<Response> {
+        let cat = self.mirror.catalogue();
+        let team = cat.teams.get(caller.team()?)?;
+        let step = team.step_beyond_cap(spec)?;
+        match self.find_state(id, caller).await {
+            Ok(None) => {}
+            Ok(Some(_)) => return Some(answer(200, callers::state(JobState::Queued))),
+            Err(res) => return Some(res),
+        }
+        let need = spec.steps[step].charge_at_once();
+        log::info!(job:% = id, team = team.name, catalogue = cat.version, step, cpu = need.cpu,
+            mem = need.mem, cap_cpu = team.cap.cpu, cap_mem = team.cap.mem;
+            "job refused: a step is larger than the cap of its team");
+        metrics::counter!("control_denied", "why" => "beyond cap").increment(1);
+        Some(refuse(429, &format!("phases[{step}]: larger than the team's cap")))
+    }
+
     /// The state of a job according to the leader; none if the leader has no entry or is not
     /// reachable.
     async fn state_from_leader(&self, id: JobId, caller: &Caller) -> Option<JobState> {
--- a/tests/control_keys.rs
+++ b/tests/control_keys.rs
@@ -266,6 +266,28 @@
     cell.end().await;
 }
 
+/// A gang that its team's cap can never hold is refused at once and never runs; it is accepted once
+/// the cap is raised, and stays accepted when the cap is lowered again.
+#[async_std::test]
+async fn a_gang_beyond_its_teams_cap_is_refused_at_once() {
+    let cell = start(1, 3_000).await;
+    let gang = json!({"spec": "s", "phases": [{"count": 1, "cpu": 10, "estimate_ms": 100},
+        {"count": 3, "cpu": 1000, "gang": true, "estimate_ms": 100, "after": [0]}]})
+    .to_string();
+    let path = format!("/plain/{ID}");
+    let submit = || cell.call_with(0, Some("k1"), "POST", &path, &gang);
+    for (version, cap, expected) in [(4, 2_999, 429), (5, 3_000, 200), (6, 2_999, 200)] {
+        cell.platform.put("op", "config", &config(version, &["k1"], cap));
+        cell.wait("in force", || async { cell.dump(0).await["catalogue"]["version"] == version })
+            .await;
+        let (status, body) = submit().await;
+        assert_eq!(status, expected, "{body}");
+        assert_eq!(cell.platform.count("jobs"), usize::from(version > 4));
+        assert!(status == 200 || body["error"].as_str().unwrap().contains("phases[1]"), "{body}");
+    }
+    cell.end().await;
+}
+
 fn team(name: &str) -> Team {
     Team { name: name.into(), weight: 1.0, cap: Resources::ZERO }
 }
