--- a/src/control/front.rs
+++ b/src/control/front.rs
@@ -43,11 +43,10 @@
 /// interface.
 const MAX_COUNT_AGE_MS: u64 = 2_000;
 
-/// Value of `Retry-After` while the store serves no instance, s. Outages last seconds, and callers
-/// wait 3 s and have few tries: with a shorter delay they use all of them up within the same outage,
-/// with a longer one they give up before it ends. A caller whose write has an unknown outcome gets
-/// the same value, since a retry with the same id is safe.
-const RETRY_AFTER_S: &str = "1";
+/// Value of `Retry-After` while the store serves no instance, s. Outages last seconds and callers
+/// have few tries: with a shorter delay they use all of them up within the same outage. A caller
+/// whose write has an unknown outcome gets the same value, since a retry with the same id is safe.
+const RETRY_AFTER_S: &str = "2";
 
 /// Value of `Retry-After` if only this instance cannot reach the store, s: at once, over a new
 /// connection, which may lead to an instance that can.
@@ -88,11 +87,10 @@
     res
 }
 
-/// Directs a caller that got a server error to another instance, over a new connection, after
-/// `seconds`.
-fn retry_elsewhere(mut res: Response, seconds: &str) -> Response {
+/// Directs a caller that got a server error to another instance, over a new connection.
+fn retry_elsewhere(mut res: Response) -> Response {
     if res.status().is_server_error() {
-        res.insert_header("Retry-After", seconds);
+        res.insert_header("Retry-After", RETRY_ELSEWHERE_S);
         res.insert_header("Connection", "close");
     }
     res
@@ -145,10 +143,7 @@
             Method::Delete => self.cancel(id, &caller, self.remaining_ms(&req, began)).await,
             _ => refuse(405, "method not allowed"),
         };
-        let res = match self.store_lost_here() {
-            true => retry_elsewhere(res, self.retry_elsewhere_s()),
-            false => res,
-        };
+        let res = if self.store_lost_here() { retry_elsewhere(res) } else { res };
         let ms = self.clock.mono() - began;
         let status: u16 = res.status().into();
         metrics::histogram!("control_answer_seconds", "method" => method.to_string())
@@ -206,8 +201,7 @@
             Access::Reread | Access::Stale => {
                 log::info!(queue = queue.name, age_ms:? = self.mirror.catalogue_age();
                     "call refused: the catalogue is too old to check its key");
-                let res = refuse(503, "keys cannot be checked here");
-                Err(retry_elsewhere(res, self.retry_elsewhere_s()))
+                Err(retry_elsewhere(refuse(503, "keys cannot be checked here")))
             }
         }
     }
@@ -252,8 +246,7 @@
                 progress_age_ms:? = self.mirror.age(Table::Progress);
                 "waiting jobs not counted: not all are known");
             let res = retry_later(503, "not all waiting jobs are known here");
-            let seconds = self.retry_elsewhere_s();
-            return if self.store_lost_everywhere() { res } else { retry_elsewhere(res, seconds) };
+            return if self.store_lost_everywhere() { res } else { retry_elsewhere(res) };
         };
         log::info!(queue = queue.name, waiting = count, jobs = self.mirror.job_count(),
             jobs_age_ms:? = self.mirror.age(Table::Jobs),
@@ -411,16 +404,6 @@
         self.store_health.unavailable() && !self.link.is_live()
     }
 
-    /// Time after which a caller is directed to another instance, s. If this instance reaches nobody,
-    /// its failure domain may be cut off, and the caller's next connection leads to another instance
-    /// of the domain until the load balancer has noticed.
-    fn retry_elsewhere_s(&self) -> &'static str {
-        match self.isolated() {
-            true => RETRY_AFTER_S,
-            false => RETRY_ELSEWHERE_S,
-        }
-    }
-
     async fn state(&self, id: JobId, caller: &Caller) -> Response {
         match self.find_state(id, caller).await {
             // Another instance may have a newer state; the caller reaches it over a new connection.
