--- a/src/control/links/mod.rs
+++ b/src/control/links/mod.rs
@@ -4,8 +4,8 @@
 //! leader the jobs that it has stored, and the leader sends every instance the job states that it
 //! has stored. Three kinds of calls go over links alone: advice requests, because the advice service
 //! serves one call at a time for each calling instance, and writes and reads of the catalogue of an
-//! instance whose calls the store refuses. An instance that doesn't cache jobs requests from the leader the state of a job
-//! and the number of waiting jobs.
+//! instance whose calls the store refuses. An instance that doesn't cache jobs requests from the
+//! leader the state of a job and the number of waiting jobs.
 
 pub mod advice_queues;
 pub mod client;
