--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -40,6 +40,7 @@
                 let runner = self.runners.get_mut(k);
                 runner.record_answer(report.clock, now);
                 runner.lists_completions = !report.ends.is_empty();
+                runner.polled_at = now.mono;
                 let has_new = report.ends.last().map_or(0, |e| e.number) > runner.last_completion;
                 runner.next_poll = now.mono
                     + match (report.ends.is_empty(), has_new) {
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -18,6 +18,10 @@
 /// runners are most of the scheduler's work on a cell of thousands of runners with little to do.
 const IDLE_POLL_WAIT_MS: u64 = 2_000;
 
+/// Completions are acknowledged only by a poll that is decided at most this long after the answer that
+/// listed them, ms: shorter than the restart of a runner, and longer than the pauses between polls.
+const MAX_ACK_AGE_MS: u64 = 400;
+
 /// A runner without contact for this long beyond the wait of its poll gets no new tasks, ms.
 const CONTACT_TIMEOUT_MS: u64 = 900;
 
@@ -81,6 +85,8 @@
     pub charge: Resources,
     /// Its team.
     pub team: Option<TeamKey>,
+    /// Whether the task runs until its job is cancelled.
+    pub lasts: bool,
 }
 
 /// One incarnation of a runner.
@@ -130,6 +136,8 @@
     pub unanswered_since: Option<u64>,
     /// Whether its last answer listed completions.
     pub lists_completions: bool,
+    /// Time of the last answer to a poll, local ms.
+    pub polled_at: u64,
     /// Highest number of a processed completion.
     pub last_completion: u64,
     /// Processed completions that are not acknowledged: number, job, and the job's revision that
@@ -166,6 +174,7 @@
             poll_failed: false,
             unanswered_since: None,
             lists_completions: false,
+            polled_at: 0,
             last_completion: 0,
             unacked: VecDeque::new(),
             acked: 0,
@@ -320,8 +329,11 @@
             // never expire.
             let until = if r.unanswered { None } else { r.extend(lease_ms, now) };
             // Numbers of completions start anew with each incarnation, and the poll may reach another
-            // than the last one did: only what the last answer listed is acknowledged.
-            let acked = if r.unanswered || !r.lists_completions { 0 } else { r.acked };
+            // than the last one did, also because this leader was frozen since: only what the last
+            // answer listed is acknowledged, and only soon after it.
+            let recent = r.polled_at + MAX_ACK_AGE_MS >= now.mono;
+            let same_life = !r.unanswered && r.lists_completions && recent;
+            let acked = if same_life { r.acked } else { 0 };
             let idle = r.tasks.is_empty() && r.unacked.is_empty();
             let wait_ms = match until {
                 None => 0,
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -24,7 +24,8 @@
 use currantgw::control::engine::{Action, Batch, Engine, Now, Outcome, Rules, RunnerKey};
 use currantgw::control::leader::CommitBatching;
 use currantgw::control::model::{
-    Approval, Attempt, Born, Catalogue, JobId, JobSpec, JobState, Queue, Step, StepId, TaskId,
+    Approval, Attempt, Born, Catalogue, EndKind, JobId, JobSpec, JobState, Queue, Step, StepId,
+    TaskId,
 };
 use currantgw::control::partitions::{self, Partition, PartitionScope};
 use currantgw::control::place::Placement;
@@ -335,7 +336,9 @@
         self.term = self.version;
         let mut next = Engine::new(RULES, self.term, self.clocks());
         next.set_catalogue(self.cat.clone());
-        for (id, row) in &self.jobs {
+        let mut jobs: Vec<_> = self.jobs.iter().collect();
+        jobs.sort_by_key(|(_, row)| row.at);
+        for (id, row) in jobs {
             let p = self.store.get(id).map(|(v, row)| (*v, rows::decode(row).unwrap()));
             next.add_job(*id, row.clone(), p, Now { mono: self.now, wall: self.now });
             if self.cancelled.contains(id) {
@@ -387,6 +390,34 @@
         }
     }
 
+    /// Advances the time by `ms` while the leader is frozen: it decides nothing, and what it is sent
+    /// arrives afterwards.
+    pub fn freeze(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += STEP_MS;
+            self.work();
+        }
+    }
+
+    /// Runs a task on runner `i` that no scheduler expects there, and lists its completion.
+    pub fn run_stray(&mut self, i: usize, task: TaskId) {
+        let step = &self.jobs[&task.step.job].spec.steps[task.step.step as usize];
+        let run = super::runner::Running {
+            attempt: Attempt(9),
+            started: self.now,
+            total_work: 0,
+            work_done: 0,
+            stopping: None,
+            resources: step.need,
+            fails: false,
+            gang: None,
+            checkpoints: false,
+        };
+        self.runners[i].running.insert(task, run);
+        self.runners[i].end(task, EndKind::Done);
+    }
+
     fn handle_event(&mut self, term: u64, e: Event) {
         let (now, current) = (self.clocks(), term == self.term);
         match e {
--- a/tests/control_restarts.rs
+++ b/tests/control_restarts.rs
@@ -123,6 +123,31 @@
     assert!((0..4).all(|i| cell.starts[&task(job, i)] == 1), "{:?}", cell.starts);
 }
 
+/// Guards against completions of the next incarnation that are acknowledged before they are received,
+/// by a leader that froze between an answer and its next poll.
+#[test]
+fn a_poll_long_after_the_last_answer_acknowledges_nothing() {
+    let mut cell = Cell::new(1, 1);
+    cell.submit(1, "patient", vec![step(20, 700, 200)]);
+    // All completions are listed and stored, and the poll that acknowledges them is due.
+    let due = |cell: &Cell| {
+        let stored = cell.engine.job(JobId(1)).is_some_and(|j| j.ended > 0 && j.stored == j.rev);
+        let mut runners = cell.engine.runners();
+        stored && runners.any(|(_, r)| r.lists_completions && !r.polling)
+    };
+    while !due(&cell) {
+        cell.run(STEP_MS);
+    }
+    cell.crash(0);
+    cell.freeze(DOWN_MS);
+    cell.runners[0].start_again(cell.now, LATER_CLOCK);
+    // A start that was held up is carried out and ends before the leader polls again.
+    cell.run_stray(0, task(JobId(1), 0));
+    cell.freeze(DOWN_MS);
+    cell.run(2_000);
+    cell.check();
+}
+
 /// Guards against starts that are refused one after the other, since the next incarnation's clock is
 /// past the lease that they carry.
 #[test]
