Shares of teams: a submission time ahead of the leader's clock; gangs beside lasting tasks

A job accepted by an instance whose time of day is ahead moved the team's share to that time: no job of the team was within its share until the clocks met. The time counts up to the leader's own now. Test: a_submission_time_ahead_does_not_use_up_a_share.

A gang that fits the cap, but not beside tasks that last, held up the team's other non-urgent steps for good. What lasting tasks take is counted apart, and a gang is preferred only if it fits once the others have ended. Test: a_gang_that_never_fits_beside_lasting_tasks_holds_up_no_other_step.

--- a/src/control/engine/lifecycle.rs
+++ b/src/control/engine/lifecycle.rs
@@ -9,7 +9,8 @@
 
 impl Engine {
     /// Adds a job, with the progress that is stored for it and the version of that row. A known job
-    /// is left unchanged.
+    /// is left unchanged. Jobs are added in the order of their submission, by which the shares of
+    /// teams are counted.
     pub fn add_job(
         &mut self,
         id: JobId,
@@ -22,7 +23,9 @@
         }
         let mut job = Job::new(id, row);
         job.team = self.team_of_new(&job);
-        job.excess = job.team.is_some_and(|k| !self.record_submission(k, job.row.at));
+        // The clock of the accepting instance may be ahead.
+        let at = job.row.at.min(now.wall);
+        job.excess = job.team.is_some_and(|k| !self.record_submission(k, at));
         if let Some((version, row)) = &progress {
             job.version = *version;
             let leases_end = self.predecessor_leases_end();
--- a/src/control/engine/teams.rs
+++ b/src/control/engine/teams.rs
@@ -36,6 +36,8 @@
     pub cap: Resources,
     /// Resources of its tasks that run or may run.
     pub used: Resources,
+    /// Part of [`Self::used`] that is taken until jobs are cancelled.
+    lasting: Resources,
     /// Resources provisionally reserved for its gangs.
     pub provisional: Resources,
     /// Its share when capacity is short, jobs a second.
@@ -56,9 +58,9 @@
         !self.used.fits(&cap)
     }
 
-    /// Whether it could ever have `need` running.
-    fn may_ever_run(&self, need: &Resources) -> bool {
-        need.fits(&teams::limit(&self.cap, &self.cap))
+    /// Whether it can have `need` running once its tasks that do not last have ended.
+    fn may_run_later(&self, need: &Resources) -> bool {
+        need.fits(&teams::limit(&self.cap, &self.cap.sub(&self.lasting)))
     }
 }
 
@@ -109,6 +111,7 @@
             name: name.to_string(),
             cap: listed.get(name).map_or(Resources::ZERO, |t| t.cap),
             used: Resources::ZERO,
+            lasting: Resources::ZERO,
             provisional: Resources::ZERO,
             weight: listed.get(name).map_or(0.0, |t| t.weight),
             share: Share::default(),
@@ -187,6 +190,7 @@
             need: job.spec(id.step).demand(),
             charge: job.spec(id.step).charge(),
             team: job.team,
+            lasts: job.spec(id.step).lasts,
         };
         self.put_allocation(k, id, attempt, allocation, losses);
     }
@@ -203,6 +207,9 @@
         if let Some(team) = allocation.team.filter(|_| added) {
             let team = self.teams.teams.get_mut(team);
             team.used = team.used.add(&allocation.charge);
+            if allocation.lasts {
+                team.lasting = team.lasting.add(&allocation.charge);
+            }
         }
     }
 
@@ -217,6 +224,9 @@
         if let Some(team) = allocation.team {
             let team = self.teams.teams.get_mut(team);
             team.used = team.used.sub(&allocation.charge);
+            if allocation.lasts {
+                team.lasting = team.lasting.sub(&allocation.charge);
+            }
         }
         Some(allocation)
     }
@@ -240,8 +250,8 @@
     }
 
     /// Whether the cap of its team allows a gang of `count` tasks to start now. A gang that waits
-    /// for the cap is preferred to the team's other non-urgent steps, unless it is larger than the
-    /// cap.
+    /// for the cap is preferred to the team's other non-urgent steps, unless it would not fit if all
+    /// tasks of the team ended that do not last.
     pub(super) fn gang_allowed(
         &self,
         v: &StepView<'_>,
@@ -254,7 +264,7 @@
         }
         let (team_use, need) = (self.teams.teams.get(team), v.step.charge().times(count as u64));
         let allowed = need.fits(&team_use.room());
-        if !allowed && v.non_urgent && team_use.may_ever_run(&need) {
+        if !allowed && v.non_urgent && team_use.may_run_later(&need) {
             reserved.hold_team(team);
         }
         allowed
--- a/tests/common/control/teams.rs
+++ b/tests/common/control/teams.rs
@@ -47,6 +47,19 @@
         self.add(id, JobRow { team: Some(team.into()), ..row })
     }
 
+    /// As [`Self::submit_for`], for a job that an instance accepted at `at` by its time of day, ms.
+    pub fn submit_at(
+        &mut self,
+        at: u64,
+        team: &str,
+        id: u64,
+        queue: &str,
+        steps: Vec<Step>,
+    ) -> JobId {
+        let row = self.new_row(queue, steps);
+        self.add(id, JobRow { team: Some(team.into()), at, ..row })
+    }
+
     /// What a team has running on all runners.
     pub fn team_running(&self, team: &str) -> Resources {
         let is_team = |task: &TaskId| self.jobs[&task.step.job].team.as_deref() == Some(team);
--- a/tests/control_teams.rs
+++ b/tests/control_teams.rs
@@ -291,6 +291,41 @@
     assert!(one == 1.0 && two == 1.0, "{one} {two}");
 }
 
+/// Guards against a team whose jobs all count as beyond its share, since one of them was accepted by an
+/// instance whose time of day was ahead.
+#[test]
+fn a_submission_time_ahead_does_not_use_up_a_share() {
+    let mut cell = Cell::new(2, 1);
+    cell.set_teams(&[(ONE, cores(0), 8.0)]);
+    let work = || vec![step(1, 100, 100)];
+    cell.submit_at(cell.now + 1_000_000, ONE, 1, "urgent", work());
+    for id in 2..60 {
+        let job = cell.submit_for(ONE, id, "urgent", work());
+        cell.run(250);
+        assert!(!cell.engine.job(job).is_some_and(|j| j.excess), "{job}");
+    }
+    cell.change_leader();
+    let job = cell.submit_for(ONE, 100, "urgent", work());
+    assert!(!cell.engine.job(job).is_some_and(|j| j.excess));
+}
+
+/// Guards against a team whose steps wait for good behind one of its gangs: tasks that last keep so
+/// much of the cap that the gang never fits beside them.
+#[test]
+fn a_gang_that_never_fits_beside_lasting_tasks_holds_up_no_other_step() {
+    let mut cell = Cell::new(4, 1);
+    cell.set_caps(&[(ONE, cores(8))]);
+    let lasting = Step { lasts: true, ..step(5, 1_000, 1_000_000) };
+    cell.submit_for(ONE, 1, "patient", vec![lasting]);
+    cell.run(300);
+    let wide = cell.submit_for(ONE, 2, "patient", vec![gang(2, 2_000, 3_000)]);
+    cell.run(300);
+    cell.submit_for(ONE, 3, "patient", vec![step(6, 1_000, 9_000)]);
+    cell.run(1_000);
+    cell.check();
+    assert_eq!((cell.stored(wide), cell.team_running(ONE).cpu), (JobState::Queued, 8_000));
+}
+
 /// The state dump's view of teams: what runs, the cap, and what waits; no key.
 #[test]
 fn teams_are_shown_with_their_use_and_waiting_tasks() {
