A repeated submission is the same job wherever its caller may see it

On an open route a job is submitted with a key, its answer is lost, and it is repeated without one, or with a key that was taken away meanwhile: an instance that does not cache jobs answered 409, though the job was accepted. Two rules stood for one question: what a caller may see, and whether two rows have the same team. The writer asks the first one now; a relayed write carries its caller.

A relayed write whose job was known before no longer enters the leader's cache with the relayed row, which may name another team than the stored one (by reading; the feed brings the stored row).

Test: a_repeated_submission_on_an_open_route_is_one_job_whatever_its_key, 409 before.

--- a/src/control/front.rs
+++ b/src/control/front.rs
@@ -292,7 +292,7 @@
         }
         let (team, at) = (caller.team().map(str::to_string), self.clock.wall());
         let row = JobRow { queue: queue.name.clone(), team, at, spec };
-        let out = self.submissions.submit(id, &row, self.remaining_ms(req, began)).await;
+        let out = self.submissions.submit(id, &row, caller, self.remaining_ms(req, began)).await;
         let ms = self.clock.mono() - began;
         log::info!(job:% = id, queue = queue.name, steps = row.spec.steps.len(),
             catalogue = version, out:? = out, ms = ms; "job submitted");
--- a/src/control/links/mod.rs
+++ b/src/control/links/mod.rs
@@ -40,6 +40,9 @@
     pub job: JobId,
     /// The job's encoded row, or none for a cancellation.
     pub row: Option<Vec<u8>>,
+    /// On whose behalf the job is submitted; none from versions that knew no teams.
+    #[serde(default)]
+    pub caller: Option<Caller>,
 }
 
 /// What a leader that steps down must know of a linked instance to propose it as its successor.
--- a/src/control/links/server.rs
+++ b/src/control/links/server.rs
@@ -9,7 +9,7 @@
 use crate::control::ports::{Advice, AdviceError, Advisor};
 use crate::control::rows::{self, LeaderRow};
 use crate::control::store_health::StoreHealth;
-use crate::control::submissions::SubmissionWriter;
+use crate::control::submissions::{SubmissionWriter, WriteOutcome};
 use crate::kernel::clock::Clock;
 use async_std::channel::{self, Sender};
 use async_std::net::{TcpListener, TcpStream};
@@ -369,11 +369,12 @@
         let out = self.submissions.relayed(&relay, RELAY_TIMEOUT_MS).await;
         log::info!(job:% = relay.job, cancels = relay.row.is_none(), out:? = out;
             "write stored for another instance");
-        match (&relay.row, out.is_stored()) {
-            (Some(row), true) => {
+        match &relay.row {
+            // The row that was known before may be another one, of another team.
+            Some(row) if out == WriteOutcome::Stored => {
                 self.handle_frame(LOCAL, Frame::Job { id: relay.job, row: row.clone() })
             }
-            (None, true) => self.mirror.put_cancel(relay.job),
+            None if out.is_stored() => self.mirror.put_cancel(relay.job),
             _ => {}
         }
         Frame::Written { id, out }
--- a/src/control/submissions.rs
+++ b/src/control/submissions.rs
@@ -5,6 +5,7 @@
 //! and not throughput. An instance that cannot reach the store relays its writes to the leader's
 //! instance.
 
+use super::access::Caller;
 use super::health::Dependency;
 use super::links::client::LinkClient;
 use super::links::Relay;
@@ -65,6 +66,8 @@
     job: JobId,
     /// The job's row; none for a cancellation.
     row: Option<Vec<u8>>,
+    /// On whose behalf it is made; none if an instance that knows no teams has relayed it.
+    caller: Option<Caller>,
     /// Local ms.
     deadline: u64,
     /// Whether the outcome of an earlier try is unknown.
@@ -84,13 +87,17 @@
 }
 
 impl Request {
-    /// Outcome of a submission whose id has the stored row `found`. An unreadable row counts as the
-    /// same job, since its team is not known.
+    /// Outcome of a submission whose id has the stored row `found`: the same job, if its caller may
+    /// see that one. An unreadable row counts as the same job, since its team is not known.
     fn outcome_where_stored(&self, found: &[u8]) -> WriteOutcome {
-        let team = |row: &[u8]| rows::decode::<JobRow>(row).ok().map(|job| job.team);
-        match (self.row.as_deref().and_then(team), team(found)) {
-            (Some(mine), Some(stored)) if mine != stored => WriteOutcome::Taken,
-            _ => WriteOutcome::Known,
+        let hidden = match (&self.caller, rows::decode::<JobRow>(found)) {
+            (Some(caller), Ok(job)) => !caller.may_see(&job),
+            _ => false,
+        };
+        if hidden {
+            WriteOutcome::Taken
+        } else {
+            WriteOutcome::Known
         }
     }
 }
@@ -142,31 +149,27 @@
         self.dependencies.iter().filter(|d| d.lost()).map(|d| d.name()).collect()
     }
 
-    /// Stores a job if its id is new; gives up after `ms`.
-    pub async fn submit(&self, job: JobId, row: &JobRow, ms: u64) -> WriteOutcome {
-        self.write(job, Some(rows::encode(row)), ms, false).await
+    /// Stores a job of `caller` if its id is new; gives up after `ms`.
+    pub async fn submit(&self, job: JobId, row: &JobRow, caller: &Caller, ms: u64) -> WriteOutcome {
+        let relay = Relay { job, row: Some(rows::encode(row)), caller: Some(caller.clone()) };
+        self.write(relay, ms, false).await
     }
 
     /// Stores a cancellation; gives up after `ms`.
     pub async fn cancel(&self, job: JobId, ms: u64) -> WriteOutcome {
-        self.write(job, None, ms, false).await
+        self.write(Relay { job, row: None, caller: None }, ms, false).await
     }
 
     /// Stores a write that another instance has relayed; gives up after `ms`.
     pub async fn relayed(&self, relay: &Relay, ms: u64) -> WriteOutcome {
-        self.write(relay.job, relay.row.clone(), ms, true).await
+        self.write(relay.clone(), ms, true).await
     }
 
-    async fn write(
-        &self,
-        job: JobId,
-        row: Option<Vec<u8>>,
-        ms: u64,
-        relayed: bool,
-    ) -> WriteOutcome {
+    async fn write(&self, relay: Relay, ms: u64, relayed: bool) -> WriteOutcome {
+        let Relay { job, row, caller } = relay;
         let (done, out) = oneshot::channel();
         let deadline = self.clock.mono() + ms;
-        let req = Request { job, row, deadline, outcome_unknown: false, relayed, done };
+        let req = Request { job, row, caller, deadline, outcome_unknown: false, relayed, done };
         let queue = &self.queues[rows::job_partition_index(job) as usize];
         if queue.try_send(req).is_err() {
             log::warn!(job:% = job; "submission queue is full");
@@ -250,7 +253,7 @@
     async fn relay(&self, batch: Vec<Request>) -> Vec<Request> {
         let (relayed, local): (Vec<_>, Vec<_>) = batch.into_iter().partition(|r| r.relayed);
         let send = |r: &Request| {
-            let relay = Relay { job: r.job, row: r.row.clone() };
+            let relay = Relay { job: r.job, row: r.row.clone(), caller: r.caller.clone() };
             self.link.relay(relay, RELAY_TIMEOUT_MS)
         };
         let outs = futures::future::join_all(local.iter().map(send)).await;
--- a/tests/control_keys.rs
+++ b/tests/control_keys.rs
@@ -129,6 +129,23 @@
     cell.end().await;
 }
 
+/// Guards against a job that was accepted, and whose repetition is refused as another team's: on an open
+/// route, with a key at first, and without or with another one the second time.
+#[async_std::test]
+async fn a_repeated_submission_on_an_open_route_is_one_job_whatever_its_key() {
+    let mut cell = start(1, 20_000).await;
+    let small = cell.add_sized(cell.store, 0.1);
+    cell.wait("ready", || async { cell.ready(small).await }).await;
+    let path = format!("/open/{ID}");
+    for n in [0, small] {
+        for key in [Some("k1"), None, Some("k2"), Some("wrong")] {
+            assert_eq!(cell.call_with(n, key, "POST", &path, &job(1)).await.0, 200, "{n} {key:?}");
+        }
+    }
+    assert_eq!(cell.platform.count("jobs"), 1);
+    cell.end().await;
+}
+
 /// Two teams that submit one id at the same moment to different instances: one of them has the job.
 #[async_std::test]
 async fn one_id_submitted_by_two_teams_is_the_job_of_one() {
