A successor is no smaller than the leader that proposes it; a leader's team gauges end with its term

A small instance that takes the leader for absent for a moment reads the jobs and is then the youngest able candidate: it would have led 350 runners with an eighth of a core. The choice is a function by itself, with the size of each candidate; versions that do not send one are not proposed. Test: the_successor_is_the_youngest_able_instance_of_the_leaders_size.

Gauges of teams kept their last value after the term, so that sums over instances counted teams twice, and those of a team that left the first 32 stood still (by reading, without a test: instances of a test share their recorder).

--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -15,6 +15,7 @@
 //! after that is final for all earlier terms.
 
 use super::health::Dependency;
+use super::links::Candidate;
 use super::partitions::{self, Partition};
 use super::ports::{Change, Commit, CommitError, ReadError, Row, Store, Txn};
 use super::rows::{self, FenceRow, LeaderRow};
@@ -167,9 +168,14 @@
         Self { store, clock, me, reads, started, seen: Mutex::default(), wakeup }
     }
 
-    /// Id of this instance, and the age of its process, ms.
-    pub fn identity(&self) -> (String, u64) {
-        (self.me.node.clone(), self.clock.mono().saturating_sub(self.started))
+    /// This instance as a candidate that is not able yet.
+    pub fn candidate(&self) -> Candidate {
+        Candidate {
+            node: self.me.node.clone(),
+            able: false,
+            age: self.clock.mono().saturating_sub(self.started),
+            size: self.me.size,
+        }
     }
 
     /// Address of the leader's link server; none if there is no leader or this instance is it.
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -101,6 +101,19 @@
     pub view: Arc<Mutex<serde_json::Value>>,
 }
 
+/// Shows what a team has running and waiting, if it has metrics of its own.
+fn set_gauges(team: &str, cpu: u64, mem: u64, waiting: usize) {
+    if !teams::has_label(team) {
+        return;
+    }
+    let gauge = |what: &'static str, value: u64| {
+        metrics::gauge!(what, "team" => team.to_string()).set(value as f64);
+    };
+    gauge("control_team_used_cpu", cpu);
+    gauge("control_team_used_mem", mem);
+    gauge("control_team_waiting", waiting as u64);
+}
+
 type PendingCalls<'a> = FuturesUnordered<BoxFuture<'a, Event>>;
 
 impl Leader {
@@ -136,6 +149,8 @@
         let why = self.run(&mut engine, term, &updates, stop).await;
         self.mirror.subscribe(None);
         log::info!(fence = term.fence, why = why; "term ends");
+        // The successor shows the teams from now on.
+        engine.teams().for_each(|(_, t)| set_gauges(&t.name, 0, 0, 0));
         if stop.fired() {
             self.step_down(term).await;
         }
@@ -143,7 +158,8 @@
 
     /// Steps down, and tells the linked instances so, one of which is proposed as the successor.
     async fn step_down(&self, term: Term) {
-        let stored = self.election.step_down(term, self.server.successor()).await;
+        let next = self.server.successor(self.election.candidate().size);
+        let stored = self.election.step_down(term, next).await;
         if let Some((row, version)) = stored {
             self.server.report_leader(row, version);
         }
@@ -336,15 +352,9 @@
             }
             let resources: BTreeMap<&str, u64> =
                 BTreeMap::from([("used_cpu", used), ("cpu", capacity)]);
-            let teams = engine.team_views(MAX_TEAMS_SHOWN);
-            for team in teams.iter().filter(|t| teams::has_label(&t.name)) {
-                let gauge = |what: &'static str, value: u64| {
-                    metrics::gauge!(what, "team" => team.name.clone()).set(value as f64);
-                };
-                gauge("control_team_used_cpu", team.used_cpu);
-                gauge("control_team_used_mem", team.used_mem);
-                gauge("control_team_waiting", team.waiting as u64);
-            }
+            let mut teams = engine.team_views();
+            teams.iter().for_each(|t| set_gauges(&t.name, t.used_cpu, t.used_mem, t.waiting));
+            teams.truncate(MAX_TEAMS_SHOWN);
             *self.view.lock().unwrap() = serde_json::json!({
                 "fence": engine.fence, "jobs": engine.job_count(), "tasks": tasks,
                 "open_steps": engine.open_steps(), "usable_runners": usable,
--- a/src/control/links/client.rs
+++ b/src/control/links/client.rs
@@ -145,8 +145,8 @@
     }
 
     fn role(&self) -> Frame {
-        let (node, age) = self.election.identity();
-        let candidate = Candidate { node, able: self.able.load(Ordering::Relaxed), age };
+        let able = self.able.load(Ordering::Relaxed);
+        let candidate = Candidate { able, ..self.election.candidate() };
         Frame::Follows { yes: self.follows.load(Ordering::Relaxed), candidate }
     }
 
--- a/src/control/links/mod.rs
+++ b/src/control/links/mod.rs
@@ -47,6 +47,7 @@
 
 /// What a leader that steps down must know of a linked instance to propose it as its successor.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Candidate {
     /// Id of the instance.
     pub node: String,
@@ -54,6 +55,19 @@
     pub able: bool,
     /// Age of its process, ms.
     pub age: u64,
+    /// Thousandths of a processor that it may use.
+    pub size: u64,
+}
+
+/// The instance that a leader of `size` which steps down proposes as its successor: of those that could
+/// begin at once and are no smaller, the one whose process is youngest, since instances that are
+/// restarted in turn are stopped oldest first.
+pub fn choose_successor<'a>(
+    candidates: impl Iterator<Item = &'a Candidate>,
+    size: u64,
+) -> Option<&'a str> {
+    let able = candidates.filter(|c| c.able && c.size >= size);
+    able.min_by_key(|c| (c.age, &c.node)).map(|c| c.node.as_str())
 }
 
 /// A message over a link. A call and its answer have the same `id`.
--- a/src/control/links/server.rs
+++ b/src/control/links/server.rs
@@ -2,7 +2,10 @@
 //! writes on behalf of instances whose calls the store refuses.
 
 use super::advice_queues::{self, QueueLoad};
-use super::{decode, encode, write_frames, Frame, Relay, LINK_TIMEOUT_MS, QUEUED_FRAMES};
+use super::{
+    choose_successor, decode, encode, write_frames, Candidate, Frame, Relay, LINK_TIMEOUT_MS,
+    QUEUED_FRAMES,
+};
 use crate::control::election::Election;
 use crate::control::mirror::Mirror;
 use crate::control::model::{JobId, JobState, StepId};
@@ -55,9 +58,8 @@
     store_unreachable: bool,
     /// The other instance caches jobs, and is sent their states.
     follows: bool,
-    /// When the other instance's process began, local ms, and its id, if it could become leader at
-    /// once.
-    candidate: Option<(u64, String)>,
+    /// What makes the other instance a successor, and when it was received, local ms.
+    candidate: Option<(u64, Candidate)>,
     /// Advice requests in flight, by id.
     requests: BTreeMap<u64, Request>,
 }
@@ -145,14 +147,15 @@
         }
     }
 
-    /// The instance that a leader which steps down proposes as its successor, empty if there is none:
-    /// of those that could begin at once the one whose process is youngest, since instances that are
-    /// restarted in turn are stopped oldest first.
-    pub fn successor(&self) -> String {
+    /// The linked instance that a leader of `size` proposes as its successor, empty if there is none.
+    pub fn successor(&self, size: u64) -> String {
+        let now = self.clock.mono();
         let links = self.links.lock().unwrap();
-        let able = links.values().filter(|l| !l.store_unreachable);
-        let youngest = able.filter_map(|l| l.candidate.as_ref()).max();
-        youngest.map_or(String::new(), |(_, node)| node.clone())
+        let served = links.values().filter(|l| !l.store_unreachable);
+        let aged = |(at, c): &(u64, Candidate)| Candidate { age: c.age + (now - at), ..c.clone() };
+        let candidates: Vec<Candidate> =
+            served.filter_map(|l| l.candidate.as_ref()).map(aged).collect();
+        choose_successor(candidates.iter(), size).unwrap_or_default().to_string()
     }
 
     /// Reports a leader's row, with its version, to all linked instances.
@@ -331,10 +334,10 @@
             Frame::StoreUnreachable => self.server.update(key, |l| l.store_unreachable = true),
             Frame::Ping => self.server.update(key, |l| l.store_unreachable = false),
             Frame::Follows { yes, candidate } => {
-                let began = self.clock.mono().saturating_sub(candidate.age);
+                let now = self.clock.mono();
                 self.server.update(key, |l| {
                     l.follows = yes;
-                    l.candidate = (candidate.able && yes).then_some((began, candidate.node));
+                    l.candidate = yes.then_some((now, candidate));
                 });
             }
             _ => {}
--- a/tests/control_links.rs
+++ b/tests/control_links.rs
@@ -12,6 +12,7 @@
 use base64::Engine;
 use common::ports::free_addr;
 use common::users::Cell;
+use currantgw::control::links::{self, Candidate};
 use currantgw::control::node;
 use currantgw::control::place::Placement;
 use currantgw::control::rows::{self, LeaderRow};
@@ -188,3 +189,19 @@
     cell.wait_state(youngest, "plain", "00000000000000a1", "completed").await;
     cell.end().await;
 }
+
+/// Guards against a successor that cannot carry the load, is not ready, or is stopped next.
+#[test]
+fn the_successor_is_the_youngest_able_instance_of_the_leaders_size() {
+    let candidate = |node: &str, able, age, size| Candidate { node: node.into(), able, age, size };
+    let all = [
+        candidate("small", true, 1, 120),
+        candidate("reading", false, 2, 500),
+        candidate("old", true, 9_000, 500),
+        candidate("young", true, 3, 500),
+        candidate("large", true, 8_000, 1_000),
+    ];
+    assert_eq!(links::choose_successor(all.iter(), 500), Some("young"));
+    assert_eq!(links::choose_successor(all.iter(), 501), Some("large"));
+    assert_eq!(links::choose_successor(all.iter(), 1_001), None);
+}
