Poll a feed again at once only if it advances

An answer that repeats many rows without moving the position would have been asked for again and again without a pause. Test: only_a_feed_that_advances_is_polled_without_a_pause.

--- a/src/control/engine/teams.rs
+++ b/src/control/engine/teams.rs
@@ -127,8 +127,8 @@
         self.teams.teams.iter()
     }
 
-    /// The `max` teams that have most running and waiting.
-    pub fn team_views(&self, max: usize) -> Vec<TeamView> {
+    /// All teams with accepted jobs, those that have most running and waiting first.
+    pub fn team_views(&self) -> Vec<TeamView> {
         let mut waiting: BTreeMap<TeamKey, usize> = BTreeMap::new();
         for id in &self.open {
             if let Some(team) = self.team_of(id.job) {
@@ -145,7 +145,6 @@
         };
         let mut views: Vec<TeamView> = self.teams().map(view).collect();
         views.sort_by_key(|v| std::cmp::Reverse((v.used_cpu, v.waiting)));
-        views.truncate(max);
         views
     }
 
--- a/src/control/mirror/reading.rs
+++ b/src/control/mirror/reading.rs
@@ -46,6 +46,16 @@
 /// Inverse weight of a new slice in the moving average of the row size.
 const ROW_WEIGHT: usize = 4;
 
+/// A poll of the feed with this many rows may not have brought all changes: an answer of the feed holds
+/// 500 rows or 1 MB.
+const MANY_ROWS: usize = 250;
+
+/// Whether the next poll of a feed follows at once one that brought `rows` and moved the position in
+/// the feed from `before` to `after`. An instance that pauses after each such poll falls behind.
+pub fn polls_on(rows: usize, before: Option<u64>, after: Option<u64>) -> bool {
+    rows >= MANY_ROWS && after > before
+}
+
 /// Chooses the size of slices, adapted to the throughput of earlier ones.
 #[derive(Clone, Copy, Debug)]
 pub struct SliceSizer {
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -6,7 +6,7 @@
 use super::leader::{Leader, LEASE_MS, STEP_DOWN_MS};
 use super::links::client::LinkClient;
 use super::links::server::{LinkAcceptor, LinkServer};
-use super::mirror::{Mirror, Table};
+use super::mirror::{reading, Mirror, Table};
 use super::ports::{Advisor, Runners, Store};
 use super::settings::NodeSettings;
 use super::store_health::{MonitoredStore, StoreHealth};
@@ -56,10 +56,6 @@
 /// Interval between two checks whether to ask the leader for the catalogue, ms.
 const LEARN_CHECK_MS: u64 = 250;
 
-/// A poll with this many rows is followed by the next one at once: an answer of the feed holds 500
-/// rows or 1 MB, and an instance that pauses after each falls behind.
-const MANY_ROWS: usize = 250;
-
 /// Delay after a failed poll, ms.
 const RETRY_MS: u64 = 150;
 
@@ -211,8 +207,11 @@
                 self.clock.sleep(interval_ms.max(ROLE_CHECK_MS)).await;
                 continue;
             }
+            let before = self.mirror.cached_version(table);
             match self.mirror.poll(table, POLL_WAIT_MS).await {
-                Ok(rows) if rows >= MANY_ROWS => continue,
+                Ok(rows) if reading::polls_on(rows, before, self.mirror.cached_version(table)) => {
+                    continue
+                }
                 Ok(_) => {}
                 Err(_) => self.clock.sleep(RETRY_MS).await,
             }
--- a/tests/control_mirror.rs
+++ b/tests/control_mirror.rs
@@ -1,7 +1,7 @@
 //! The local cache on a store that is slow or faulty.
 
 use async_std::task;
-use currantgw::control::mirror::{Mirror, Table};
+use currantgw::control::mirror::{reading, Mirror, Table};
 use currantgw::control::model::{JobId, JobSpec, JobState, Step};
 use currantgw::control::ports::{
     Change, Changes, Commit, CommitError, Page, ReadError, Row, Store, Txn,
@@ -295,3 +295,11 @@
     mirror.poll(Table::Jobs, 0).await.unwrap();
     assert!(store.reads.load(Ordering::Relaxed) > read);
 }
+
+/// Guards against polls without a pause while a store repeats the same answer.
+#[test]
+fn only_a_feed_that_advances_is_polled_without_a_pause() {
+    assert!(reading::polls_on(500, Some(7), Some(90)) && reading::polls_on(250, None, Some(1)));
+    assert!(!reading::polls_on(249, Some(7), Some(90)));
+    assert!(!reading::polls_on(500, Some(7), Some(7)) && !reading::polls_on(500, Some(7), None));
+}
