--- a/src/control/front.rs
+++ b/src/control/front/mod.rs
@@ -4,16 +4,17 @@
 //! answered from the local cache and by the leader as far as these suffice, else with an error that
 //! says when to retry.
 
-use super::access::{self, Access, AccessRules, Caller, Denied};
+mod authorise;
+
+use super::access::{AccessRules, Caller};
 use super::links::client::LinkClient;
 use super::links::server::LinkServer;
 use super::mirror::{Mirror, Table};
-use super::model::{Catalogue, Invalid, JobId, JobSpec, JobState, Queue};
+use super::model::{Catalogue, Invalid, JobId, JobState, Queue};
 use super::ports::ReadError;
 use super::rows::{self, JobRow};
 use super::store_health::StoreHealth;
 use super::submissions::{SubmissionWriter, WriteOutcome};
-use super::teams::ApiKey;
 use crate::kernel::clock::Clock;
 use crate::platform::callers;
 use std::sync::Arc;
@@ -36,9 +37,6 @@
 /// against the 3 s that a caller waits, since the store can be read instead.
 const LINK_TIMEOUT_MS: u64 = 300;
 
-/// A read of the catalogue also serves callers that arrive within this time after it was sent, ms.
-const SHARED_READ_MS: u64 = 100;
-
 /// Maximum age of the data that a count of waiting jobs is based on, ms: the bound of the
 /// interface.
 const MAX_COUNT_AGE_MS: u64 = 2_000;
@@ -169,67 +167,6 @@
         }
     }
 
-    /// On whose behalf a request to `queue` is made; an error response if it may not be made. The
-    /// catalogue is read again where the decision needs a newer one.
-    async fn caller_of(
-        &self,
-        req: &Request<Arc<Self>>,
-        host: &str,
-        path: &str,
-        queue: &Queue,
-    ) -> Result<Caller, Response> {
-        let text = req.header(callers::KEY_HEADER).map(|h| h.as_str().to_string());
-        let key = text.and_then(|k| ApiKey::try_from(k).ok());
-        let cat = self.mirror.catalogue();
-        let age = self.mirror.catalogue_age();
-        let access = match access::decide(&self.access, queue, &cat.teams, key.as_ref(), age, false)
-        {
-            Access::Reread => {
-                self.reread_catalogue().await;
-                let cat = self.mirror.catalogue();
-                let Some(queue) = cat.find(host, path) else {
-                    return Err(refuse(404, "no such queue"));
-                };
-                let age = self.mirror.catalogue_age();
-                access::decide(&self.access, queue, &cat.teams, key.as_ref(), age, true)
-            }
-            access => access,
-        };
-        match access {
-            Access::Granted(caller) => Ok(caller),
-            Access::Denied(why) => Err(self.deny(queue, key.as_ref(), why)),
-            Access::Reread | Access::Stale => {
-                log::info!(queue = queue.name, age_ms:? = self.mirror.catalogue_age();
-                    "call refused: the catalogue is too old to check its key");
-                Err(retry_elsewhere(refuse(503, "keys cannot be checked here")))
-            }
-        }
-    }
-
-    /// Reads the catalogue again: from the store, or from the leader if the store does not answer.
-    /// Concurrent callers share one read of the store.
-    async fn reread_catalogue(&self) {
-        if !self.store_health.unavailable() {
-            let since = self.clock.mono().saturating_sub(SHARED_READ_MS);
-            let read = self.mirror.renew(Table::Config, since);
-            if let Ok(Ok(())) = self.clock.timeout(REFRESH_TIMEOUT_MS, read).await {
-                return;
-            }
-        }
-        self.link.learn_config().await;
-    }
-
-    /// Refuses a call that is not authorised.
-    fn deny(&self, queue: &Queue, key: Option<&ApiKey>, why: Denied) -> Response {
-        let removed = key.and_then(|k| self.mirror.removed_key(k));
-        let (team, removed) = removed.map_or((None, None), |(t, v)| (Some(t), Some(v)));
-        log::info!(queue = queue.name, catalogue = self.mirror.catalogue().version,
-            age_ms:? = self.mirror.catalogue_age(), team:? = team, key_removed_in:? = removed,
-            why:% = why; "call refused: not authorised");
-        metrics::counter!("control_denied", "why" => why.to_string()).increment(1);
-        refuse(401, &why.to_string())
-    }
-
     /// Time that remains to answer a request, ms.
     fn remaining_ms(&self, req: &Request<Arc<Self>>, began: u64) -> u64 {
         let requested = req.header(callers::DEADLINE_HEADER).and_then(|h| h.as_str().parse().ok());
@@ -311,31 +248,6 @@
         }
     }
 
-    /// The refusal of a job that can never run under its team's cap, so that its caller need not wait
-    /// for it. A job that was accepted under a higher cap is not refused. A later configuration may
-    /// raise the cap, and the job may be submitted again then.
-    async fn refuse_beyond_cap(
-        &self,
-        id: JobId,
-        caller: &Caller,
-        spec: &JobSpec,
-    ) -> Option<Response> {
-        let cat = self.mirror.catalogue();
-        let team = cat.teams.get(caller.team()?)?;
-        let step = team.step_beyond_cap(spec)?;
-        match self.find_state(id, caller).await {
-            Ok(None) => {}
-            Ok(Some(_)) => return Some(answer(200, callers::state(JobState::Queued))),
-            Err(res) => return Some(res),
-        }
-        let need = spec.steps[step].charge_at_once();
-        log::info!(job:% = id, team = team.name, catalogue = cat.version, step, cpu = need.cpu,
-            mem = need.mem, cap_cpu = team.cap.cpu, cap_mem = team.cap.mem;
-            "job refused: a step is larger than the cap of its team");
-        metrics::counter!("control_denied", "why" => "beyond cap").increment(1);
-        Some(refuse(429, &format!("phases[{step}]: larger than the team's cap")))
-    }
-
     /// The state of a job according to the leader; none if the leader has no entry or is not
     /// reachable.
     async fn state_from_leader(&self, id: JobId, caller: &Caller) -> Option<JobState> {
--- a/src/control/queue.rs
+++ b/src/control/queue.rs
@@ -4,7 +4,7 @@
 //! of urgent queues come first. The others are ordered by the latest moment at which a step can
 //! start and still meet its job's objective, so that a job with a tight objective passes one with
 //! time to spare. A late job is ordered by the latest start that still earns something: fresh jobs
-//! pass it at first, and cannot starve it. Jobs beyond the share of their team come after all others,
+//! pass it at first, and cannot starve it. Jobs beyond the share of their team come behind the others,
 //! and jobs that earn nothing any more come last; they still have to be run.
 
 /// Multiple of the objective after which a job earns nothing.
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -30,7 +30,7 @@
     pub links: SocketAddr,
     /// Listening address of metrics and the state dump.
     pub metrics: SocketAddr,
-    /// Share of a processor that the instance may use; at least 0.001, 1.0 by default.
+    /// Share of a processor that the instance may use; by default a whole one.
     #[serde(default = "whole")]
     pub share: f64,
     /// Address of the platform's store.
--- a/src/entry/sched/preempt.rs
+++ b/src/entry/sched/preempt.rs
@@ -42,7 +42,7 @@
     }
 
     /// Returns the batch tasks to stop on worker `k` so that `demand` fits; none if it would not
-    /// fit after all of them.
+    /// fit once all of them have ended.
     fn victims(
         &self,
         shard_name: &str,
--- a/src/smoke/report.rs
+++ b/src/smoke/report.rs
@@ -40,7 +40,7 @@
     pub writes_ok: u64,
     /// Writes refused without being run.
     pub writes_refused: u64,
-    /// Writes whose outcome is unknown after all attempts.
+    /// Writes whose outcome is unknown after the last attempt.
     pub writes_unknown: u64,
     /// Median write latency, ms.
     pub write_p50_ms: f64,
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -11,6 +11,8 @@
 mod crashes;
 #[path = "control/orders.rs"]
 mod orders;
+#[path = "control/setup.rs"]
+mod setup;
 #[path = "control/store.rs"]
 mod store;
 #[path = "control/teams.rs"]
@@ -24,16 +26,14 @@
 use currantgw::control::engine::{Action, Batch, Engine, Now, Outcome, Rules, RunnerKey};
 use currantgw::control::leader::CommitBatching;
 use currantgw::control::model::{
-    Approval, Attempt, Born, Catalogue, EndKind, JobId, JobSpec, JobState, Queue, Step, StepId,
-    TaskId,
+    Approval, Attempt, Born, Catalogue, JobId, JobSpec, JobState, Queue, Step, StepId, TaskId,
 };
 use currantgw::control::partitions::{self, Partition, PartitionScope};
 use currantgw::control::place::Placement;
-use currantgw::control::ports::{Advice, Refusal, Report, RunnerEntry};
+use currantgw::control::ports::{Advice, Refusal, Report};
 use currantgw::control::rows::{self, JobRow};
 use currantgw::kernel::res::Resources;
 use rand::rngs::StdRng;
-use rand::SeedableRng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -190,101 +190,6 @@
 }
 
 impl Cell {
-    /// A cell of `n` runners of 16 cores, with queues `urgent`, `patient` and `asked` (whose policy
-    /// approves runners).
-    pub fn new(n: usize, seed: u64) -> Self {
-        let capacity = Resources { cpu: 16_000, mem: 64_000, acc: 0 };
-        let approval = Approval { base_ms: 10.0, each_ms: 1.0, valid_ms: 2_000 };
-        let queues = [
-            queue("urgent", 0, 2, None),
-            queue("patient", 2, 3, None),
-            queue("asked", 1, 3, Some(approval)),
-        ];
-        Self::with(RULES, n, capacity, queues.into(), seed)
-    }
-
-    /// A cell of `n` runners with capacity `capacity`, with the given queues, under `rules`.
-    pub fn with(
-        rules: Rules,
-        n: usize,
-        capacity: Resources,
-        queues: Vec<Queue>,
-        seed: u64,
-    ) -> Self {
-        let queues = queues.into_iter().map(|q| (q.name.clone(), q)).collect();
-        let cat = Arc::new(Catalogue { version: 1, queues, ..Catalogue::default() });
-        let now = 1_000;
-        let mut cell = Self {
-            engine: Engine::new(rules, 1, Now { mono: now, wall: now }),
-            capacity,
-            runners: Vec::new(),
-            faults: Faults::default(),
-            now,
-            violations: Vec::new(),
-            starts: BTreeMap::new(),
-            writes: BTreeMap::new(),
-            requests: Vec::new(),
-            approves: |_, _| true,
-            connections: Vec::new(),
-            short_connections: 0,
-            queue_limit: f64::INFINITY,
-            refused: 0,
-            stale_tickets: 0,
-            unavailable: None,
-            times: None,
-            work_percent: BTreeMap::new(),
-            own_faults: 0.0,
-            work_spread: 0,
-            crashes: Crashes::default(),
-            ended: BTreeMap::new(),
-            began: BTreeMap::new(),
-            planning: Vec::new(),
-            caps: BTreeMap::new(),
-            cat,
-            jobs: BTreeMap::new(),
-            cancelled: BTreeSet::new(),
-            store: BTreeMap::new(),
-            version: 1,
-            batching: CommitBatching::new(true, now),
-            free: [0; partitions::COUNT],
-            term: 1,
-            events: BTreeMap::new(),
-            seq: 0,
-            done: BTreeMap::new(),
-            poisoned: BTreeSet::new(),
-            rng: StdRng::seed_from_u64(seed),
-        };
-        for _ in 0..n {
-            cell.add_runner();
-        }
-        cell.engine.set_catalogue(cell.cat.clone());
-        cell
-    }
-
-    /// Adds a runner and registers it.
-    pub fn add_runner(&mut self) -> usize {
-        let i = self.runners.len();
-        self.runners.push(FakeRunner::new(i, self.capacity));
-        self.register(i, true);
-        i
-    }
-
-    /// Adds a runner to the registry, or removes it.
-    pub fn register(&mut self, i: usize, listed: bool) {
-        let r = &self.runners[i];
-        let entry = RunnerEntry {
-            service: "svc".into(),
-            addr: format!("127.0.0.1:{}", 1000 + i).parse().unwrap(),
-            born: Some(r.born),
-            draining: false,
-            capacity: r.capacity,
-            rack: format!("rack{}", i / 6),
-            labels: BTreeSet::new(),
-        };
-        let id = r.id.clone();
-        self.engine.register(&id, listed.then_some(entry));
-    }
-
     fn clocks(&self) -> Now {
         Now { mono: self.now, wall: self.now }
     }
@@ -400,24 +305,6 @@
         }
     }
 
-    /// Runs a task on runner `i` that no scheduler expects there, and lists its completion.
-    pub fn run_stray(&mut self, i: usize, task: TaskId) {
-        let step = &self.jobs[&task.step.job].spec.steps[task.step.step as usize];
-        let run = super::runner::Running {
-            attempt: Attempt(9),
-            started: self.now,
-            total_work: 0,
-            work_done: 0,
-            stopping: None,
-            resources: step.need,
-            fails: false,
-            gang: None,
-            checkpoints: false,
-        };
-        self.runners[i].running.insert(task, run);
-        self.runners[i].end(task, EndKind::Done);
-    }
-
     fn handle_event(&mut self, term: u64, e: Event) {
         let (now, current) = (self.clocks(), term == self.term);
         match e {
--- a/tests/common/control/work.rs
+++ b/tests/common/control/work.rs
@@ -112,4 +112,22 @@
         let broken = running.filter_map(attempt_of).collect();
         self.break_gangs(&broken);
     }
+
+    /// Runs a task on runner `i` that no scheduler expects there, and lists its completion.
+    pub fn run_stray(&mut self, i: usize, task: TaskId) {
+        let step = &self.jobs[&task.step.job].spec.steps[task.step.step as usize];
+        let run = Running {
+            attempt: Attempt(9),
+            started: self.now,
+            total_work: 0,
+            work_done: 0,
+            stopping: None,
+            resources: step.need,
+            fails: false,
+            gang: None,
+            checkpoints: false,
+        };
+        self.runners[i].running.insert(task, run);
+        self.runners[i].end(task, EndKind::Done);
+    }
 }
--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -4,6 +4,15 @@
 
 #![allow(dead_code)]
 
+#[path = "users/calls.rs"]
+mod calls;
+#[path = "users/runner.rs"]
+mod runner;
+#[path = "users/store.rs"]
+mod store;
+
+pub use store::StoreMode;
+
 use super::ports::free_addr;
 use async_std::task::{self, JoinHandle};
 use base64::engine::general_purpose::STANDARD;
@@ -18,97 +27,20 @@
 use currantgw::kernel::clock::Clock;
 use currantgw::kernel::stop::{self, Trigger};
 use currantgw::platform::store::RowStore;
+use runner::{Runner, RunnerServer};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use store::Store;
 use tide::{Request, Response};
 
-/// Interval between two checks whether a waiting call can be answered, ms.
-const POLL_MS: u64 = 5;
-
-/// Delay of calls to an unresponsive store, ms: longer than any caller's timeout.
-const UNRESPONSIVE_MS: u64 = 20_000;
-
-/// Most changes in one answer of the feed.
-const FEED_ROWS: usize = 500;
-
 /// Delay until a start that gets no answer is executed, ms.
 pub const LATE_MS: u64 = 2_200;
 
-/// Behaviour of the store.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum StoreMode {
-    /// Serves all calls.
-    #[default]
-    Healthy,
-    /// Answers all calls with 503.
-    Refusing,
-    /// Answers no call.
-    Unresponsive,
-    /// Executes writes and doesn't answer them; answers reads.
-    NoWriteAnswers,
-}
-
-/// Rows by table, partition and key, each with value and version.
-type Rows = BTreeMap<(String, String, String), (String, u64)>;
-
-#[derive(Default)]
-struct Store {
-    rows: Rows,
-    /// Changes: version, key, and false for a deletion.
-    log: Vec<(u64, (String, String, String), bool)>,
-    version: u64,
-    /// Version up to which the history of the feed is dropped.
-    history_dropped: u64,
-    mode: StoreMode,
-    /// A partition that refuses writes.
-    lost_partition: Option<String>,
-    writes: u64,
-    /// Polls of the feed and reads of rows, by table.
-    reads: BTreeMap<String, u64>,
-}
-
-struct Run {
-    attempt: u64,
-    ends_at: Instant,
-}
-
-struct Runner {
-    /// When it started: the origin of its clock, and the same as its registry entry shows it.
-    began: Instant,
-    born: u64,
-    fence: u64,
-    lease: u64,
-    running: BTreeMap<String, Run>,
-    /// Completions that are not acknowledged yet.
-    completions: Vec<Value>,
-    /// Sequence number of the last completion.
-    last_seq: u64,
-    starts: BTreeMap<String, u64>,
-    /// Last attempt of each task that has ended or was stopped; starts up to it are refused.
-    closed: BTreeMap<String, u64>,
-    work_ms: u64,
-}
-
-impl Runner {
-    fn new(born: u64, work_ms: u64) -> Self {
-        Self {
-            began: Instant::now(),
-            born,
-            fence: 0,
-            lease: 0,
-            running: BTreeMap::new(),
-            completions: Vec::new(),
-            last_seq: 0,
-            starts: BTreeMap::new(),
-            closed: BTreeMap::new(),
-            work_ms,
-        }
-    }
-}
+/// Delay of calls to an unresponsive store, ms: longer than any caller's timeout.
+const UNRESPONSIVE_MS: u64 = 20_000;
 
 /// State of the stand-in, shared by its servers.
 #[derive(Default)]
@@ -247,155 +179,6 @@
     pub fn advice_requests(&self) -> Vec<usize> {
         self.advice.lock().unwrap().clone()
     }
-
-    fn tx(&self, body: &Value) -> Response {
-        let mut st = self.store.lock().unwrap();
-        st.writes += 1;
-        let key = |e: &Value| {
-            let field = |f: &str| e[f].as_str().unwrap_or("").to_string();
-            (field("table"), field("part"), field("key"))
-        };
-        let list = |f: &str| body[f].as_array().cloned().unwrap_or_default();
-        let version_of = |st: &Store, k: &_| st.rows.get(k).map_or(0, |(_, v)| *v);
-        let expected = list("expected");
-        if expected.iter().any(|e| json!(version_of(&st, &key(e))) != e["schema_version"]) {
-            let rows: Vec<Value> = expected
-                .iter()
-                .filter_map(|e| {
-                    let k = key(e);
-                    st.rows.get(&k).map(|row| row_json(&k, row))
-                })
-                .collect();
-            return text(412, &json!({"rows": rows, "schema_version": st.version, "now_ms": 1}));
-        }
-        st.version += 1;
-        let version = st.version;
-        for e in list("write") {
-            let value = e["value"].as_str().unwrap_or("").to_string();
-            st.rows.insert(key(&e), (value, version));
-            st.log.push((version, key(&e), true));
-        }
-        for e in list("remove") {
-            if st.rows.remove(&key(&e)).is_some() {
-                st.log.push((version, key(&e), false));
-            }
-        }
-        text(200, &json!({"schema_version": version, "now_ms": 1}))
-    }
-
-    fn count_read(&self, table: &str) {
-        *self.store.lock().unwrap().reads.entry(table.into()).or_default() += 1;
-    }
-
-    fn get(&self, q: &BTreeMap<String, String>) -> Response {
-        self.count_read(&q["table"]);
-        let st = self.store.lock().unwrap();
-        let arg = |f: &str| q.get(f).cloned().unwrap_or_default();
-        let in_range = |k: &(String, String, String)| {
-            k.0 == arg("table")
-                && k.1 == arg("part")
-                && k.2 >= arg("from")
-                && q.get("target").is_none_or(|t| k.2 < *t)
-        };
-        let limit = arg("limit").parse().unwrap_or(500);
-        let all: Vec<Value> =
-            st.rows.iter().filter(|(k, _)| in_range(k)).map(|(k, r)| row_json(k, r)).collect();
-        let more = all.len() > limit;
-        let rows: Vec<Value> = all.into_iter().take(limit).collect();
-        let body =
-            json!({"rows": rows, "has_more": more, "schema_version": st.version, "now_ms": 1});
-        text(200, &body)
-    }
-
-    fn feed(&self, table: &str, after: u64) -> Option<Response> {
-        let st = self.store.lock().unwrap();
-        if after < st.history_dropped {
-            return Some(text(410, &json!({})));
-        }
-        let changes: Vec<_> =
-            st.log.iter().filter(|(v, k, _)| *v > after && k.0 == table).collect();
-        // An answer with less than all changes ends with the version of its last one, all of which
-        // it holds.
-        let last = changes.get(FEED_ROWS - 1).filter(|_| changes.len() > FEED_ROWS);
-        let version = last.map_or(st.version, |(v, ..)| *v);
-        let rows: Vec<Value> = changes
-            .iter()
-            .filter(|(v, ..)| *v <= version)
-            .map(|(v, k, exists)| match (exists, st.rows.get(k)) {
-                (true, Some(row)) => row_json(k, row),
-                _ => json!({"table": k.0, "part": k.1, "key": k.2, "schema_version": v,
-                    "deleted": true}),
-            })
-            .collect();
-        let body = json!({"rows": rows, "schema_version": version, "now_ms": 1});
-        (!rows.is_empty()).then(|| text(200, &body))
-    }
-}
-
-fn row_json(k: &(String, String, String), row: &(String, u64)) -> Value {
-    json!({"table": k.0, "part": k.1, "key": k.2, "value": row.0, "schema_version": row.1})
-}
-
-fn query(req: &Request<Arc<Platform>>) -> BTreeMap<String, String> {
-    req.url().query_pairs().map(|(k, v)| (k.into_owned(), v.into_owned())).collect()
-}
-
-/// The answer that the store's mode prescribes; none if the call is to be served.
-async fn mode_answer(platform: &Arc<Platform>, is_write: bool) -> Option<Response> {
-    let mode = platform.store.lock().unwrap().mode;
-    match mode {
-        StoreMode::Healthy => None,
-        StoreMode::NoWriteAnswers if !is_write => None,
-        StoreMode::Refusing => Some(text(503, &json!({}))),
-        StoreMode::Unresponsive | StoreMode::NoWriteAnswers => {
-            task::sleep(Duration::from_millis(UNRESPONSIVE_MS)).await;
-            Some(text(503, &json!({})))
-        }
-    }
-}
-
-async fn tx(mut req: Request<Arc<Platform>>) -> tide::Result {
-    let platform = req.state().clone();
-    let body: Value = req.body_json().await?;
-    if platform.store.lock().unwrap().mode == StoreMode::NoWriteAnswers {
-        let _ = platform.tx(&body);
-    }
-    if platform.writes_to_lost(&body) {
-        return Ok(text(503, &json!({})));
-    }
-    if let Some(res) = mode_answer(&platform, true).await {
-        return Ok(res);
-    }
-    Ok(platform.tx(&body))
-}
-
-async fn get(req: Request<Arc<Platform>>) -> tide::Result {
-    let platform = req.state().clone();
-    if let Some(res) = mode_answer(&platform, false).await {
-        return Ok(res);
-    }
-    Ok(platform.get(&query(&req)))
-}
-
-async fn feed(req: Request<Arc<Platform>>) -> tide::Result {
-    let platform = req.state().clone();
-    let q = query(&req);
-    let number = |f: &str| q.get(f).and_then(|v| v.parse().ok()).unwrap_or(0);
-    platform.count_read(&q["table"]);
-    let deadline = Instant::now() + Duration::from_millis(number("wait_ms"));
-    loop {
-        if let Some(res) = mode_answer(&platform, false).await {
-            return Ok(res);
-        }
-        if let Some(res) = platform.feed(&q["table"], number("after")) {
-            return Ok(res);
-        }
-        if Instant::now() >= deadline {
-            let version = platform.store.lock().unwrap().version;
-            return Ok(text(200, &json!({"rows": [], "schema_version": version, "now_ms": 1})));
-        }
-        task::sleep(Duration::from_millis(POLL_MS)).await;
-    }
 }
 
 async fn advise(mut req: Request<Arc<Platform>>) -> tide::Result {
@@ -406,112 +189,6 @@
     Ok(text(200, &json!({"approved": approved, "validity_ms": 2000})))
 }
 
-/// Server of one runner.
-struct RunnerServer {
-    platform: Arc<Platform>,
-    id: String,
-}
-
-impl RunnerServer {
-    /// Start time of the current incarnation.
-    fn born(&self) -> u64 {
-        self.platform.runners.lock().unwrap()[&self.id].born
-    }
-
-    /// Ends runs whose work is done.
-    fn end_finished(&self, r: &mut Runner) {
-        let now = Instant::now();
-        let finished: Vec<String> =
-            r.running.iter().filter(|(_, x)| x.ends_at <= now).map(|(t, _)| t.clone()).collect();
-        for t in finished {
-            self.end(r, &t, "done");
-        }
-    }
-
-    fn end(&self, r: &mut Runner, task: &str, how: &str) {
-        let Some(run) = r.running.remove(task) else { return };
-        r.last_seq += 1;
-        r.closed.insert(task.into(), run.attempt);
-        r.completions.push(json!([r.last_seq, task, run.attempt, how, ""]));
-    }
-
-    fn call(&self, path: &str, body: &Value) -> (u16, Value) {
-        let mut runners = self.platform.runners.lock().unwrap();
-        let r = runners.get_mut(&self.id).expect("the runner exists");
-        self.end_finished(r);
-        let clock = r.began.elapsed().as_millis() as u64 + 5_000;
-        let fence = body["fencing_token"].as_u64().unwrap_or(0);
-        if fence < r.fence {
-            return (409, json!({"clock_ms": clock, "reason": "fence"}));
-        }
-        r.fence = fence;
-        r.lease = r.lease.max(body["expires_ms"].as_u64().unwrap_or(0));
-        let task = body["task"].as_str().unwrap_or("").to_string();
-        let attempt = body["attempt"].as_u64().unwrap_or(0);
-        match path {
-            "start" if r.running.contains_key(&task) => {}
-            "start" if r.closed.get(&task).is_some_and(|a| attempt <= *a) => {
-                return (409, json!({"clock_ms": clock, "reason": "old"}));
-            }
-            "start" => {
-                let ends_at = Instant::now() + Duration::from_millis(r.work_ms);
-                r.running.insert(task.clone(), Run { attempt, ends_at });
-                *r.starts.entry(task).or_default() += 1;
-            }
-            "stop" => {
-                r.closed.insert(task.clone(), attempt);
-                self.end(r, &task, "stopped");
-            }
-            _ => {
-                let acked = body["acked"].as_u64().unwrap_or(0);
-                r.completions.retain(|e| e[0].as_u64() > Some(acked));
-                let active: Vec<Value> = r
-                    .running
-                    .iter()
-                    .map(|(t, x)| json!([t, x.attempt, "", percent(x, r.work_ms), 0.5]))
-                    .collect();
-                return (
-                    200,
-                    json!({"clock_ms": clock, "born": r.born, "active": active,
-                        "finished": r.completions}),
-                );
-            }
-        }
-        (200, json!({"clock_ms": clock}))
-    }
-}
-
-/// Percentage of its work that a run has done.
-fn percent(run: &Run, work_ms: u64) -> u64 {
-    let remaining = run.ends_at.saturating_duration_since(Instant::now()).as_millis() as u64;
-    (work_ms.saturating_sub(remaining) * 100).checked_div(work_ms).unwrap_or(100)
-}
-
-async fn runner_call(mut req: Request<Arc<RunnerServer>>) -> tide::Result {
-    let body: Value = req.body_json().await?;
-    let server = req.state().clone();
-    let path = req.url().path().rsplit(['/', '-']).next().unwrap_or("").to_string();
-    if path == "start" && server.platform.next_start_is_late() {
-        task::sleep(Duration::from_millis(LATE_MS)).await;
-        let _ = server.call(&path, &body);
-        task::sleep(Duration::from_millis(UNRESPONSIVE_MS)).await;
-    }
-    let deadline = Instant::now() + Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
-    let born = server.born();
-    loop {
-        if server.born() != born {
-            // The incarnation that received the call is gone.
-            return Ok(text(503, &json!({})));
-        }
-        let (status, answer) = server.call(&path, &body);
-        let idle = answer["finished"].as_array().is_some_and(Vec::is_empty);
-        if status != 200 || !idle || Instant::now() >= deadline {
-            return Ok(text(status, &answer));
-        }
-        task::sleep(Duration::from_millis(POLL_MS)).await;
-    }
-}
-
 /// A switch of an additional address of the store, which makes it refuse all calls.
 #[derive(Clone, Default)]
 pub struct Gate(Arc<AtomicBool>);
@@ -539,9 +216,9 @@
 
 fn store_app(platform: &Arc<Platform>) -> tide::Server<Arc<Platform>> {
     let mut app = tide::with_state(platform.clone());
-    app.at("/v1/rows-tx").post(tx);
-    app.at("/v1/rows-get").get(get);
-    app.at("/v1/rows-feed").get(feed);
+    app.at("/v1/rows-tx").post(store::tx);
+    app.at("/v1/rows-get").get(store::get);
+    app.at("/v1/rows-feed").get(store::feed);
     app.at("/v1/advise").post(advise);
     app
 }
@@ -620,7 +297,7 @@
             let server = Arc::new(RunnerServer { platform: platform.clone(), id: id.clone() });
             let mut app = tide::with_state(server);
             for path in ["/v1/run-start", "/v1/run-stop", "/v1/hold"] {
-                app.at(path).post(runner_call);
+                app.at(path).post(runner::runner_call);
             }
             servers.push(serve(app, at));
             platform.addresses.lock().unwrap().insert(id.clone(), at);
@@ -738,93 +415,6 @@
         }
     }
 
-    /// Whether an instance reports that it is ready.
-    pub async fn ready(&self, n: usize) -> bool {
-        let url = format!("http://{}/v1/readyz", self.settings[n].ready);
-        surf::get(url).await.is_ok_and(|r| r.status() == 200)
-    }
-
-    /// The metrics of an instance.
-    pub async fn metrics(&self, n: usize) -> String {
-        let url = format!("http://{}/metrics", self.settings[n].metrics);
-        surf::get(url).recv_string().await.expect("metrics are served")
-    }
-
-    /// The state dump of an instance.
-    pub async fn dump(&self, n: usize) -> Value {
-        let url = format!("http://{}/debug/state", self.settings[n].metrics);
-        surf::get(url).recv_json().await.expect("a state dump is served")
-    }
-
-    /// Sends a client's request to an instance.
-    pub async fn call(&self, n: usize, method: &str, path: &str, body: &str) -> Answer {
-        self.call_with(n, None, method, path, body).await
-    }
-
-    /// As [`Self::call`], with a key.
-    pub async fn call_with(
-        &self,
-        n: usize,
-        key: Option<&str>,
-        method: &str,
-        path: &str,
-        body: &str,
-    ) -> Answer {
-        let method: tide::http::Method = method.parse().unwrap();
-        let url = tide::http::Url::parse(&format!("http://{}{path}", self.fronts[n])).unwrap();
-        let req = surf::RequestBuilder::new(method, url)
-            .header("Host", "h.example")
-            .header("X-Deadline-Ms", "3000")
-            .body_string(body.to_string());
-        let req = match key {
-            Some(key) => req.header("Api-Key", key),
-            None => req,
-        };
-        let mut res = req.await.expect("an answer");
-        let text = res.body_string().await.unwrap();
-        (res.status().into(), serde_json::from_str(&text).unwrap_or(Value::Null))
-    }
-
-    /// The `Retry-After` header of a refused submission, s.
-    pub async fn retry_after(&self, n: usize, path: &str, body: &str) -> Option<u64> {
-        let url = format!("http://{}{path}", self.fronts[n]);
-        let req = surf::post(url).header("Host", "h.example").body_string(body.to_string());
-        let res = req.await.expect("an answer");
-        assert!(!res.status().is_success(), "{}", res.status());
-        res.header("Retry-After")?.as_str().parse().ok()
-    }
-
-    /// Submits a job of `count` tasks of one core each.
-    pub async fn submit(&self, n: usize, queue: &str, id: &str, count: u32) -> Answer {
-        let job = json!({"spec": "s", "phases": [{"count": count, "cpu": 1000, "mem_mb": 100,
-            "estimate_ms": 100}]});
-        self.call(n, "POST", &format!("/{queue}/{id}"), &job.to_string()).await
-    }
-
-    /// State of a job as reported by an instance, or the status if there is none.
-    pub async fn state(&self, n: usize, queue: &str, id: &str) -> String {
-        let (status, body) = self.call(n, "GET", &format!("/{queue}/{id}"), "").await;
-        body["state"].as_str().map_or_else(|| status.to_string(), str::to_string)
-    }
-
-    /// Waits until `ok` returns true, at most 10 s; `condition` describes it in the failure.
-    pub async fn wait<F, Fut>(&self, condition: &str, ok: F)
-    where
-        F: Fn() -> Fut,
-        Fut: std::future::Future<Output = bool>,
-    {
-        let end = Instant::now() + Duration::from_secs(10);
-        while !ok().await {
-            assert!(Instant::now() < end, "timed out: {condition}");
-            task::sleep(Duration::from_millis(20)).await;
-        }
-    }
-
-    /// Waits for a state of a job.
-    pub async fn wait_state(&self, n: usize, queue: &str, id: &str, state: &str) {
-        self.wait(state, || async { self.state(n, queue, id).await == state }).await;
-    }
-
     /// Stops all instances and servers.
     pub async fn end(mut self) {
         for n in 0..self.nodes.len() {
--- a/tests/control_keys.rs
+++ b/tests/control_keys.rs
@@ -212,7 +212,7 @@
     cell.end().await;
 }
 
-/// Guards against keys that are accepted for good by instances that nobody tells what was taken
+/// Guards against keys that are accepted for good by instances that no longer learn what was taken
 /// away.
 #[async_std::test]
 async fn keys_are_not_accepted_by_a_catalogue_that_is_too_old() {
--- a/tests/control_policy.rs
+++ b/tests/control_policy.rs
@@ -6,27 +6,19 @@
     pub mod runner;
 }
 
-use assert_matches::assert_matches;
 use common::control::{step, Cell};
 use currantgw::control::election;
 use currantgw::control::engine::{Engine, Now};
 use currantgw::control::links::advice_queues;
-use currantgw::control::model::{BadId, Invalid, JobId, JobState, Step, TaskId};
+use currantgw::control::model::{BadId, JobId, JobState, Step, TaskId};
 use currantgw::control::partitions::PartitionScope;
 use currantgw::control::place::{self, Candidate, Placement, PlacementRequest};
 use currantgw::control::preemption::{self, RunnerCapacity, Victim};
 use currantgw::control::queue::{self, RankInput};
 use currantgw::control::rows::{self, JobKey, ProgressRow, StepRow, TaskRow};
-use currantgw::control::settings::NodeSettings;
 use currantgw::kernel::res::Resources;
-use currantgw::options::SettingsError;
-use currantgw::platform::{callers, catalogue, runners};
 use std::collections::BTreeSet;
 
-const NODE: &str = r#"{"id": "n", "domain": "z", "front": "127.0.0.1:1", "ready": "127.0.0.1:2",
- "links": "127.0.0.1:3", "metrics": "127.0.0.1:4", "store": "127.0.0.1:5",
- "advice": "127.0.0.1:6", "hold_max_ms": 10000, "grace_ms": 6000, "keep_ms": 120000}"#;
-
 fn rank_input(priority: u32, begin: u64, objective: u64, chain: u64) -> RankInput {
     RankInput { priority, excess: false, begin, objective, chain, capacity_wait: 0 }
 }
@@ -390,46 +382,6 @@
     assert_eq!(rows::parse_job_key("something"), None);
 }
 
-#[test]
-fn valid_settings_are_accepted() {
-    let s = NodeSettings::parse(NODE).unwrap();
-    assert_eq!((s.id.as_str(), s.grace_ms), ("n", 6_000));
-}
-
-#[test]
-fn settings_without_a_field_name_it() {
-    let text = NODE.replace(r#""store": "127.0.0.1:5","#, "");
-    let err = NodeSettings::parse(&text).unwrap_err();
-    assert_matches!(&err, SettingsError::Parse(_));
-    assert!(err.to_string().contains("store"), "{err}");
-}
-
-#[test]
-fn settings_with_an_unknown_field_are_refused() {
-    let text = NODE.replace(r#""id": "n","#, r#""id": "n", "extra": 1,"#);
-    assert_matches!(NodeSettings::parse(&text), Err(SettingsError::Parse(_)));
-}
-
-#[test]
-fn settings_with_a_bad_address_are_refused() {
-    let text = NODE.replace("127.0.0.1:1", "nowhere");
-    assert_matches!(NodeSettings::parse(&text), Err(SettingsError::Parse(_)));
-}
-
-#[test]
-fn settings_out_of_range_are_refused() {
-    let text = NODE.replace(r#""hold_max_ms": 10000"#, r#""hold_max_ms": 10"#);
-    let err = NodeSettings::parse(&text).unwrap_err();
-    assert_matches!(&err, SettingsError::Range { value: 10, min: 1_000, .. });
-    assert!(err.to_string().contains("hold_max_ms"), "{err}");
-}
-
-#[test]
-fn a_missing_settings_file_is_named() {
-    let err = NodeSettings::load("/nonexistent/settings.json".as_ref()).unwrap_err();
-    assert!(err.to_string().contains("/nonexistent/settings.json"));
-}
-
 /// Guards against a leader that is too small for the cell, which keeps a cell of 350 runners in
 /// overload. Of 45 instances that start together, one with 0.12 of a processor won the election,
 /// which needs 0.4, while those with half a processor waited as candidates.
@@ -448,102 +400,6 @@
     assert_eq!(election::size_delay_ms(small, 0), 0);
 }
 
-#[test]
-fn a_processor_share_of_zero_is_refused() {
-    let text = NODE.replacen('{', "{\"share\": 0.0,", 1);
-    let err = NodeSettings::parse(&text).unwrap_err();
-    assert_matches!(err, SettingsError::Range { field, .. } if field.starts_with("share"));
-    assert_eq!(NodeSettings::parse(NODE).unwrap().millis(), 1_000);
-}
-
-/// The settings template that the platform fills in yields valid settings.
-#[test]
-fn the_settings_template_yields_valid_settings() {
-    let text = include_str!("../platform/settings.json.tmpl");
-    let filled = text
-        .replace("{{node|json}}", "\"n\"")
-        .replace("{{zone|json}}", "\"z\"")
-        .replace("{{listen_addrs.frontend|json}}", "\"127.0.0.1:1\"")
-        .replace("{{listen_addrs.ready|json}}", "\"127.0.0.1:2\"")
-        .replace("{{ip}}:{{port_range.0}}", "127.0.0.1:3")
-        .replace("{{ip}}", "127.0.0.1")
-        .replace("{{limits.cpu_share}}", "0.25")
-        .replace("{{platform.address|json}}", "\"127.0.0.1:5\"")
-        .replace("{{platform.cross_partition|json}}", "true")
-        .replace("{{recommendation|json}}", "\"127.0.0.1:6\"")
-        .replace("{{bounds.hold_max_ms}}", "10000")
-        .replace("{{bounds.grace_s}}", "6")
-        .replace("{{bounds.status_s}}", "120")
-        .replace("{{contracts|json}}", r#"["base","tenants"]"#)
-        .replace("{{bounds.config_apply_ms}}", "3000")
-        .replace("{{bounds.max_stretch_ms}}", "6000");
-    // Sections: once without a value, once with one.
-    let sections = [
-        ("{{#bounds.revoke_strict}}", "{{/bounds.revoke_strict}}", ""),
-        ("{{#bounds.revoke_ms}}", "{{/bounds.revoke_ms}}", "4000"),
-    ];
-    let render = |present: bool| {
-        sections.iter().fold(filled.clone(), |text, (begin, end, value)| {
-            let (before, rest) = text.split_once(begin).expect("the section begins");
-            let (inside, after) = rest.split_once(end).expect("the section ends");
-            let inside = if present { inside.replace("{{.}}", value) } else { String::new() };
-            format!("{before}{inside}{after}")
-        })
-    };
-    let s = NodeSettings::parse(&render(true)).expect("a template filled in");
-    let rules = s.access_rules();
-    assert_eq!((s.revoke_strict, rules.teams, rules.max_age_ms), (true, true, 4_000));
-    let filled = render(false);
-    let s = NodeSettings::parse(&filled).expect("a template filled in");
-    assert_eq!((s.keep_ms, s.grace_ms, s.millis()), (120_000, 6_000, 250));
-}
-
-#[test]
-fn the_adapter_decodes_jobs_and_names_errors() {
-    let body = br#"{"spec":"s","phases":[{"count":2,"cpu":500,"mem_mb":256,"estimate_ms":900,
-        "data_locality":"r1-3","new_field":1},{"count":1,"cpu":1,"after":[0],"gang":true}]}"#;
-    let job = callers::job(body).unwrap();
-    assert_eq!(job.steps[0].need, Resources { cpu: 500, mem: 256, acc: 0 });
-    assert_eq!((job.steps[0].rack.as_str(), job.steps[1].gang), ("r1-3", true));
-    assert_matches!(callers::job(b"{"), Err(Invalid::Body(_)));
-    assert!(callers::job(b"[]").is_err());
-    assert_matches!(
-        callers::job(br#"{"phases":[{"count":1,"after":[0]}]}"#),
-        Err(Invalid::After(0))
-    );
-    assert_matches!(
-        callers::job(br#"{"phases":[{"count":1000},{"count":1000},{"count":9}]}"#),
-        Err(Invalid::Tasks)
-    );
-}
-
-#[test]
-fn the_adapter_reads_the_catalogue_and_finds_the_longest_prefix() {
-    let body = br#"{"version":7,"routes":[
-        {"name":"a","host":"H.example","path_prefix":"/x/","service":"s","priority":0},
-        {"name":"b","host":"h.example","path_prefix":"/x/y/","service":"s","max_attempts":3,
-         "recommendation":{"decision_ms":6.5,"per_item_ms":0.1,"validity_ms":2000}}],
-        "services":[{"name":"s"}],"limits":{}}"#;
-    let cat = catalogue::decode(body).unwrap();
-    assert_eq!(cat.version, 7);
-    assert_eq!(cat.find("h.example:80", "/x/y/1").unwrap().name, "b");
-    assert_eq!(cat.find("h.example", "/x/1").unwrap().name, "a");
-    assert!(cat.find("other.example", "/x/1").is_none());
-    assert!((cat.queues["b"].approval.unwrap().cost_ms(30) - 9.5).abs() < 1e-9);
-    assert!(catalogue::decode(b"{}").is_err());
-}
-
-#[test]
-fn the_adapter_reads_registry_entries() {
-    let body = br#"{"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":8,
-        "state":"draining","capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],
-        "sequence":4}"#;
-    let e = runners::entry(body).unwrap();
-    assert!(e.draining && e.labels.contains("a"));
-    assert_eq!((e.rack.as_str(), e.capacity.mem), ("r1-3", 32_768));
-    assert!(runners::entry(b"{}").is_err());
-}
-
 /// Guards against too few connections reserved for short advice requests: with two of them at 29
 /// instances, lookups waited 0.3 s at the median for approval. The load is 220 lookups a second in
 /// bursts, each with a request of 11 ms.
