Log what becomes of runs that were written off and are reported later

The scheduler now remembers, for each incarnation of a runner, the runs that it marked as lost, and why. `run not listed: written off` has the clock of the answer and of the confirmation; a late completion has its number, the reason and time of the write-off, and attempt, stage and state of its task. Metrics: `control_runs_lost{why="not listed"}`, `control_late_completions`.

No decision changes. control_engine, control_restarts, control_crashes and control_logs pass (60 tests).

--- a/src/control/engine/losses.rs
+++ b/src/control/engine/losses.rs
@@ -6,6 +6,7 @@
 use crate::control::crashes::{Losses, STABLE_MS};
 use crate::control::model::{Attempt, TaskId};
 use crate::control::place::Candidate;
+use crate::control::ports::End;
 use std::collections::BTreeSet;
 
 /// Reason for which runs without a reported completion are lost.
@@ -17,6 +18,8 @@
     LeaseOver,
     /// The other members of their gang ended as broken, and their runner does not answer.
     GangBroken,
+    /// Their runner lists them neither as active nor as completed.
+    NotListed,
 }
 
 impl Loss {
@@ -26,10 +29,19 @@
             Self::OtherIncarnation => "another life",
             Self::LeaseOver => "lease over",
             Self::GangBroken => "gang broken",
+            Self::NotListed => "not listed",
         }
     }
 }
 
+/// A run that was marked as lost and may yet be reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct LostRun {
+    why: Loss,
+    /// When it was marked as lost, local ms.
+    at: u64,
+}
+
 /// How long a task's run is known to have run up to the local time `until`, ms; `None` if it was
 /// not seen running.
 fn observed_run_ms(task: &Task, until: u64) -> Option<u64> {
@@ -72,7 +84,10 @@
         // A runner that is still registered when its lease expires is unreachable and has not
         // crashed.
         let crashed = why != Loss::LeaseOver || !runner.listed;
-        lost.iter().for_each(|id| self.log_lost(k, *id, why, unanswered_since, now));
+        for id in lost {
+            self.log_lost(k, *id, why, unanswered_since, now);
+            self.note_lost(k, *id, why, now);
+        }
         if !draining {
             self.count_lost(k, lost, unanswered_since, crashed, now);
         }
@@ -107,13 +122,37 @@
         let runner = self.runners.get(k);
         let Some(task) = self.task(id) else { return };
         let Some(run) = &task.run else { return };
-        metrics::counter!("control_runs_lost", "why" => why.name()).increment(1);
         log::info!(task:% = id, attempt = task.attempt.0, runner = runner.id, why = why.name(),
             stage = run.stage.name(), ran_ms:? = observed_run_ms(task, unanswered_since),
             silent_ms = now.mono - unanswered_since, beside = runner.tasks.len().saturating_sub(1),
             lost_before = task.losses.count; "run lost with its runner");
     }
 
+    /// Remembers that a task's run is marked as lost, in case its completion is reported later.
+    pub(super) fn note_lost(&mut self, k: RunnerKey, id: TaskId, why: Loss, now: Now) {
+        let Some(attempt) = self.task(id).map(|t| t.attempt) else { return };
+        metrics::counter!("control_runs_lost", "why" => why.name()).increment(1);
+        let lost = LostRun { why, at: now.mono };
+        self.runners.get_mut(k).lost.insert((id, attempt), lost);
+    }
+
+    /// Logs the completion of a run that is not the task's current one.
+    pub(super) fn log_late(&mut self, k: RunnerKey, end: &End, now: Now) {
+        let runner = self.runners.get_mut(k);
+        let lost = runner.lost.remove(&(end.task, end.attempt));
+        let why = lost.map_or("unknown", |l| l.why.name());
+        let name = runner.id.clone();
+        let task = self.task(end.task);
+        let stage = task.and_then(|t| t.run.as_ref()).map_or("none", |r| r.stage.name());
+        metrics::counter!("control_late_completions", "how" => end.kind.name(), "why" => why)
+            .increment(1);
+        log::info!(task:% = end.task, attempt = end.attempt.0, runner = name,
+            how = end.kind.name(), number = end.number, why, stage,
+            since_ms:? = lost.map(|l| now.mono.saturating_sub(l.at)),
+            last_attempt:? = task.map(|t| t.attempt.0), done:? = task.map(|t| t.done);
+            "completion of a run already marked as lost");
+    }
+
     /// Records that a run ended with a completion that its runner reported.
     pub(super) fn record_ended(&mut self, id: TaskId, done: bool, now: Now) {
         let Some(task) = self.task_mut(id) else { return };
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -174,12 +174,14 @@
         let stage = run.stage;
         if lost {
             let runner = self.runners.get(k);
-            log::info!(task:% = id, attempt = attempt.0, runner = runner.id, stage = stage.name();
+            log::info!(task:% = id, attempt = attempt.0, runner = runner.id, stage = stage.name(),
+                clock, confirmed:? = stage.confirmed(), last_completion = runner.last_completion;
                 "run not listed: written off");
-            if let Stage::Inherited { born } = stage {
-                if born.is_some() && born != runner.born {
+            match stage {
+                Stage::Inherited { born } if born.is_some() && born != runner.born => {
                     self.record_lost(k, &[id], Loss::OtherIncarnation, now);
                 }
+                _ => self.note_lost(k, id, Loss::NotListed, now),
             }
             self.counts.written_off += 1;
             self.release(id, now);
@@ -193,8 +195,7 @@
         let id = end.task;
         let name = self.runners.get(k).id.clone();
         if self.run_mut(k, id, end.attempt).is_none() {
-            log::info!(task:% = id, attempt = end.attempt.0, runner = name, how = end.kind.name();
-                "completion of a run already marked as lost");
+            self.log_late(k, end, now);
             self.deallocate(k, id, end.attempt);
             self.late_completion(id, end.attempt, end.kind == EndKind::Failed, now);
             return;
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -1,7 +1,7 @@
 //! Incarnations of runners: their address, the capacity allocated on them, and when their lease
 //! expires.
 
-use super::losses::Loss;
+use super::losses::{Loss, LostRun};
 use super::teams::TeamKey;
 use super::{Action, Engine, Now, RunnerKey};
 use crate::control::crashes::Losses;
@@ -118,6 +118,8 @@
     pub tasks: BTreeMap<(TaskId, Attempt), Allocation>,
     /// Those of its tasks that have lost runs with their runners.
     pub suspects: BTreeMap<TaskId, Losses>,
+    /// Runs that were marked as lost and whose completion may yet be reported.
+    pub(super) lost: BTreeMap<(TaskId, Attempt), LostRun>,
     /// Its clock and the local time when it was read, ms.
     pub clock: Option<(u64, u64)>,
     /// Time of the last contact, local ms.
@@ -165,6 +167,7 @@
             anticipated: Resources::ZERO,
             tasks: BTreeMap::new(),
             suspects: BTreeMap::new(),
+            lost: BTreeMap::new(),
             clock: None,
             last_contact: 0,
             wait_ms: POLL_WAIT_MS,
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -66,6 +66,15 @@
             Self::Stopping { .. } => "stopping",
         }
     }
+
+    /// Time of the runner's clock when it last confirmed the run or its stop, ms.
+    pub fn confirmed(self) -> Option<u64> {
+        match self {
+            Self::Running { clock } => Some(clock),
+            Self::Stopping { answered } => answered,
+            Self::Storing { .. } | Self::Sent | Self::Inherited { .. } => None,
+        }
+    }
 }
 
 /// Reason for which a run is stopped.
