Tests that fail: runs that an answer lists neither as active nor as ended

The simulated runners moved a run from one list to the other in one instant, and listed it in the instant of its start. They can now take some time for either, as a process that starts and ends does.

On the current code, runs that are not listed are written off by one answer and started again. Starts that are listed late run twice at once.

--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -9,6 +9,8 @@
 mod calls;
 #[path = "control/crashes.rs"]
 mod crashes;
+#[path = "control/ends.rs"]
+mod ends;
 #[path = "control/orders.rs"]
 mod orders;
 #[path = "control/setup.rs"]
@@ -160,6 +162,8 @@
     events: BTreeMap<(u64, u64), (u64, Event)>,
     /// Number of scheduled events, which orders those of the same time.
     seq: u64,
+    /// Runs that have ended, and starts that may not follow them.
+    ends: ends::Ends,
     /// Tasks whose completion as done was acknowledged.
     done: BTreeMap<TaskId, bool>,
     /// Jobs whose tasks all fail.
@@ -331,6 +335,8 @@
 
     /// Panics if an invariant was violated.
     pub fn check(&self) {
-        assert!(self.violations.is_empty(), "{:#?}", self.violations);
+        let violations: Vec<String> =
+            self.violations.iter().cloned().chain(self.forbidden_starts()).collect();
+        assert!(violations.is_empty(), "{violations:#?}");
     }
 }
--- a/tests/common/control/orders.rs
+++ b/tests/common/control/orders.rs
@@ -99,6 +99,7 @@
         if self.runners_of(task).len() > 1 && !copies {
             self.violations.push(format!("{now}: {task} runs twice"));
         }
+        self.record_restart(task);
     }
 
     /// Carries out a stop on runner `i`.
@@ -121,7 +122,8 @@
         check_fence(r, poll.fence)?;
         r.lease = r.lease.max(poll.until.unwrap_or(0));
         let acknowledged = |e: &&End| e.number <= poll.acked && e.number > r.void;
-        for end in r.ends.iter().filter(acknowledged).filter(|e| e.kind == EndKind::Done) {
+        let noted: Vec<End> = r.ends.iter().filter(acknowledged).cloned().collect();
+        for end in noted.iter().filter(|e| e.kind == EndKind::Done) {
             self.done.insert(end.task, true);
         }
         if r.ends.iter().any(|e| e.number <= poll.acked && e.number > r.listed) {
@@ -129,7 +131,8 @@
         }
         r.ends.retain(|e| e.number > poll.acked);
         r.listed = r.ends.last().map_or(r.listed, |e| e.number);
-        let active = r.running.iter().map(|(task, x)| ActiveRun {
+        let listed = r.running.iter().filter(|(_, x)| x.started + r.start_lag <= now);
+        let active = listed.map(|(task, x)| ActiveRun {
             task: *task,
             attempt: x.attempt,
             saved: String::new(),
@@ -137,6 +140,8 @@
             load: 0.0,
         });
         let (born, clock) = (Some(r.born), r.clock(now));
-        Ok(Report { born, clock, active: active.collect(), ends: r.ends.clone() })
+        let report = Report { born, clock, active: active.collect(), ends: r.ends.clone() };
+        self.note_ends(i, &noted);
+        Ok(report)
     }
 }
--- a/tests/common/control/setup.rs
+++ b/tests/common/control/setup.rs
@@ -1,6 +1,7 @@
 //! Construction of a cell: its queues, runners and steps.
 
 use super::super::runner::FakeRunner;
+use super::ends::Ends;
 use super::{queue, Cell, Crashes, Faults, RULES};
 use currantgw::control::engine::{Engine, Now, Rules};
 use currantgw::control::leader::CommitBatching;
@@ -74,6 +75,7 @@
             term: 1,
             events: BTreeMap::new(),
             seq: 0,
+            ends: Ends::default(),
             done: BTreeMap::new(),
             poisoned: BTreeSet::new(),
             rng: StdRng::seed_from_u64(seed),
--- a/tests/common/control/work.rs
+++ b/tests/common/control/work.rs
@@ -44,6 +44,7 @@
             if expired {
                 r.expire_lease();
             }
+            r.list_ended(now);
             let tasks: Vec<TaskId> = r.running.keys().copied().collect();
             for task in tasks {
                 let stalled = r.stalled;
@@ -64,7 +65,7 @@
                 if x.gang.is_some() && kind != EndKind::Done {
                     broken.insert(key);
                 }
-                r.end(task, kind);
+                r.end(task, kind, now);
             }
         }
         self.break_gangs(&broken);
@@ -84,13 +85,14 @@
     }
 
     fn break_gangs(&mut self, broken: &BTreeSet<(StepId, Attempt)>) {
+        let now = self.now;
         for r in self.runners.iter_mut().filter(|r| r.exists && !broken.is_empty()) {
             let broken_task = |(task, x): (&TaskId, &Running)| {
                 let is_broken = x.gang.is_some() && broken.contains(&(task.step, x.attempt));
                 is_broken.then_some(*task)
             };
             let tasks: Vec<TaskId> = r.running.iter().filter_map(broken_task).collect();
-            tasks.into_iter().for_each(|t| r.end(t, EndKind::Broken));
+            tasks.into_iter().for_each(|t| r.end(t, EndKind::Broken, now));
         }
     }
 
@@ -100,6 +102,7 @@
         let broken = self.runners[i].running.iter().filter_map(gang_of).collect();
         self.runners[i].exists = false;
         self.runners[i].running.clear();
+        self.runners[i].ending.clear();
         self.break_gangs(&broken);
     }
 
@@ -128,6 +131,6 @@
             checkpoints: false,
         };
         self.runners[i].running.insert(task, run);
-        self.runners[i].end(task, EndKind::Done);
+        self.runners[i].end(task, EndKind::Done, self.now);
     }
 }
--- a/tests/common/runner.rs
+++ b/tests/common/runner.rs
@@ -79,8 +79,18 @@
     pub lease: u64,
     /// Running tasks.
     pub running: BTreeMap<TaskId, Running>,
+    /// Time from a start until the run is listed as active, ms.
+    pub start_lag: u64,
+    /// Time from the end of a run until its completion is listed, ms. The run is not active any
+    /// more, and takes its capacity.
+    pub end_lag: u64,
+    /// Runs that have ended and are not listed yet: the time when they are, ms, the completion,
+    /// and the resources in use.
+    pub ending: Vec<(u64, End, Resources)>,
     /// Completions not yet acknowledged.
     pub ends: Vec<End>,
+    /// Runs that have ended since the test last looked, and how.
+    pub ended: Vec<(TaskId, Attempt, EndKind)>,
     /// Highest attempt of each task that was stopped or has ended on this runner.
     pub closed: BTreeMap<TaskId, Attempt>,
     /// Highest number of a completion that an answer has listed.
@@ -112,7 +122,11 @@
             fence: 0,
             lease: 0,
             running: BTreeMap::new(),
+            start_lag: 0,
+            end_lag: 0,
+            ending: Vec::new(),
             ends: Vec::new(),
+            ended: Vec::new(),
             closed: BTreeMap::new(),
             listed: 0,
             void: 0,
@@ -134,6 +148,8 @@
             id: std::mem::take(&mut self.id),
             born: Born(self.born.0 + now),
             offset: clock as i64 - now as i64,
+            start_lag: self.start_lag,
+            end_lag: self.end_lag,
             ..Self::new(0, self.capacity)
         };
     }
@@ -143,9 +159,11 @@
         format!("{:?}", self.born)
     }
 
-    /// Returns the resources of the running tasks.
+    /// Returns the resources of the runs whose completions are not listed.
     pub fn used(&self) -> Resources {
-        self.running.values().fold(Resources::ZERO, |sum, r| sum.add(&r.resources))
+        let running = self.running.values().map(|r| r.resources);
+        let ending = self.ending.iter().map(|(_, _, resources)| *resources);
+        running.chain(ending).fold(Resources::ZERO, |sum, r| sum.add(&r))
     }
 
     /// Voids the completions listed so far, as the lease has expired.
@@ -153,14 +171,28 @@
         self.void = self.last;
     }
 
-    /// Ends a running task and lists its completion.
-    pub fn end(&mut self, task: TaskId, kind: EndKind) {
+    /// Ends a running task at time `now`. Its completion is listed after [`Self::end_lag`].
+    pub fn end(&mut self, task: TaskId, kind: EndKind, now: u64) {
         let Some(run) = self.running.remove(&task) else { return };
-        self.last += 1;
         let closed = self.closed.entry(task).or_default();
         *closed = (*closed).max(run.attempt);
-        let (number, attempt) = (self.last, run.attempt);
+        let attempt = run.attempt;
         let saved = run.saved(kind == EndKind::Stopped);
-        self.ends.push(End { number, task, attempt, kind, saved });
+        self.ended.push((task, attempt, kind));
+        let end = End { number: 0, task, attempt, kind, saved };
+        self.ending.push((now + self.end_lag, end, run.resources));
+        self.list_ended(now);
+    }
+
+    /// Lists the completions that are due at time `now`.
+    pub fn list_ended(&mut self, now: u64) {
+        for (at, end, resources) in std::mem::take(&mut self.ending) {
+            if at > now {
+                self.ending.push((at, end, resources));
+                continue;
+            }
+            self.last += 1;
+            self.ends.push(End { number: self.last, ..end });
+        }
     }
 }
--- a/tests/control_engine.rs
+++ b/tests/control_engine.rs
@@ -343,11 +343,13 @@
     let job = cell.submit(1, "urgent", vec![Step { gang: true, ..step(6, 9_000, 4_000) }]);
     cell.run(1_000);
     let first = cell.runners_of(task(job, 0))[0];
-    cell.runners[first].end(task(job, 0), EndKind::Failed);
+    let now = cell.now;
+    cell.runners[first].end(task(job, 0), EndKind::Failed, now);
     cell.break_gang(job, 0);
     cell.run(1_000);
     let second = cell.runners_of(task(job, 1))[0];
-    cell.runners[second].end(task(job, 1), EndKind::Failed);
+    let now = cell.now;
+    cell.runners[second].end(task(job, 1), EndKind::Failed, now);
     cell.runners[second].unreachable_until = cell.now + 4_000;
     cell.break_gang(job, 0);
     cell.run(3_500);
@@ -370,7 +372,8 @@
         let Some(&i) = cell.runners_of(task(job, 0)).first() else { continue };
         runs += 1;
         assert!(runs <= 3, "a run after three failures");
-        cell.runners[i].end(task(job, 0), EndKind::Failed);
+        let now = cell.now;
+        cell.runners[i].end(task(job, 0), EndKind::Failed, now);
         cell.runners[i].unreachable_until = cell.now + 7_000;
         cell.break_gang(job, 0);
     }
--- /dev/null
+++ b/tests/control_unlisted.rs
@@ -0,0 +1,241 @@
+//! Runners that list a run some time after its start, and a completion some time after its end: in
+//! between, an answer lists the run neither as active nor as ended.
+
+mod common {
+    pub mod control;
+    pub mod runner;
+}
+
+use common::control::{step, Cell, Faults, STEP_MS};
+use currantgw::control::model::{JobId, JobState, Step, StepId, TaskId};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Number of seeds for mixed faults.
+const SEEDS: u64 = 40;
+
+/// Times until a run or a completion is listed, ms: up to the time that a stop takes at most.
+const LAGS_MS: [u64; 4] = [10, 60, 150, 300];
+
+/// Longer than the scheduler waits for a run that is not listed, ms.
+const NEVER_MS: u64 = 60_000;
+
+fn task(job: JobId, index: u32) -> TaskId {
+    TaskId { step: StepId { job, occurrence: 0, step: 0 }, index }
+}
+
+/// Sets the lags of all runners.
+fn set_lags(cell: &mut Cell, start: u64, end: u64) {
+    for r in &mut cell.runners {
+        (r.start_lag, r.end_lag) = (start, end);
+    }
+}
+
+/// Submits `jobs` jobs of three tasks, one each 70 ms.
+fn submit(cell: &mut Cell, jobs: u64, gang: bool) -> Vec<JobId> {
+    let mut ids = Vec::new();
+    for n in 0..jobs {
+        let work = Step { gang, ..step(3, 2_000, 300 + 37 * (n % 7)) };
+        ids.push(cell.submit(n + 1, "patient", vec![work]));
+        cell.run(70);
+    }
+    ids
+}
+
+/// Guards against tasks started again while the completions of their runs are not listed yet.
+#[test]
+fn a_run_whose_completion_is_listed_late_is_not_started_again() {
+    for (lag, gang) in LAGS_MS.into_iter().flat_map(|lag| [(lag, false), (lag, true)]) {
+        let mut cell = Cell::new(4, 1);
+        set_lags(&mut cell, 0, lag);
+        let jobs = submit(&mut cell, 40, gang);
+        cell.run(8_000);
+        cell.check();
+        assert!(jobs.iter().all(|id| cell.stored(*id) == JobState::Completed), "lag {lag}");
+        assert!(cell.starts.values().all(|n| *n == 1), "lag {lag}, gang {gang}");
+    }
+}
+
+/// Guards against tasks started twice because their runners do not list them yet.
+#[test]
+fn a_run_that_is_listed_some_time_after_its_start_is_not_started_again() {
+    for (lag, gang) in LAGS_MS.into_iter().flat_map(|lag| [(lag, false), (lag, true)]) {
+        let mut cell = Cell::new(4, 2);
+        set_lags(&mut cell, lag, 0);
+        let jobs = submit(&mut cell, 40, gang);
+        cell.run(8_000);
+        cell.check();
+        assert!(jobs.iter().all(|id| cell.stored(*id) == JobState::Completed), "lag {lag}");
+        assert!(cell.starts.values().all(|n| *n == 1), "lag {lag}, gang {gang}");
+    }
+}
+
+/// Guards against failures that do not count because they are listed late.
+#[test]
+fn failures_that_are_listed_late_count_against_the_limit() {
+    for (lag, gang) in LAGS_MS.into_iter().flat_map(|lag| [(lag, false), (lag, true)]) {
+        let mut cell = Cell::new(4, 3);
+        set_lags(&mut cell, 0, lag);
+        let job = cell.submit(1, "urgent", vec![Step { gang, ..step(3, 2_000, 300) }]);
+        cell.poison(job);
+        cell.run(10_000);
+        cell.check();
+        assert_eq!(cell.stored(job), JobState::Failed, "lag {lag}, gang {gang}");
+        assert!(cell.starts.values().all(|n| *n <= 2), "lag {lag}, gang {gang}");
+    }
+}
+
+/// Guards against runners overcommitted by runs whose completions are not listed yet.
+#[test]
+fn a_run_whose_completion_is_not_listed_yet_takes_its_capacity() {
+    let mut cell = Cell::new(2, 4);
+    set_lags(&mut cell, 0, 300);
+    for n in 0..60 {
+        cell.submit(n + 1, "patient", vec![step(1, 7_000, 400 + n * 13)]);
+    }
+    cell.run(15_000);
+    cell.check();
+    assert!((0..60).all(|n| cell.stored(JobId(n + 1)) == JobState::Completed));
+}
+
+/// Guards against tasks started twice after a leader change because their runs are not listed.
+#[test]
+fn a_new_leader_waits_for_runs_that_are_not_listed_yet() {
+    for (start, end) in [(150, 0), (0, 150), (300, 300)] {
+        let mut cell = Cell::new(4, 5);
+        set_lags(&mut cell, start, end);
+        let mut jobs = Vec::new();
+        for n in 0..40 {
+            jobs.push(cell.submit(n + 1, "patient", vec![step(3, 2_000, 400 + 31 * (n % 7))]));
+            cell.run(130);
+            if n % 4 == 3 {
+                cell.change_leader();
+            }
+        }
+        cell.run(20_000);
+        cell.check();
+        assert!(jobs.iter().all(|id| cell.stored(*id) == JobState::Completed), "{start} {end}");
+    }
+}
+
+/// A cell of one runner, on which a run of a job's only task was written off. The run has ended, its
+/// completion is not listed, and the registry does not show the runner.
+fn cell_with_unlisted_end(fails: bool) -> (Cell, JobId) {
+    let mut cell = Cell::new(1, 6);
+    set_lags(&mut cell, 0, NEVER_MS);
+    let job = cell.submit(1, "urgent", vec![step(1, 1_000, 500)]);
+    if fails {
+        cell.poison(job);
+    }
+    cell.run(300);
+    cell.register(0, false);
+    while cell.engine.counts.written_off == 0 && cell.now < NEVER_MS {
+        cell.run(STEP_MS);
+    }
+    cell.run(300);
+    (cell, job)
+}
+
+/// Lists the completions of all runs that have ended.
+fn list_ended(cell: &mut Cell) {
+    let now = cell.now;
+    let r = &mut cell.runners[0];
+    r.end_lag = 0;
+    r.ending.iter_mut().for_each(|(at, ..)| *at = now);
+}
+
+/// Guards against completions that are acknowledged and have no effect.
+#[test]
+fn a_completion_that_is_listed_after_its_run_was_written_off_counts() {
+    for (fails, state, starts) in [(false, JobState::Completed, 1), (true, JobState::Failed, 2)] {
+        let (mut cell, job) = cell_with_unlisted_end(fails);
+        list_ended(&mut cell);
+        cell.run(500);
+        cell.register(0, true);
+        cell.run(5_000);
+        cell.check();
+        assert_eq!((cell.stored(job), cell.starts[&task(job, 0)]), (state, starts));
+    }
+}
+
+/// Guards against a late failure that is forgotten, or counted twice, after a change of leader.
+#[test]
+fn a_late_failure_counts_once_across_leader_changes() {
+    let (mut cell, job) = cell_with_unlisted_end(true);
+    cell.change_leader();
+    cell.register(0, true);
+    cell.register(0, false);
+    list_ended(&mut cell);
+    cell.run(40);
+    cell.change_leader();
+    cell.run(8_000);
+    cell.check();
+    assert_eq!((cell.stored(job), cell.starts[&task(job, 0)]), (JobState::Failed, 2));
+}
+
+/// Guards against tasks that never run again because an answer does not list a run that never began.
+#[test]
+fn a_placement_that_was_never_started_starts_elsewhere_after_a_leader_change() {
+    let mut cell = Cell::new(2, 8);
+    cell.run(300);
+    cell.faults.late = 1.0;
+    let job = cell.submit(1, "patient", vec![step(2, 1_000, 500)]);
+    cell.run(60);
+    cell.faults.late = 0.0;
+    cell.change_leader();
+    cell.run(3_500);
+    assert_eq!(cell.stored(job), JobState::Completed);
+    cell.run(15_000);
+    cell.check();
+}
+
+/// Lists that lag, beside leader changes, late and unanswered orders, commits without an answer,
+/// unreachable runners, crashes and cancellations.
+#[test]
+fn lists_that_lag_under_mixed_faults_violate_no_invariant() {
+    for seed in 0..SEEDS {
+        let mut cell = Cell::new(5, seed);
+        let mut rng = StdRng::seed_from_u64(seed ^ 0x115_7ed);
+        let (start, end) = (rng.gen_range(0..300), rng.gen_range(0..300));
+        cell.own_faults = 0.1;
+        let mut jobs = Vec::new();
+        for n in 0..60_u64 {
+            set_lags(&mut cell, start, end);
+            cell.faults = Faults {
+                late: if rng.gen_bool(0.2) { 0.1 } else { 0.0 },
+                unanswered: if rng.gen_bool(0.2) { 0.1 } else { 0.0 },
+                commits: if rng.gen_bool(0.2) { 0.3 } else { 0.0 },
+                store_down: rng.gen_bool(0.05),
+                resent_after: 0,
+            };
+            let gang = rng.gen_bool(0.3);
+            let work = Step { gang, ..step(rng.gen_range(1..6), 2_500, rng.gen_range(100..2_500)) };
+            let queue = ["urgent", "patient", "asked"][rng.gen_range(0..3)];
+            jobs.push(cell.submit(n + 1, queue, vec![work]));
+            cell.run(rng.gen_range(50..600));
+            let i = rng.gen_range(0..cell.runners.len());
+            match rng.gen_range(0..14) {
+                0 => cell.change_leader(),
+                1 => cell.runners[i].unreachable_until = cell.now + rng.gen_range(500..9_000),
+                2 => {
+                    cell.crash(i);
+                    cell.runners[i].replaced = rng.gen();
+                    cell.register(i, false);
+                    cell.add_runner();
+                }
+                3 => {
+                    let id = jobs[rng.gen_range(0..jobs.len())];
+                    cell.cancel(id);
+                }
+                _ => {}
+            }
+        }
+        cell.faults = Faults::default();
+        cell.run(60_000);
+        cell.check();
+        for id in jobs {
+            assert!(cell.stored(id).ended(), "seed {seed}: {id} is {:?}", cell.stored(id));
+        }
+        assert_eq!(cell.running(), 0, "seed {seed}");
+    }
+}
