A run that one answer does not list is not over

Cause: a poll that listed a run neither as active nor as completed wrote it off at once: its capacity was free and its task was placed again. A runner that takes some time to list a start, or an end, or whose list of completions goes on (it lists 500 at a time), shows such answers for sound runs.

A run is now over only by what the protocol says: its completion, or a stop of its attempt that was acknowledged `stop_ms` ago (the time that a stop takes at most) and an answer after that which does not list it. A confirmed run that is not listed is waited for, since its completion is listed until it is acknowledged; after the length of a lease its attempt is stopped. A placement of an earlier leader that is not listed is stopped at once, since its start may never have arrived. An attempt that the runner refuses as superseded counts as stopped. New setting `stop_ms` (default 1000), from the platform's bounds.

--- a/src/control/engine/losses.rs
+++ b/src/control/engine/losses.rs
@@ -131,9 +131,10 @@
     /// Remembers that a task's run is marked as lost, in case its completion is reported later.
     pub(super) fn note_lost(&mut self, k: RunnerKey, id: TaskId, why: Loss, now: Now) {
         let Some(attempt) = self.task(id).map(|t| t.attempt) else { return };
-        metrics::counter!("control_runs_lost", "why" => why.name()).increment(1);
         let lost = LostRun { why, at: now.mono };
-        self.runners.get_mut(k).lost.insert((id, attempt), lost);
+        if self.runners.get_mut(k).lost.insert((id, attempt), lost).is_none() {
+            metrics::counter!("control_runs_lost", "why" => why.name()).increment(1);
+        }
     }
 
     /// Logs the completion of a run that is not the task's current one.
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -32,7 +32,7 @@
 pub use jobs::{Job, StepRun, Task};
 pub use round::MAX_CHECKS_PER_ROUND;
 pub use runners::{Runner, RunnerHealth};
-pub use runs::{Run, Stage};
+pub use runs::{Absence, Run, Stage};
 pub use teams::{TeamKey, TeamUse, TeamView};
 
 use super::crashes::LossRate;
@@ -66,6 +66,8 @@
     pub lease_ms: u64,
     /// Longest lease that a runner grants, ms.
     pub hold_max_ms: u64,
+    /// Longest time from a stop order that a runner acknowledged until it lists the run as ended, ms.
+    pub stop_ms: u64,
     /// For this long after a new leader was elected its predecessor may have extended leases, ms.
     pub step_down_ms: u64,
     /// Time that ended jobs are kept, ms.
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -2,7 +2,7 @@
 
 use super::losses::Loss;
 use super::progress::{self, Progress};
-use super::runs::{Stage, StopReason};
+use super::runs::{Absence, Stage, StopReason};
 use super::{Action, Engine, Now, RunnerKey};
 use crate::control::crashes::Losses;
 use crate::control::model::{Attempt, EndKind, TaskId};
@@ -77,6 +77,7 @@
         }
         let active: BTreeMap<(TaskId, Attempt), ActiveRun> =
             report.active.into_iter().map(|a| ((a.task, a.attempt), a)).collect();
+        self.runners.get_mut(k).settled_at = None;
         let allocated: Vec<(TaskId, Attempt)> = self.runners.get(k).tasks.keys().copied().collect();
         for (id, attempt) in allocated {
             match active.get(&(id, attempt)) {
@@ -118,6 +119,7 @@
         }
         let Some(run) = task.run.as_mut().filter(|r| r.runner == k) else { return };
         run.listed = true;
+        run.unlisted_since = None;
         run.progress.record(a.percent, now.mono);
         let progress = run.progress;
         match run.stage {
@@ -159,35 +161,52 @@
 
     /// Handles a run that the runner does not list, while its capacity is still allocated.
     fn run_not_listed(&mut self, k: RunnerKey, id: TaskId, attempt: Attempt, clock: u64, now: Now) {
+        let rules = self.rules;
         let Some(run) = self.run_mut(k, id, attempt) else {
             self.deallocate(k, id, attempt);
             return;
         };
-        // The poll raised the fencing token, so that a predecessor's start that has not arrived yet
-        // never takes effect. A start that arrives after the stop of its attempt is refused.
-        let lost = match run.stage {
-            Stage::Inherited { .. } => true,
-            Stage::Running { clock: confirmed } => clock > confirmed,
-            Stage::Stopping { answered: Some(stopped) } => clock > stopped,
-            Stage::Storing { .. } | Stage::Sent | Stage::Stopping { answered: None } => false,
-        };
         let stage = run.stage;
-        if lost {
-            let runner = self.runners.get(k);
-            log::info!(task:% = id, attempt = attempt.0, runner = runner.id, stage = stage.name(),
-                clock, confirmed:? = stage.confirmed(), last_completion = runner.last_completion;
-                "run not listed: written off");
-            match stage {
-                Stage::Inherited { born } if born.is_some() && born != runner.born => {
-                    self.record_lost(k, &[id], Loss::OtherIncarnation, now);
-                }
-                _ => self.note_lost(k, id, Loss::NotListed, now),
+        let settled_at = match run.absent(clock, &rules) {
+            Absence::Inconclusive(settled_at) => settled_at,
+            Absence::Suspect => {
+                self.stop_unlisted(k, id, stage, now);
+                Some(clock + rules.stop_ms)
             }
-            self.counts.written_off += 1;
-            self.release(id, now);
-            self.gang_broken(id, now);
-            self.update_state(id.step.job, now);
+            Absence::Over => {
+                self.write_off_unlisted(k, id, stage, clock, now);
+                None
+            }
+        };
+        if let Some(at) = settled_at {
+            let runner = self.runners.get_mut(k);
+            runner.settled_at = Some(runner.settled_at.map_or(at, |earlier| earlier.min(at)));
+        }
+    }
+
+    /// Stops a run that may be over. One that was placed on an earlier incarnation of its runner
+    /// was lost with it.
+    fn stop_unlisted(&mut self, k: RunnerKey, id: TaskId, stage: Stage, now: Now) {
+        match stage {
+            Stage::Inherited { born } if born.is_some() && born != self.runners.get(k).born => {
+                self.record_lost(k, &[id], Loss::OtherIncarnation, now);
+            }
+            _ => {}
         }
+        self.order_stop(id, StopReason::NotListed, now);
+    }
+
+    fn write_off_unlisted(&mut self, k: RunnerKey, id: TaskId, stage: Stage, clock: u64, now: Now) {
+        let attempt = self.task(id).map_or(0, |t| t.attempt.0);
+        let runner = self.runners.get(k);
+        log::info!(task:% = id, attempt, runner = runner.id, stage = stage.name(), clock,
+            confirmed:? = stage.confirmed(), last_completion = runner.last_completion;
+            "run not listed: written off");
+        self.note_lost(k, id, Loss::NotListed, now);
+        self.counts.written_off += 1;
+        self.release(id, now);
+        self.gang_broken(id, now);
+        self.update_state(id.step.job, now);
     }
 
     fn process_completion(&mut self, k: RunnerKey, end: &End, now: Now) {
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -149,6 +149,9 @@
     pub acked: u64,
     /// Latest end of a lease that was sent, ms of its clock.
     lease_until: u64,
+    /// When an answer shows whether a run that was stopped and is not listed is over, ms of its
+    /// clock.
+    pub(super) settled_at: Option<u64>,
 }
 
 impl Runner {
@@ -182,6 +185,7 @@
             unacked: VecDeque::new(),
             acked: 0,
             lease_until: 0,
+            settled_at: None,
         }
     }
 
@@ -268,6 +272,12 @@
         Some(allocation)
     }
 
+    /// Its clock at `now`, ms, as far as it is known.
+    pub(super) fn clock_at(&self, now: Now) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        Some(clock + now.mono.saturating_sub(at))
+    }
+
     /// Records an answer that carries the runner's clock.
     pub fn record_answer(&mut self, clock: u64, now: Now) {
         self.last_contact = now.mono;
@@ -286,8 +296,7 @@
     /// The end of a lease of `lease_ms` from now, on the runner's clock. It is recorded, since the
     /// order that carries it may take effect even if it is never answered.
     pub fn extend(&mut self, lease_ms: u64, now: Now) -> Option<u64> {
-        let (clock, at) = self.clock?;
-        let until = clock + now.mono.saturating_sub(at) + lease_ms;
+        let until = self.clock_at(now)? + lease_ms;
         self.lease_until = self.lease_until.max(until);
         Some(until)
     }
@@ -343,6 +352,9 @@
                 Some(_) if idle => IDLE_POLL_WAIT_MS,
                 Some(_) => POLL_WAIT_MS,
             };
+            let settles_in = r.settled_at.zip(r.clock_at(now));
+            let wait_ms = settles_in
+                .map_or(wait_ms, |(at, clock)| wait_ms.min((at + 1).saturating_sub(clock)));
             r.wait_ms = wait_ms.max(POLL_WAIT_MS);
             r.polling = true;
             let poll = PollRequest { fence, acked, until, wait_ms };
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -5,12 +5,16 @@
 //! run twice. A run therefore keeps its capacity until one of these:
 //!
 //! - its completion is reported;
-//! - a stop of its attempt was acknowledged, and a later poll does not list it;
+//! - a stop of its attempt was acknowledged, and a poll does not list it after the time that a stop
+//!   takes at most;
 //! - the lease of its runner has expired;
 //! - another incarnation has replaced the runner, and no order can start the run there.
+//!
+//! A single answer that does not list a run proves nothing: a runner may list a run some time after
+//! its start, and a completion some time after the run has ended.
 
 use super::progress::Progress;
-use super::{Action, Engine, Now, RunnerKey};
+use super::{Action, Engine, Now, Rules, RunnerKey};
 use crate::control::model::{Attempt, Born, StepId, TaskId};
 use crate::control::ports::{Refusal, StartOrder, StopOrder};
 
@@ -94,6 +98,8 @@
     Repeated,
     /// Its runner has started again, and its start may take effect there.
     Restarted,
+    /// Its runner lists it neither as active nor as completed.
+    NotListed,
 }
 
 impl StopReason {
@@ -107,10 +113,22 @@
             Self::Preempted => "makes room for a gang",
             Self::Repeated => "earlier stop not answered",
             Self::Restarted => "runner restarted",
+            Self::NotListed => "not listed",
         }
     }
 }
 
+/// What follows from an answer that does not list a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Absence {
+    /// Nothing yet. A further answer at this time of the runner's clock may tell more, ms.
+    Inconclusive(Option<u64>),
+    /// It may be over. Its attempt has to be stopped to know.
+    Suspect,
+    /// It is over, or has never begun.
+    Over,
+}
+
 /// A run of a task on a runner.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -124,6 +142,9 @@
     pub outcome_unknown: bool,
     /// Whether the runner has listed it as active.
     pub listed: bool,
+    /// Since when answers have not listed it although its start was confirmed, ms of the runner's
+    /// clock.
+    pub unlisted_since: Option<u64>,
     /// Progress as reported by the runner.
     pub progress: Progress,
     /// When a stop was last sent, local ms.
@@ -142,6 +163,7 @@
             tries: 0,
             outcome_unknown: false,
             listed: false,
+            unlisted_since: None,
             progress,
             stop_at: 0,
             ticket: None,
@@ -153,6 +175,38 @@
     pub fn settled(&self) -> bool {
         self.listed && !self.outcome_unknown
     }
+
+    /// What follows from an answer that does not list it, given at `clock`, ms of the runner's
+    /// clock.
+    pub fn absent(&mut self, clock: u64, rules: &Rules) -> Absence {
+        match self.stage {
+            Stage::Storing { .. } | Stage::Sent | Stage::Stopping { answered: None } => {
+                Absence::Inconclusive(None)
+            }
+            // The poll raised the fencing token, so that a predecessor's start that has not arrived
+            // yet never takes effect; it may have arrived just before.
+            Stage::Inherited { .. } => Absence::Suspect,
+            Stage::Running { clock: confirmed } if clock <= confirmed => {
+                Absence::Inconclusive(None)
+            }
+            // Its completion will be listed: runners list completions until they are acknowledged.
+            Stage::Running { .. } => {
+                let since = *self.unlisted_since.get_or_insert(clock);
+                match clock < since + rules.lease_ms {
+                    true => Absence::Inconclusive(None),
+                    false => Absence::Suspect,
+                }
+            }
+            // A start that arrives after the stop of its attempt is refused.
+            Stage::Stopping { answered: Some(stopped) } => {
+                let settled = stopped + rules.stop_ms;
+                match clock <= settled {
+                    true => Absence::Inconclusive(Some(settled)),
+                    false => Absence::Over,
+                }
+            }
+        }
+    }
 }
 
 impl Engine {
@@ -281,7 +335,7 @@
         let Some(task) = self.task_mut(id) else { return };
         let Some(run) = task.run.as_mut() else { return };
         run.outcome_unknown |= why == Refusal::NoResponse;
-        let (outcome_unknown, tries) = (run.outcome_unknown, run.tries);
+        let (outcome_unknown, tries, attempt) = (run.outcome_unknown, run.tries, task.attempt);
         match why {
             Refusal::Fenced => {}
             Refusal::OtherRunner => {
@@ -293,9 +347,13 @@
             Refusal::NoResponse | Refusal::Unreachable if tries < MAX_START_TRIES => {
                 self.order_start(id, now, START_RETRY_MS);
             }
-            // The attempt has ended or was stopped there: the next poll reports its completion, or
-            // does not list it, and it is marked as lost.
-            Refusal::Superseded => run.stage = Stage::Running { clock: 0 },
+            // The attempt has ended or was stopped there, and cannot start any more.
+            Refusal::Superseded => {
+                let answered = self.runners.get(k).clock_at(now);
+                if let Some(run) = self.run_mut(k, id, attempt) {
+                    run.stage = Stage::Stopping { answered };
+                }
+            }
             Refusal::NoResponse => self.order_stop(id, StopReason::NoAnswer, now),
             _ => {
                 self.record_refusal(k, id, why, now);
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -143,6 +143,7 @@
         let rules = Rules {
             lease_ms,
             hold_max_ms: self.settings.hold_max_ms,
+            stop_ms: self.settings.stop_ms,
             step_down_ms: STEP_DOWN_MS,
             keep_ms: self.settings.keep_ms,
             placement: self.settings.placement,
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -42,6 +42,9 @@
     pub advice: Option<SocketAddr>,
     /// Longest lease that a runner grants, ms; at least 1,000.
     pub hold_max_ms: u64,
+    /// Longest time that a runner takes to stop a run, ms.
+    #[serde(default = "default_stop_ms")]
+    pub stop_ms: u64,
     /// Time between a stop order and the kill of a task, ms; at least 1,000.
     pub grace_ms: u64,
     /// Time for which an ended job is kept and its state can be queried, ms; at least 1,000.
@@ -71,6 +74,10 @@
     1.0
 }
 
+fn default_stop_ms() -> u64 {
+    1_000
+}
+
 fn default_apply_ms() -> u64 {
     2_000
 }
@@ -125,6 +132,7 @@
             ("config_apply_ms", s.config_apply_ms),
             ("max_stretch_ms", s.max_stretch_ms),
             ("revoke_ms", s.revoke_ms),
+            ("stop_ms", s.stop_ms),
         ];
         if let Some((field, value)) = spans.into_iter().find(too_long) {
             return Err(SettingsError::Range { field: field.into(), value, min: 0, max });
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -46,6 +46,7 @@
 pub const RULES: Rules = Rules {
     lease_ms: 8_000,
     hold_max_ms: 10_000,
+    stop_ms: 400,
     step_down_ms: 10_000,
     keep_ms: 120_000,
     placement: Placement::BestFit,
--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -339,6 +339,7 @@
             cross_part: true,
             advice: Some(self.store),
             hold_max_ms: 10_000,
+            stop_ms: 400,
             grace_ms: 2_600,
             keep_ms: 120_000,
             contracts: self.contracts.clone(),
--- a/tests/control_leader.rs
+++ b/tests/control_leader.rs
@@ -118,6 +118,7 @@
         cross_part: true,
         advice: None,
         hold_max_ms: 10_000,
+        stop_ms: 400,
         grace_ms: 2_600,
         keep_ms: 120_000,
         contracts: Default::default(),
@@ -135,6 +136,7 @@
     let rules = Rules {
         lease_ms: 8_000,
         hold_max_ms: 10_000,
+        stop_ms: 400,
         step_down_ms: 10_000,
         keep_ms: 120_000,
         placement: Placement::default(),
--- a/tests/control_settings.rs
+++ b/tests/control_settings.rs
@@ -84,6 +84,7 @@
     let sections = [
         ("{{#bounds.revoke_strict}}", "{{/bounds.revoke_strict}}", ""),
         ("{{#bounds.revoke_ms}}", "{{/bounds.revoke_ms}}", "4000"),
+        ("{{#bounds.stop_ms}}", "{{/bounds.stop_ms}}", "400"),
     ];
     let render = |present: bool| {
         sections.iter().fold(filled.clone(), |text, (begin, end, value)| {
@@ -96,9 +97,11 @@
     let s = NodeSettings::parse(&render(true)).expect("a template filled in");
     let rules = s.access_rules();
     assert_eq!((s.revoke_strict, rules.teams, rules.max_age_ms), (true, true, 4_000));
+    assert_eq!(s.stop_ms, 400);
     let filled = render(false);
     let s = NodeSettings::parse(&filled).expect("a template filled in");
     assert_eq!((s.keep_ms, s.grace_ms, s.millis()), (120_000, 6_000, 250));
+    assert_eq!(s.stop_ms, 1_000);
 }
 
 #[test]
