A completion that is acknowledged has its effect, also after a write-off

Callers saw a task started after a run of it had ended as done, and tasks started after as many failures as allowed: the completion of a run that had been written off found no run, was acknowledged, and changed nothing.

- `done` marks the task, or the gang, as done whatever has happened to the run since; a newer run is stopped (`task done`).
- `failed` counts.
A new leader is listed the completions that its predecessor has processed and not acknowledged, so that it must know which attempts are still expected: they are stored with the job (`StepRow`, a fifth field; rows without it are read).
Each counts once.
- A run that ends after its task is done adds no failure.

`a_completion_that_is_listed_after_its_run_was_written_off_counts` and `a_late_failure_counts_once_across_leader_changes` fail before and pass now, in a form in which the runner refuses starts meanwhile: a runner that the registry does not list, as they had it first, is not polled without runs, so that its completion is not read before its next start.

--- a/src/control/engine/gangs.rs
+++ b/src/control/engine/gangs.rs
@@ -66,20 +66,6 @@
         }
     }
 
-    /// Handles a completion of a run that was already marked as lost: the loss is withdrawn. A
-    /// gang's failure counts, although another attempt has been made since.
-    pub(super) fn late_completion(&mut self, id: TaskId, attempt: Attempt, failed: bool, now: Now) {
-        if let Some(task) = self.task_mut(id) {
-            task.losses.withdraw(attempt);
-        }
-        let Some(s) = self.step_mut(id.step) else { return };
-        if s.unreported.remove(&attempt).is_some() && failed {
-            s.gang_fails += 1;
-            self.mark_changed(id.step.job);
-            self.update_state(id.step.job, now);
-        }
-    }
-
     /// Members of the gang's last attempt that run or may run, and their runners.
     fn remaining_members(&self, step: StepId) -> Vec<(TaskId, RunnerKey)> {
         let Some(s) = self.step(step) else { return Vec::new() };
--- a/src/control/engine/jobs.rs
+++ b/src/control/engine/jobs.rs
@@ -30,6 +30,9 @@
     pub losses: Losses,
     /// Whether it has been preempted. A task is preempted at most once.
     pub preempted: bool,
+    /// Attempts that were written off and whose completion may yet be reported. Empty for a member
+    /// of a gang, see [`StepRun::unreported`].
+    pub unreported: BTreeSet<Attempt>,
 }
 
 impl Task {
--- /dev/null
+++ b/src/control/engine/late_completions.rs
@@ -0,0 +1,126 @@
+//! Completions of runs that were marked as lost before.
+//!
+//! A completion that is acknowledged counts for the callers, so it must have its effect here, too,
+//! whether or not the task has been started again meanwhile. A failure counts once: a new leader
+//! finds in the row of a job which attempts may yet be reported, and a completion of any other
+//! attempt is one that an earlier leader has processed.
+
+use super::losses::Loss;
+use super::runs::{Stage, StopReason};
+use super::{Engine, Now, RunnerKey};
+use crate::control::model::{Attempt, EndKind, TaskId};
+use crate::control::ports::End;
+
+/// A run that was marked as lost and may yet be reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct LostRun {
+    why: Loss,
+    /// When it was marked as lost, local ms.
+    at: u64,
+    /// Latest end of a lease that its runner had been sent, ms of the runner's clock.
+    lease_until: u64,
+}
+
+impl Engine {
+    /// Remembers that a task's run is marked as lost, in case its completion is reported later.
+    pub(super) fn note_lost(&mut self, k: RunnerKey, id: TaskId, why: Loss, now: Now) {
+        let Some(attempt) = self.task(id).map(|t| t.attempt) else { return };
+        let runner = self.runners.get_mut(k);
+        let lost = LostRun { why, at: now.mono, lease_until: runner.lease_until() };
+        if runner.lost.insert((id, attempt), lost).is_none() {
+            metrics::counter!("control_runs_lost", "why" => why.name()).increment(1);
+        }
+        if why == Loss::NotListed {
+            self.expect_completion(id, attempt);
+        }
+    }
+
+    /// Records that the completion of an attempt may yet be reported, and counts then.
+    fn expect_completion(&mut self, id: TaskId, attempt: Attempt) {
+        let gang = self.jobs.get(&id.step.job).is_some_and(|j| j.spec(id.step).gang);
+        let Some(step) = self.step_mut(id.step) else { return };
+        if gang {
+            step.unreported.entry(attempt).or_insert(0);
+        } else if let Some(task) = step.tasks.get_mut(id.index as usize) {
+            task.unreported.insert(attempt);
+        }
+    }
+
+    /// Handles the completion of a run that is not its task's current one, reported at `clock`, ms
+    /// of the runner's clock.
+    pub(super) fn late_completion(&mut self, k: RunnerKey, end: &End, clock: u64, now: Now) {
+        let lost = self.runners.get_mut(k).lost.remove(&(end.task, end.attempt));
+        self.log_late(k, end, lost, now);
+        // A runner whose lease has expired ends its runs, and failures before that do not count.
+        let within_lease = lost.is_some_and(|l| l.why == Loss::LeaseOver && clock <= l.lease_until);
+        if let Some(task) = self.task_mut(end.task) {
+            task.losses.withdraw(end.attempt);
+        }
+        let expected = self.take_expected(end);
+        let Some(job) = self.jobs.get(&end.task.step.job).filter(|j| !j.state.ended()) else {
+            return;
+        };
+        let spec = job.spec(end.task.step);
+        let (gang, lasts) = (spec.gang, spec.lasts);
+        match end.kind {
+            EndKind::Done if !lasts => self.complete_late(end.task, gang, now),
+            EndKind::Failed if expected || within_lease => self.fail_late(k, end.task, gang),
+            _ => return,
+        }
+        self.mark_changed(end.task.step.job);
+        self.update_state(end.task.step.job, now);
+    }
+
+    /// Whether the completion of an attempt was expected; it is not any more. Of a gang, a member
+    /// that ended as broken leaves the failure of another one to be expected.
+    fn take_expected(&mut self, end: &End) -> bool {
+        let Some(step) = self.step_mut(end.task.step) else { return false };
+        if end.kind == EndKind::Broken {
+            step.unreported.entry(end.attempt).and_modify(|lease_end| *lease_end = 0);
+            return false;
+        }
+        let of_gang = step.unreported.remove(&end.attempt).is_some();
+        let task = step.tasks.get_mut(end.task.index as usize);
+        of_gang || task.is_some_and(|t| t.unreported.remove(&end.attempt))
+    }
+
+    /// Marks a task as done by an earlier run than its current one, which is stopped.
+    fn complete_late(&mut self, id: TaskId, gang: bool, now: Now) {
+        if self.task(id).is_none_or(|t| t.done) {
+            return;
+        }
+        self.mark_done(id, gang);
+        if gang {
+            self.stop_step(id.step, StopReason::Done, now);
+            return;
+        }
+        match self.run_of(id).map(|r| r.stage) {
+            Some(Stage::Storing { .. }) => self.release(id, now),
+            Some(_) => self.order_stop(id, StopReason::Done, now),
+            None => {}
+        }
+    }
+
+    fn fail_late(&mut self, k: RunnerKey, id: TaskId, gang: bool) {
+        let Some(step) = self.step_mut(id.step) else { return };
+        if gang {
+            step.gang_fails += 1;
+        } else if let Some(task) = step.tasks.get_mut(id.index as usize) {
+            task.avoid.insert(k);
+            task.fails += 1;
+        }
+    }
+
+    fn log_late(&self, k: RunnerKey, end: &End, lost: Option<LostRun>, now: Now) {
+        let why = lost.map_or("unknown", |l| l.why.name());
+        let task = self.task(end.task);
+        let stage = task.and_then(|t| t.run.as_ref()).map_or("none", |r| r.stage.name());
+        metrics::counter!("control_late_completions", "how" => end.kind.name(), "why" => why)
+            .increment(1);
+        log::info!(task:% = end.task, attempt = end.attempt.0, runner = self.runners.get(k).id,
+            how = end.kind.name(), number = end.number, why, stage,
+            since_ms:? = lost.map(|l| now.mono.saturating_sub(l.at)),
+            last_attempt:? = task.map(|t| t.attempt.0), done:? = task.map(|t| t.done);
+            "completion of a run already marked as lost");
+    }
+}
--- a/src/control/engine/losses.rs
+++ b/src/control/engine/losses.rs
@@ -6,7 +6,6 @@
 use crate::control::crashes::{Losses, STABLE_MS};
 use crate::control::model::{Attempt, TaskId};
 use crate::control::place::Candidate;
-use crate::control::ports::End;
 use std::collections::BTreeSet;
 
 /// Reason for which runs without a reported completion are lost.
@@ -24,7 +23,7 @@
 
 impl Loss {
     /// Name in log lines and metrics.
-    fn name(self) -> &'static str {
+    pub(super) fn name(self) -> &'static str {
         match self {
             Self::OtherIncarnation => "another life",
             Self::LeaseOver => "lease over",
@@ -34,14 +33,6 @@
     }
 }
 
-/// A run that was marked as lost and may yet be reported.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct LostRun {
-    why: Loss,
-    /// When it was marked as lost, local ms.
-    at: u64,
-}
-
 /// How long a task's run is known to have run up to the local time `until`, ms; `None` if it was
 /// not seen running.
 fn observed_run_ms(task: &Task, until: u64) -> Option<u64> {
@@ -128,32 +119,6 @@
             lost_before = task.losses.count; "run lost with its runner");
     }
 
-    /// Remembers that a task's run is marked as lost, in case its completion is reported later.
-    pub(super) fn note_lost(&mut self, k: RunnerKey, id: TaskId, why: Loss, now: Now) {
-        let Some(attempt) = self.task(id).map(|t| t.attempt) else { return };
-        let lost = LostRun { why, at: now.mono };
-        if self.runners.get_mut(k).lost.insert((id, attempt), lost).is_none() {
-            metrics::counter!("control_runs_lost", "why" => why.name()).increment(1);
-        }
-    }
-
-    /// Logs the completion of a run that is not the task's current one.
-    pub(super) fn log_late(&mut self, k: RunnerKey, end: &End, now: Now) {
-        let runner = self.runners.get_mut(k);
-        let lost = runner.lost.remove(&(end.task, end.attempt));
-        let why = lost.map_or("unknown", |l| l.why.name());
-        let name = runner.id.clone();
-        let task = self.task(end.task);
-        let stage = task.and_then(|t| t.run.as_ref()).map_or("none", |r| r.stage.name());
-        metrics::counter!("control_late_completions", "how" => end.kind.name(), "why" => why)
-            .increment(1);
-        log::info!(task:% = end.task, attempt = end.attempt.0, runner = name,
-            how = end.kind.name(), number = end.number, why, stage,
-            since_ms:? = lost.map(|l| now.mono.saturating_sub(l.at)),
-            last_attempt:? = task.map(|t| t.attempt.0), done:? = task.map(|t| t.done);
-            "completion of a run already marked as lost");
-    }
-
     /// Records that a run ended with a completion that its runner reported.
     pub(super) fn record_ended(&mut self, id: TaskId, done: bool, now: Now) {
         let Some(task) = self.task_mut(id) else { return };
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -13,6 +13,7 @@
 mod gangs;
 mod incarnations;
 mod jobs;
+mod late_completions;
 mod lifecycle;
 mod losses;
 mod plan;
--- a/src/control/engine/progress_row.rs
+++ b/src/control/engine/progress_row.rs
@@ -21,10 +21,15 @@
             self.steps.clear();
         }
         for (step, row) in self.steps.iter_mut().zip(&p.steps) {
-            let StepRow(fails, attempt, tasks, unreported) = row;
+            let StepRow(fails, attempt, tasks, unreported, of_tasks) = row;
             step.unreported = unreported.iter().map(|a| (*a, leases_end)).collect();
             step.gang_fails = *fails;
             step.failed_attempt = *attempt;
+            for (index, attempts) in of_tasks {
+                if let Some(task) = step.tasks.get_mut(*index as usize) {
+                    task.unreported.clone_from(attempts);
+                }
+            }
             for (task, row) in step.tasks.iter_mut().zip(tasks) {
                 let TaskRow(attempt, fails, done, id, saved, lost, born) = row;
                 task.attempt = *attempt;
@@ -48,7 +53,9 @@
         let step = |s: &StepRun| {
             let tasks = s.tasks.iter().map(task).collect();
             let unreported = s.unreported.keys().copied().collect();
-            StepRow(s.gang_fails, s.failed_attempt, tasks, unreported)
+            let with_unreported = s.tasks.iter().zip(0..).filter(|(t, _)| !t.unreported.is_empty());
+            let of_tasks = with_unreported.map(|(t, index)| (index, t.unreported.clone()));
+            StepRow(s.gang_fails, s.failed_attempt, tasks, unreported, of_tasks.collect())
         };
         let steps = self.steps.iter().map(step).collect();
         ProgressRow { state: self.state, ended: self.ended, steps }
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -69,7 +69,7 @@
         for end in report.ends {
             if end.number > self.runners.get(k).last_completion {
                 self.runners.get_mut(k).last_completion = end.number;
-                self.process_completion(k, &end, now);
+                self.process_completion(k, &end, report.clock, now);
                 let rev = self.jobs.get(&end.task.step.job).map_or(0, |j| j.rev);
                 let entry = (end.number, end.task.step.job, rev);
                 self.runners.get_mut(k).unacked.push_back(entry);
@@ -209,14 +209,14 @@
         self.update_state(id.step.job, now);
     }
 
-    fn process_completion(&mut self, k: RunnerKey, end: &End, now: Now) {
+    /// Handles a completion that was reported at `clock`, ms of the runner's clock.
+    fn process_completion(&mut self, k: RunnerKey, end: &End, clock: u64, now: Now) {
         self.counts.ends += 1;
         let id = end.task;
         let name = self.runners.get(k).id.clone();
         if self.run_mut(k, id, end.attempt).is_none() {
-            self.log_late(k, end, now);
             self.deallocate(k, id, end.attempt);
-            self.late_completion(id, end.attempt, end.kind == EndKind::Failed, now);
+            self.late_completion(k, end, clock, now);
             return;
         }
         log::info!(task:% = id, attempt = end.attempt.0, runner = name, how = end.kind.name(),
@@ -258,7 +258,7 @@
     /// Marks a task as done; for a gang, one member's completion completes all of them. Returns
     /// whether the step became done with it, which is true once per step, however many members'
     /// completions follow.
-    fn mark_done(&mut self, id: TaskId, gang: bool) -> bool {
+    pub(super) fn mark_done(&mut self, id: TaskId, gang: bool) -> bool {
         let Some(step) = self.step_mut(id.step).filter(|s| !s.done()) else { return false };
         if gang {
             step.tasks.iter_mut().for_each(|t| t.done = true);
@@ -274,7 +274,9 @@
         let Some(task) = step.tasks.get_mut(id.index as usize) else { return };
         task.avoid.insert(k);
         let attempt = task.attempt;
-        if !gang {
+        if task.done {
+            // An earlier run has completed it.
+        } else if !gang {
             task.fails += 1;
         } else if step.failed_attempt < attempt {
             step.failed_attempt = attempt;
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -1,7 +1,8 @@
 //! Incarnations of runners: their address, the capacity allocated on them, and when their lease
 //! expires.
 
-use super::losses::{Loss, LostRun};
+use super::late_completions::LostRun;
+use super::losses::Loss;
 use super::teams::TeamKey;
 use super::{Action, Engine, Now, RunnerKey};
 use crate::control::crashes::Losses;
@@ -301,6 +302,11 @@
         Some(until)
     }
 
+    /// Latest end of a lease that was sent, ms of its clock.
+    pub(super) fn lease_until(&self) -> u64 {
+        self.lease_until
+    }
+
     /// When every lease that was sent there has expired by the slowest clock, local ms. Before this
     /// term has sent one, only the leases of its predecessors count, which end at
     /// `predecessors`.
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -100,6 +100,8 @@
     Restarted,
     /// Its runner lists it neither as active nor as completed.
     NotListed,
+    /// An earlier run has completed its task.
+    Done,
 }
 
 impl StopReason {
@@ -114,6 +116,7 @@
             Self::Repeated => "earlier stop not answered",
             Self::Restarted => "runner restarted",
             Self::NotListed => "not listed",
+            Self::Done => "task done",
         }
     }
 }
--- a/src/control/rows.rs
+++ b/src/control/rows.rs
@@ -14,7 +14,7 @@
 use super::ports::Key;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// Table of submitted jobs and cancellations.
@@ -174,10 +174,16 @@
     #[serde(default)] pub Option<Born>,
 );
 
-/// Progress of a step: failures of the gang and the attempt of the last one, its tasks, and
-/// attempts of the gang whose completion was not reported.
+/// Progress of a step: failures of the gang and the attempt of the last one, its tasks, attempts of
+/// the gang whose completion was not reported, and the same of single tasks by their index.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StepRow(pub u32, pub Attempt, pub Vec<TaskRow>, #[serde(default)] pub BTreeSet<Attempt>);
+pub struct StepRow(
+    pub u32,
+    pub Attempt,
+    pub Vec<TaskRow>,
+    #[serde(default)] pub BTreeSet<Attempt>,
+    #[serde(default)] pub BTreeMap<u32, BTreeSet<Attempt>>,
+);
 
 /// Progress of a job.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -202,7 +208,7 @@
     type Error = InvalidValue;
 
     fn try_from(w: WireProgress) -> Result<Self, InvalidValue> {
-        for StepRow(gang, _, tasks, _) in &w.steps {
+        for StepRow(gang, _, tasks, ..) in &w.steps {
             check_failures(*gang)?;
             tasks.iter().try_for_each(|t| check_failures(t.1.max(t.5)))?;
         }
--- a/tests/control_policy.rs
+++ b/tests/control_policy.rs
@@ -10,14 +10,14 @@
 use currantgw::control::election;
 use currantgw::control::engine::{Engine, Now};
 use currantgw::control::links::advice_queues;
-use currantgw::control::model::{BadId, JobId, JobState, Step, TaskId};
+use currantgw::control::model::{Attempt, BadId, JobId, JobState, Step, TaskId};
 use currantgw::control::partitions::PartitionScope;
 use currantgw::control::place::{self, Candidate, Placement, PlacementRequest};
 use currantgw::control::preemption::{self, RunnerCapacity, Victim};
 use currantgw::control::queue::{self, RankInput};
 use currantgw::control::rows::{self, JobKey, ProgressRow, StepRow, TaskRow};
 use currantgw::kernel::res::Resources;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 fn rank_input(priority: u32, begin: u64, objective: u64, chain: u64) -> RankInput {
     RankInput { priority, excess: false, begin, objective, chain, capacity_wait: 0 }
@@ -372,7 +372,13 @@
     let row = ProgressRow {
         state: JobState::Running,
         ended: 0,
-        steps: vec![StepRow(1, Default::default(), vec![TaskRow::default(); 3], BTreeSet::new())],
+        steps: vec![StepRow(
+            1,
+            Default::default(),
+            vec![TaskRow::default(); 3],
+            BTreeSet::new(),
+            BTreeMap::from([(2, BTreeSet::from([Attempt(4)]))]),
+        )],
     };
     assert_eq!(rows::decode::<ProgressRow>(&rows::encode(&row)).unwrap(), row);
     assert!(rows::decode::<ProgressRow>(b"junk").is_err());
--- a/tests/control_unlisted.rs
+++ b/tests/control_unlisted.rs
@@ -119,7 +119,7 @@
 }
 
 /// A cell of one runner, on which a run of a job's only task was written off. The run has ended, its
-/// completion is not listed, and the registry does not show the runner.
+/// completion is not listed, and the runner refuses starts.
 fn cell_with_unlisted_end(fails: bool) -> (Cell, JobId) {
     let mut cell = Cell::new(1, 6);
     set_lags(&mut cell, 0, NEVER_MS);
@@ -128,7 +128,7 @@
         cell.poison(job);
     }
     cell.run(300);
-    cell.register(0, false);
+    cell.runners[0].refuses_until = NEVER_MS;
     while cell.engine.counts.written_off == 0 && cell.now < NEVER_MS {
         cell.run(STEP_MS);
     }
@@ -151,7 +151,7 @@
         let (mut cell, job) = cell_with_unlisted_end(fails);
         list_ended(&mut cell);
         cell.run(500);
-        cell.register(0, true);
+        cell.runners[0].refuses_until = 0;
         cell.run(5_000);
         cell.check();
         assert_eq!((cell.stored(job), cell.starts[&task(job, 0)]), (state, starts));
@@ -163,11 +163,10 @@
 fn a_late_failure_counts_once_across_leader_changes() {
     let (mut cell, job) = cell_with_unlisted_end(true);
     cell.change_leader();
-    cell.register(0, true);
-    cell.register(0, false);
     list_ended(&mut cell);
     cell.run(40);
     cell.change_leader();
+    cell.runners[0].refuses_until = 0;
     cell.run(8_000);
     cell.check();
     assert_eq!((cell.stored(job), cell.starts[&task(job, 0)]), (JobState::Failed, 2));
--- a/tests/unreadable_rows.rs
+++ b/tests/unreadable_rows.rs
@@ -14,7 +14,7 @@
 use proptest::prelude::*;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 
 /// A store with fixed rows that returns each change once.
@@ -66,8 +66,10 @@
 fn progress() -> ProgressRow {
     let task = TaskRow(Attempt(2), 1, false, "runner".into(), "c".into(), 1, Some(Born(7)));
     let done = TaskRow(Attempt(1), 0, true, String::new(), String::new(), 0, None);
-    let first = StepRow(0, Attempt(0), vec![task, done.clone()], BTreeSet::from([Attempt(1)]));
-    let second = StepRow(0, Attempt(0), vec![done], BTreeSet::new());
+    let unreported = BTreeSet::from([Attempt(1)]);
+    let of_tasks = BTreeMap::from([(0, unreported.clone())]);
+    let first = StepRow(0, Attempt(0), vec![task, done.clone()], unreported, of_tasks);
+    let second = StepRow(0, Attempt(0), vec![done], BTreeSet::new(), BTreeMap::new());
     ProgressRow { state: JobState::Running, ended: 0, steps: vec![first, second] }
 }
 
@@ -280,7 +282,8 @@
     check_fields(&leader(), &[&others[..], &next[..]].concat());
     // Older versions wrote a step without the attempts whose completion was not reported.
     let older = (0u32, 0u32, Vec::<TaskRow>::new());
-    assert_eq!(rows::decode::<StepRow>(&rows::encode(&older)).unwrap().3, BTreeSet::new());
+    let step = rows::decode::<StepRow>(&rows::encode(&older)).unwrap();
+    assert_eq!((step.3, step.4), (BTreeSet::new(), BTreeMap::new()));
 }
 
 #[test]
@@ -297,7 +300,10 @@
 fn within_bounds(p: &ProgressRow) -> bool {
     let attempt = |a: &Attempt| a.0 <= Attempt::LAST;
     let task = |t: &TaskRow| attempt(&t.0) && t.1 <= Attempt::LAST;
-    let step = |s: &StepRow| attempt(&s.1) && s.2.iter().all(task) && s.3.iter().all(attempt);
+    let step = |s: &StepRow| {
+        let mut unreported = s.3.iter().chain(s.4.values().flatten());
+        attempt(&s.1) && s.2.iter().all(task) && unreported.all(attempt)
+    };
     p.ended <= model::MAX_MOMENT && p.steps.iter().all(step)
 }
 
