Acknowledge no completion whose number has not been received

A completion that a runner lists after one with a higher number was skipped, since only numbers above the highest processed one counted as new, and then forgotten, since the higher number was acknowledged. Its task was started again after it had been done (TWICE), and a failure did not count (BUDGET); not even a line about a late completion was left.

Missing numbers are now remembered. Such a completion is processed when it is listed, and nothing above a missing number is acknowledged until an answer does not list it `stop_ms` after it was first missed. Numbers below the first one that a new leader is listed are awaited in the same way. At most 64 are remembered. What is received and what may be acknowledged is in a file of its own, engine/completions.rs.

`completions_that_are_listed_out_of_order_are_all_processed` fails before ("completions acknowledged before listed", tasks started again after they were done) and passes; `a_missing_number_does_not_keep_completions_from_being_acknowledged` guards against the opposite fault.

--- /dev/null
+++ b/src/control/engine/completions.rs
@@ -0,0 +1,78 @@
+//! Which completions of a runner were received, and which of them may be acknowledged.
+//!
+//! A runner forgets all completions up to the acknowledged number. One that is listed after another
+//! with a higher number would be forgotten before it is received, so a number that is missing holds
+//! back the acknowledgement of those above it for a while.
+
+use crate::control::model::JobId;
+use std::collections::BTreeMap;
+
+/// Most missing numbers that are remembered, and most of them below a number that is received.
+const MAX_MISSING: u64 = 64;
+
+/// Received completions of one incarnation of a runner.
+#[derive(Clone, Debug, Default)]
+pub struct Completions {
+    /// Highest number received.
+    pub highest: u64,
+    /// When the last answer was given, ms of the runner's clock.
+    answered: u64,
+    /// Lower numbers that were not received, and when a higher one first was, ms of the runner's
+    /// clock.
+    missing: BTreeMap<u64, u64>,
+    /// Those that are not acknowledged: job, and its revision that must be stored before.
+    unacked: BTreeMap<u64, (JobId, u64)>,
+    /// Completions up to this number may be acknowledged.
+    acked: u64,
+}
+
+impl Completions {
+    /// Whether a completion was not received before.
+    pub fn is_new(&self, number: u64) -> bool {
+        number > self.highest || self.missing.contains_key(&number)
+    }
+
+    /// Records an answer that was given at `clock`, ms of the runner's clock.
+    pub fn record_answer(&mut self, clock: u64) {
+        self.answered = clock;
+    }
+
+    /// Records that the last answer lists a completion. Returns whether it is new.
+    pub fn receive(&mut self, number: u64) -> bool {
+        if number <= self.highest {
+            return self.missing.remove(&number).is_some();
+        }
+        let first = (self.highest + 1).max(number.saturating_sub(MAX_MISSING));
+        self.missing.extend((first..number).map(|n| (n, self.answered)));
+        while self.missing.len() as u64 > MAX_MISSING {
+            self.missing.pop_first();
+        }
+        self.highest = number;
+        true
+    }
+
+    /// Records that a completion was processed. It may be acknowledged once revision `rev` of its job
+    /// is stored.
+    pub fn processed(&mut self, number: u64, job: JobId, rev: u64) {
+        self.unacked.insert(number, (job, rev));
+    }
+
+    /// Whether all processed completions may be acknowledged.
+    pub fn all_acked(&self) -> bool {
+        self.unacked.is_empty()
+    }
+
+    /// Number up to which completions may be acknowledged. `stored` is whether a revision of a job is
+    /// stored. A missing number is awaited until an answer does not list it after `wait_ms`.
+    pub fn acknowledge(&mut self, stored: impl Fn(JobId, u64) -> bool, wait_ms: u64) -> u64 {
+        while let Some((&number, &(job, rev))) = self.unacked.first_key_value() {
+            let awaited = self.missing.range(..number).any(|(_, at)| at + wait_ms >= self.answered);
+            if awaited || !stored(job, rev) {
+                break;
+            }
+            self.unacked.pop_first();
+            self.acked = self.acked.max(number);
+        }
+        self.acked
+    }
+}
--- a/src/control/engine/incarnations.rs
+++ b/src/control/engine/incarnations.rs
@@ -64,7 +64,7 @@
         let last = self.runners.get_mut(k);
         log::info!(runner = last.id, tasks = last.tasks.len(), born = born.0,
             was_born:? = last.born.map(|b| b.0), clock = report.clock,
-            was_clock:? = last.clock.map(|(c, _)| c), last_completion = last.last_completion;
+            was_clock:? = last.clock.map(|(c, _)| c), last_completion = last.completions.highest;
             "runner replaced by another life");
         metrics::counter!("control_runner_restarts").increment(1);
         let successor = last.successor(born, report.clock + hold_max_ms);
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -8,6 +8,7 @@
 mod advice;
 mod advice_targets;
 mod commit;
+mod completions;
 mod forecast;
 mod gang_reservations;
 mod gangs;
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -41,7 +41,7 @@
                 runner.record_answer(report.clock, now);
                 runner.lists_completions = !report.ends.is_empty();
                 runner.polled_at = now.mono;
-                let has_new = report.ends.last().map_or(0, |e| e.number) > runner.last_completion;
+                let has_new = report.ends.iter().any(|e| runner.completions.is_new(e.number));
                 runner.next_poll = now.mono
                     + match (report.ends.is_empty(), has_new) {
                         (true, _) => 0,
@@ -66,13 +66,13 @@
     fn process_report(&mut self, k: RunnerKey, report: Report, now: Now) {
         let ended: BTreeSet<(TaskId, Attempt)> =
             report.ends.iter().map(|e| (e.task, e.attempt)).collect();
+        self.runners.get_mut(k).completions.record_answer(report.clock);
         for end in report.ends {
-            if end.number > self.runners.get(k).last_completion {
-                self.runners.get_mut(k).last_completion = end.number;
+            if self.runners.get_mut(k).completions.receive(end.number) {
                 self.process_completion(k, &end, report.clock, now);
-                let rev = self.jobs.get(&end.task.step.job).map_or(0, |j| j.rev);
-                let entry = (end.number, end.task.step.job, rev);
-                self.runners.get_mut(k).unacked.push_back(entry);
+                let job = end.task.step.job;
+                let rev = self.jobs.get(&job).map_or(0, |j| j.rev);
+                self.runners.get_mut(k).completions.processed(end.number, job, rev);
             }
         }
         let active: BTreeMap<(TaskId, Attempt), ActiveRun> =
@@ -200,7 +200,7 @@
         let attempt = self.task(id).map_or(0, |t| t.attempt.0);
         let runner = self.runners.get(k);
         log::info!(task:% = id, attempt, runner = runner.id, stage = stage.name(), clock,
-            confirmed:? = stage.confirmed(), last_completion = runner.last_completion;
+            confirmed:? = stage.confirmed(), last_completion = runner.completions.highest;
             "run not listed: written off");
         self.note_lost(k, id, Loss::NotListed, now);
         self.counts.written_off += 1;
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -1,15 +1,16 @@
 //! Incarnations of runners: their address, the capacity allocated on them, and when their lease
 //! expires.
 
+use super::completions::Completions;
 use super::late_completions::LostRun;
 use super::losses::Loss;
 use super::teams::TeamKey;
-use super::{Action, Engine, Now, RunnerKey};
+use super::{Action, Engine, Now, Rules, RunnerKey};
 use crate::control::crashes::Losses;
 use crate::control::model::{Attempt, Born, JobId, TaskId};
 use crate::control::ports::{PollRequest, RunnerCall, RunnerEntry};
 use crate::kernel::res::Resources;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time that a poll waits at the runner for a completion, ms. It bounds how long a broken
 /// connection goes undetected, and costs little more than one call a second where nothing happens.
@@ -141,13 +142,8 @@
     pub lists_completions: bool,
     /// Time of the last answer to a poll, local ms.
     pub polled_at: u64,
-    /// Highest number of a processed completion.
-    pub last_completion: u64,
-    /// Processed completions that are not acknowledged: number, job, and the job's revision that
-    /// must be stored before.
-    pub unacked: VecDeque<(u64, JobId, u64)>,
-    /// Completions up to this number may be acknowledged.
-    pub acked: u64,
+    /// Completions that were received, and which of them may be acknowledged.
+    pub completions: Completions,
     /// Latest end of a lease that was sent, ms of its clock.
     lease_until: u64,
     /// When an answer shows whether a run that was stopped and is not listed is over, ms of its
@@ -182,9 +178,7 @@
             unanswered_since: None,
             lists_completions: false,
             polled_at: 0,
-            last_completion: 0,
-            unacked: VecDeque::new(),
-            acked: 0,
+            completions: Completions::default(),
             lease_until: 0,
             settled_at: None,
         }
@@ -328,9 +322,9 @@
 impl Engine {
     /// Polls every runner whose next poll is due.
     pub(super) fn poll_runners(&mut self, now: Now) {
-        let (fence, lease_ms) = (self.fence, self.rules.lease_ms);
+        let (fence, Rules { lease_ms, stop_ms, .. }) = (self.fence, self.rules);
         let jobs = &self.jobs;
-        let stored = |id: &JobId, rev: u64| jobs.get(id).is_none_or(|j| j.stored >= rev);
+        let stored = |id: JobId, rev: u64| jobs.get(&id).is_none_or(|j| j.stored >= rev);
         let mut acts = Vec::new();
         for (k, r) in self.runners.iter_mut() {
             let needed = r.listed || r.announced.is_some() || !r.tasks.is_empty();
@@ -338,9 +332,7 @@
                 continue;
             }
             let Some(to) = r.call() else { continue };
-            while r.unacked.front().is_some_and(|(_, id, rev)| stored(id, *rev)) {
-                r.acked = r.unacked.pop_front().map_or(r.acked, |(n, _, _)| n);
-            }
+            let acked = r.completions.acknowledge(stored, stop_ms);
             // The first poll only reads the runner's clock. A poll after a failed one does not
             // extend the lease either: it may take effect at a runner that receives calls and whose
             // answers are lost, and leases that are sent repeatedly to an unreachable runner would
@@ -351,8 +343,8 @@
             // answer listed is acknowledged, and only soon after it.
             let recent = r.polled_at + MAX_ACK_AGE_MS >= now.mono;
             let same_life = !r.unanswered && r.lists_completions && recent;
-            let acked = if same_life { r.acked } else { 0 };
-            let idle = r.tasks.is_empty() && r.unacked.is_empty();
+            let acked = if same_life { acked } else { 0 };
+            let idle = r.tasks.is_empty() && r.completions.all_acked();
             let wait_ms = match until {
                 None => 0,
                 Some(_) if idle => IDLE_POLL_WAIT_MS,
--- a/tests/common/control/orders.rs
+++ b/tests/common/control/orders.rs
@@ -126,11 +126,14 @@
         for end in noted.iter().filter(|e| e.kind == EndKind::Done) {
             self.done.insert(end.task, true);
         }
-        if r.ends.iter().any(|e| e.number <= poll.acked && e.number > r.listed) {
+        let ending = r.ending.iter().map(|(_, end, _)| end);
+        let unlisted = |e: &End| e.number <= poll.acked && !r.listed.contains(&e.number);
+        if r.ends.iter().chain(ending).any(unlisted) {
             self.violations.push(format!("{now}: r{i}: completions acknowledged before listed"));
         }
+        r.acked = r.acked.max(poll.acked);
         r.ends.retain(|e| e.number > poll.acked);
-        r.listed = r.ends.last().map_or(r.listed, |e| e.number);
+        r.listed.extend(r.ends.iter().map(|e| e.number));
         let listed = r.running.iter().filter(|(_, x)| x.started + r.start_lag <= now);
         let active = listed.map(|(task, x)| ActiveRun {
             task: *task,
--- a/tests/common/runner.rs
+++ b/tests/common/runner.rs
@@ -6,7 +6,7 @@
 use currantgw::control::model::{Attempt, Born, EndKind, TaskId};
 use currantgw::control::ports::End;
 use currantgw::kernel::res::Resources;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A task that runs on a simulated runner.
 #[derive(Clone, Debug)]
@@ -84,6 +84,9 @@
     /// Time from the end of a run until its completion is listed, ms. The run is not active any
     /// more, and takes its capacity.
     pub end_lag: u64,
+    /// Whether completions are numbered when runs end, and every other one is listed at once: those
+    /// of higher numbers are listed first.
+    pub out_of_order: bool,
     /// Runs that have ended and are not listed yet: the time when they are, ms, the completion,
     /// and the resources in use.
     pub ending: Vec<(u64, End, Resources)>,
@@ -93,8 +96,10 @@
     pub ended: Vec<(TaskId, Attempt, EndKind)>,
     /// Highest attempt of each task that was stopped or has ended on this runner.
     pub closed: BTreeMap<TaskId, Attempt>,
-    /// Highest number of a completion that an answer has listed.
-    pub listed: u64,
+    /// Numbers of completions that an answer has listed.
+    pub listed: BTreeSet<u64>,
+    /// Completions up to this number were acknowledged, and are forgotten.
+    pub acked: u64,
     /// Completions up to this number were listed before the lease expired, and are void whichever
     /// instance acknowledges them.
     pub void: u64,
@@ -124,11 +129,13 @@
             running: BTreeMap::new(),
             start_lag: 0,
             end_lag: 0,
+            out_of_order: false,
             ending: Vec::new(),
             ends: Vec::new(),
             ended: Vec::new(),
             closed: BTreeMap::new(),
-            listed: 0,
+            listed: BTreeSet::new(),
+            acked: 0,
             void: 0,
             born: Born(i as u64 + 1),
             offset: 77 * (i as i64 + 1),
@@ -150,6 +157,7 @@
             offset: clock as i64 - now as i64,
             start_lag: self.start_lag,
             end_lag: self.end_lag,
+            out_of_order: self.out_of_order,
             ..Self::new(0, self.capacity)
         };
     }
@@ -179,8 +187,11 @@
         let attempt = run.attempt;
         let saved = run.saved(kind == EndKind::Stopped);
         self.ended.push((task, attempt, kind));
-        let end = End { number: 0, task, attempt, kind, saved };
-        self.ending.push((now + self.end_lag, end, run.resources));
+        self.last += 1;
+        let at =
+            if self.out_of_order && self.last.is_multiple_of(2) { now } else { now + self.end_lag };
+        let end = End { number: self.last, task, attempt, kind, saved };
+        self.ending.push((at, end, run.resources));
         self.list_ended(now);
     }
 
@@ -189,10 +200,10 @@
         for (at, end, resources) in std::mem::take(&mut self.ending) {
             if at > now {
                 self.ending.push((at, end, resources));
-                continue;
+            } else if end.number > self.acked {
+                self.ends.push(end);
             }
-            self.last += 1;
-            self.ends.push(End { number: self.last, ..end });
         }
+        self.ends.sort_by_key(|e| e.number);
     }
 }
--- a/tests/control_unlisted.rs
+++ b/tests/control_unlisted.rs
@@ -238,3 +238,29 @@
         assert_eq!(cell.running(), 0, "seed {seed}");
     }
 }
+
+/// Guards against completions that are never processed because later ones were listed before.
+#[test]
+fn completions_that_are_listed_out_of_order_are_all_processed() {
+    for lag in LAGS_MS {
+        let mut cell = Cell::new(4, 9);
+        set_lags(&mut cell, 0, lag);
+        cell.runners.iter_mut().for_each(|r| r.out_of_order = true);
+        let jobs = submit(&mut cell, 40, false);
+        cell.run(10_000);
+        cell.check();
+        assert!(jobs.iter().all(|id| cell.stored(*id) == JobState::Completed), "lag {lag}");
+        assert!(cell.starts.values().all(|n| *n == 1), "lag {lag}");
+    }
+}
+
+/// Guards against runners that are polled without a pause because a number is missing for good.
+#[test]
+fn a_missing_number_does_not_keep_completions_from_being_acknowledged() {
+    let mut cell = Cell::new(1, 10);
+    cell.runners[0].out_of_order = true;
+    set_lags(&mut cell, 0, NEVER_MS);
+    cell.submit(1, "patient", vec![step(2, 1_000, 300)]);
+    cell.run(3_000);
+    assert_eq!(cell.runners[0].acked, 2);
+}
