Each term of a process has a fencing token of its own

What callers see: a task may start a second time (TWICE, LIMIT), and a completion may be overwritten, after an instance has ended its term without a successor and has begun another.

Cause: a term that ends with "no heartbeat stored", or whose tables are not read in time, leaves the leader's row as it is if the store is slow or the step-down gets no answer. `campaign` found its own row and fenced the partitions again with the version of that row. `fence_partition` found its own token and returned the version that the first term had written. So both terms had the same token and the same versions of the fence rows: runners carried out late orders of the first term, which the second one took for lost, a late commit of the first term was applied after the second had read the tables, and a late step-down vacated the second term.

Fix: the token of the last term is kept; a row of ours that is not newer is replaced by a new one, so that the fence rows are replaced, too. A row that was won by a write without an answer, or of which not all partitions could be fenced, is still used: no term has begun with it.

Ruled out: that an instance elected itself before by a new row. `takeover_ms` counts its own row as vacant, but `campaign` never came that far.

Not shown: that this happened in the users' runs.

--- a/spec/office.pml
+++ b/spec/office.pml
@@ -3,8 +3,10 @@
  * out late, and ends that are stored before they are acknowledged.
  *
  * Two schedulers, two runners, one task. A scheduler may lose its office at any moment without
- * knowing (frozen, cut off) and go on with what it believed. A runner may be cut off; then its
- * lease runs out, which kills what runs there and expires the orders on their way to it.
+ * knowing (frozen, cut off) and go on with what it believed. It may end its term, once, and begin
+ * another without a successor in between; then it knows only what is stored. A runner may be cut
+ * off; then its lease runs out, which kills what runs there and expires the orders on their way to
+ * it.
  *
  * Checked: the task never runs in two places, and never starts after its end was acknowledged.
  *
@@ -14,6 +16,7 @@
  *   -DEARLYACK  an end is acknowledged before it is stored
  *   -DNOLOOK    a successor takes over without raising its token at the task's runner
  *   -DNOWAIT    a runner out of reach is written off before its lease is over
+ *   -DSAMETOKEN the next term of a scheduler has the token of its last one
  */
 
 #define MAX_ATTEMPT 3
@@ -90,7 +93,7 @@
              way: it never starts. */
           if
           :: (office == me && row_attempt != 0 && row_runner == r && runs[r] == 0 &&
-              ended[r] == 0 && mine != row_attempt && !(sent[r] && fence[r] == me)) ->
+              ended[r] == 0 && mine != row_attempt && !(sent[r] && fence[r] == me && own[r])) ->
              row_attempt = 0
           :: else -> skip
           fi
@@ -125,6 +128,8 @@
   byte mine = 0;          /* attempt to start, once its placement is stored */
   byte at = 0;
   bool looked[2];
+  bool own[2];            /* the last start to each runner was sent in this term */
+  bool again = false;     /* this is the second term */
 
   d_step {
     if
@@ -160,11 +165,20 @@
 
   /* The start goes out, maybe long after: its lease is that of the last look. */
   :: d_step { mine != 0 && !sent[at] && !lapsed[at] ->
-       sent[at] = true; fence[at] = me; attempt[at] = mine; mine = 0 }
+       sent[at] = true; fence[at] = me; attempt[at] = mine; own[at] = true; mine = 0 }
   :: d_step { mine != 0 && lapsed[at] -> mine = 0 }
+
+  /* The next term of the same scheduler. */
+  :: d_step { office == me && !again ->
+       again = true;
+#ifndef SAMETOKEN
+       me++;
+       office = me;
+#endif
+       mine = 0; looked[0] = false; looked[1] = false; own[0] = false; own[1] = false }
   od
 }
 
 init {
-  atomic { run Runner(0); run Runner(1); run Scheduler(1); run Scheduler(2) }
+  atomic { run Runner(0); run Runner(1); run Scheduler(1); run Scheduler(3) }
 }
--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -5,7 +5,9 @@
 //! condition that both rows are still as it saw them; a leader that still sends heartbeats makes
 //! that write fail. The version of the leader's row is the fencing token. A leader that has not
 //! noticed its replacement cannot store a heartbeat, which has the leader's row as a condition, and
-//! is refused by every runner that its successor has polled.
+//! is refused by every runner that its successor has polled. Each term has a token of its own, also
+//! one that follows another of the same process: otherwise late orders and commits of the first term
+//! would be accepted in the second.
 //!
 //! Progress is stored in several partitions, whose transactions cannot all check the leader's row.
 //! So each partition has a fence row with the token of the leader that may write there, which is a
@@ -25,6 +27,7 @@
 use futures::future::{self, Either};
 use rand::Rng;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 /// Time between heartbeats of the leader, ms.
@@ -125,6 +128,8 @@
     reads: Dependency,
     started: u64,
     seen: Mutex<Observed>,
+    /// Fencing token of the last term of this process; 0 before the first.
+    last_fence: AtomicU64,
     /// Wakes a waiting candidate when the leader becomes suspect.
     wakeup: (Sender<()>, Receiver<()>),
 }
@@ -165,7 +170,8 @@
         let reads = Dependency::new("store, office", clock.clone());
         let started = clock.mono();
         let wakeup = channel::bounded(1);
-        Self { store, clock, me, reads, started, seen: Mutex::default(), wakeup }
+        let (seen, last_fence) = Default::default();
+        Self { store, clock, me, reads, started, seen, last_fence, wakeup }
     }
 
     /// This instance as a candidate that is not able yet.
@@ -271,11 +277,16 @@
             let seen = self.seen.lock().unwrap().clone();
             let now = self.clock.mono();
             if seen.leader.as_ref() == Some(&self.me) {
-                // Won by a write whose answer was lost, or not all partitions could be fenced.
-                if let Some(term) = self.fence(seen.leader_version).await {
-                    return term;
+                let elapsed = now.saturating_sub(seen.since);
+                let term = match seen.leader_version > self.last_fence.load(Ordering::Relaxed) {
+                    // Won by a write whose answer was lost, or not all partitions could be fenced.
+                    true => self.fence(seen.leader_version).await,
+                    false => self.acquire(&seen, elapsed).await,
+                };
+                match term {
+                    Some(term) => return term,
+                    None => continue,
                 }
-                continue;
             }
             let elapsed = now.saturating_sub(seen.since);
             let takeover = self.takeover_ms(&seen);
@@ -453,6 +464,7 @@
             Partition::all().map(|partition| self.fence_partition(partition, fence, deadline));
         let versions: Option<Vec<u64>> = future::join_all(all).await.into_iter().collect();
         let fence_versions = versions?.try_into().ok()?;
+        self.last_fence.store(fence, Ordering::Relaxed);
         Some(Term { fence, fence_versions })
     }
 
--- a/tests/control_election.rs
+++ b/tests/control_election.rs
@@ -134,6 +134,36 @@
     }
 }
 
+/// Guards against late orders and commits of a term that are accepted in the next term of the same
+/// process, which found itself named as leader and began with the same token.
+#[async_std::test]
+async fn a_second_term_of_a_process_has_a_token_of_its_own() {
+    let store = Arc::new(MemoryStore::default());
+    let election = Election::new(store.clone(), Clock::real(), &settings());
+    let first = election.campaign(|| false, || true).await;
+    election.reset();
+    let second = election.campaign(|| false, || true).await;
+    assert!(second.fence > first.fence, "{} after {}", second.fence, first.fence);
+    for partition in Partition::all() {
+        assert!(!may_write(&store, &first, partition).await, "{}", partition.name());
+        assert!(may_write(&store, &second, partition).await, "{}", partition.name());
+    }
+    assert_eq!(election.send_heartbeat(first).await, Ok(false));
+    assert_eq!(election.send_heartbeat(second).await, Ok(true));
+}
+
+/// A late write of an earlier term that steps down doesn't end the next term of the process.
+#[async_std::test]
+async fn a_late_step_down_leaves_the_next_term_of_the_process_in_force() {
+    let store = Arc::new(MemoryStore::default());
+    let election = Election::new(store.clone(), Clock::real(), &settings());
+    let first = election.campaign(|| false, || true).await;
+    election.reset();
+    let second = election.campaign(|| false, || true).await;
+    assert_eq!(election.step_down(first, String::new()).await, None);
+    assert_eq!(store.row(&rows::leader_key()).map(|r| r.version), Some(second.fence));
+}
+
 /// A term doesn't begin before all partitions are fenced.
 #[async_std::test]
 async fn an_unavailable_partition_keeps_a_term_from_beginning() {
