A term begins only once its tables are cached up to its version

What callers see: after a change of leader, tasks of jobs whose newest progress the leader lacks start again (TWICE, LIMIT, BUDGET), and the leader stores what it believes over what its predecessor had stored.

Cause: `read_up_to` ended at the first poll without rows. `Mirror::follow` also returns 0 rows if the table was discarded while the poll was in flight, and a feed may answer without rows although it is behind. An instance polls its tables in loops of its own, so that two polls are in flight at once when a term begins: if the one is told that the history has expired, the table is discarded under the other. The term then began on the rows cached before, and the first commit conflicted and was repeated with the version found.

Fix: a poll counts only by the version up to which the table is cached.

The line "term not started" now has the versions wanted and cached, and the outcome of the last poll.

Not shown: that this happened in the users' runs.

--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -179,21 +179,29 @@
         progress && jobs && registry
     }
 
+    /// Polls a table until it is cached up to `version`; false if that takes until `deadline`, local
+    /// ms. An answer without rows doesn't show that it is: the table may have been discarded while
+    /// the poll was in flight.
     async fn read_up_to(&self, table: Table, version: u64, deadline: u64) -> bool {
         let (began, mut polls, mut rows) = (self.clock.mono(), 0, 0);
-        while self.mirror.cached_version(table) < Some(version) {
+        loop {
+            let before = self.mirror.cached_version(table);
+            if before >= Some(version) {
+                break;
+            }
             polls += 1;
-            match self.mirror.poll(table, 0).await {
-                Ok(0) => break,
-                Ok(n) => rows += n,
-                Err(_) if self.clock.mono() < deadline => {
-                    self.clock.sleep(RETRY_MS).await;
-                }
-                Err(e) => {
-                    log::error!(table:? = table, why:% = e; "term not started: table not read in time");
-                    return false;
-                }
+            let polled = self.mirror.poll(table, 0).await;
+            rows += polled.as_ref().unwrap_or(&0);
+            let cached = self.mirror.cached_version(table);
+            if cached > before {
+                continue;
+            }
+            if self.clock.mono() >= deadline {
+                log::error!(table:? = table, wanted = version, cached:? = cached, polled:? = polled;
+                    "term not started: table not read in time");
+                return false;
             }
+            self.clock.sleep(RETRY_MS).await;
         }
         log::info!(table:? = table, polls, rows, ms = self.clock.mono() - began;
             "table read for a new term");
--- a/tests/control_leader.rs
+++ b/tests/control_leader.rs
@@ -1,19 +1,24 @@
-//! Fairness of the leader under load: towards the other tasks of its process, and between planning
-//! and events.
+//! The leader's loop: what it has read before a term begins, and its fairness under load, towards
+//! the other tasks of its process and between planning and events.
 
+mod common {
+    pub mod table;
+}
+
+use common::table::MemoryStore;
 use currantgw::control::election::{Election, Term};
 use currantgw::control::engine::Rules;
 use currantgw::control::leader::Leader;
 use currantgw::control::links::server::LinkServer;
 use currantgw::control::mirror::{Mirror, Table};
-use currantgw::control::model::{JobId, JobSpec, Step};
-use currantgw::control::partitions;
+use currantgw::control::model::{JobId, JobSpec, JobState, Step};
+use currantgw::control::partitions::{self, Partition};
 use currantgw::control::place::Placement;
 use currantgw::control::ports::{
     Changes, Commit, CommitError, Key, Page, PollRequest, ReadError, Refusal, Report, Row,
     RunnerCall, Runners, StartOrder, StopOrder, Store, Txn,
 };
-use currantgw::control::rows::{self, JobRow};
+use currantgw::control::rows::{self, JobRow, ProgressRow};
 use currantgw::control::settings::NodeSettings;
 use currantgw::control::store_health::StoreHealth;
 use currantgw::kernel::clock::Clock;
@@ -22,6 +27,7 @@
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -129,8 +135,7 @@
     }
 }
 
-fn leader(clock: &Clock, store: Arc<Empty>) -> Leader {
-    let store: Arc<dyn Store> = store;
+fn leader(clock: &Clock, store: Arc<dyn Store>) -> Leader {
     let store_health = Arc::new(StoreHealth::new(clock.clone()));
     let rules = Rules {
         lease_ms: 8_000,
@@ -175,7 +180,7 @@
 fn a_busy_scheduler_lets_the_rest_of_its_process_run() {
     let clock = Clock::real();
     let (_trigger, stop) = stop::pair();
-    let leader = leader(&clock, Arc::default());
+    let leader = leader(&clock, Arc::new(Empty::default()));
     let mut serve =
         Box::pin(leader.serve(Term { fence: 5, fence_versions: [5; partitions::COUNT] }, &stop));
     longest_poll(&mut serve, Duration::from_millis(200));
@@ -229,3 +234,135 @@
     let busy = cancelled_after(WAITING_JOBS);
     assert!(busy < 4 * idle, "{busy:?}, {idle:?} with nothing to plan");
 }
+
+/// Time that the leader of a test runs, ms: many of its rounds, and several polls of the jobs.
+const TERM_MS: u64 = 700;
+
+/// How the store answers polls of the progress feed once a term has been won.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Feed {
+    /// With all changes.
+    Complete,
+    /// The first two polls are in flight at the same time. The history that the first one requests
+    /// has expired, and the answer to the second arrives during the full read that follows.
+    Expires,
+    /// The first two answers are from before the term.
+    Behind,
+}
+
+/// A store with a fault of the progress feed.
+struct Late {
+    inner: MemoryStore,
+    feed: Feed,
+    /// Polls of the progress feed.
+    polls: AtomicU64,
+    /// Jobs whose progress the leader tried to store.
+    written: Mutex<Vec<String>>,
+}
+
+async fn pause(ms: u64) {
+    async_std::task::sleep(Duration::from_millis(ms)).await;
+}
+
+#[tide::utils::async_trait]
+impl Store for Late {
+    async fn commit(&self, txn: &Txn, ms: u64) -> Result<Commit, CommitError> {
+        let progress = txn.put.iter().filter(|(k, _)| k.table == rows::PROGRESS);
+        self.written.lock().unwrap().extend(progress.map(|(k, _)| k.key.clone()));
+        self.inner.commit(txn, ms).await
+    }
+
+    async fn page(
+        &self,
+        table: &str,
+        partition: &str,
+        from: &str,
+        to: Option<&str>,
+        limit: usize,
+    ) -> Result<Page, ReadError> {
+        if self.polls.load(Ordering::Relaxed) > 0 {
+            pause(100).await;
+        }
+        self.inner.page(table, partition, from, to, limit).await
+    }
+
+    async fn changes(&self, table: &str, after: u64, wait_ms: u64) -> Result<Changes, ReadError> {
+        if table != rows::PROGRESS {
+            return self.inner.changes(table, after, wait_ms).await;
+        }
+        let n = self.polls.fetch_add(1, Ordering::Relaxed);
+        match (self.feed, n) {
+            (Feed::Expires, 0) => {
+                pause(20).await;
+                Err(ReadError::HistoryExpired)
+            }
+            (Feed::Expires, 1) => {
+                let changes = self.inner.changes(table, after, 0).await;
+                pause(40).await;
+                changes
+            }
+            (Feed::Behind, 0 | 1) => Ok(Changes { rows: Vec::new(), version: after }),
+            _ => self.inner.changes(table, after, 0).await,
+        }
+    }
+}
+
+/// Runs a leader in a cell with one job, which a caller has cancelled and which ended before that.
+/// The leader has cached the tables as they were before the end. Returns the jobs whose progress the
+/// leader tried to store: none if it has read the end.
+fn jobs_written_by_a_new_leader(feed: Feed) -> Vec<String> {
+    let clock = Clock::real();
+    let (_trigger, stop) = stop::pair();
+    let inner = MemoryStore::default();
+    let store =
+        Arc::new(Late { inner, feed, polls: Default::default(), written: Default::default() });
+    let leader = leader(&clock, store.clone());
+    let id = JobId(5);
+    let spec = JobSpec { steps: vec![Step { count: 1, ..Step::default() }], ..JobSpec::default() };
+    let row = JobRow { queue: "q".into(), team: None, at: clock.wall(), spec };
+    async_std::task::block_on(async {
+        store.inner.put(config().key, config().value);
+        store.inner.put(rows::job_key(id), rows::encode(&row));
+        store.inner.put(rows::cancel_key(id), rows::encode(&clock.wall()));
+        let fence = store.inner.put(rows::leader_key(), Vec::new());
+        for table in [Table::Config, Table::Jobs, Table::Progress] {
+            leader.mirror.poll(table, 0).await.unwrap();
+        }
+        let ended =
+            ProgressRow { state: JobState::Completed, ended: clock.wall(), steps: Vec::new() };
+        store.inner.put(rows::progress_key(id), rows::encode(&ended));
+        let fences: Vec<u64> =
+            Partition::all().map(|p| store.inner.put(rows::fence_key(p), Vec::new())).collect();
+        let term = Term { fence, fence_versions: fences.try_into().unwrap() };
+        // An instance polls its tables also while a term of its own begins.
+        let own = async {
+            if feed == Feed::Expires {
+                let _ = leader.mirror.poll(Table::Progress, 0).await;
+            }
+        };
+        let serve = futures::future::join(own, leader.serve(term, &stop));
+        let _ = async_std::future::timeout(Duration::from_millis(TERM_MS), serve).await;
+        assert_eq!(leader.view.lock().unwrap()["fence"], fence, "the term has begun");
+    });
+    let written = store.written.lock().unwrap().clone();
+    written
+}
+
+#[test]
+fn a_new_leader_stores_nothing_for_a_job_that_has_ended() {
+    assert_eq!(jobs_written_by_a_new_leader(Feed::Complete), Vec::<String>::new());
+}
+
+/// Guards against a term that begins without the newest progress because the table was discarded
+/// while the leader's poll was in flight.
+#[test]
+fn a_term_begins_on_complete_tables_if_one_is_discarded_meanwhile() {
+    assert_eq!(jobs_written_by_a_new_leader(Feed::Expires), Vec::<String>::new());
+}
+
+/// Guards against a term that begins without the newest progress because the feed answers without
+/// rows although it is behind.
+#[test]
+fn a_term_begins_once_the_feed_has_reached_its_version() {
+    assert_eq!(jobs_written_by_a_new_leader(Feed::Behind), Vec::<String>::new());
+}
