A new leader reads the jobs up to the last fence, like their progress

What callers see: a job that was submitted during a change of leader runs twice (TWICE, LIMIT).

Cause: a term reads the progress up to the version of the last fence row, but the jobs only up to the leader's row, which is older. A leader that has not noticed its replacement learns of a job over a link, stores its progress in a partition that is not fenced yet, and starts it. When the feed brought the job, it was added as one without progress, its first commit conflicted, and was repeated with the version found: the task was placed again while it ran.

Fix: jobs are read up to the version of the term, too. What earlier terms store after that is fenced off.

Evidence: a_term_begins_with_the_jobs_that_were_stored_until_the_last_fence failed before, with two commits of the job (["", ""]), and passes now, with the others of control_leader.rs and control_election.rs (13 tests).

Not shown: that this happened in the users' runs. The window is that between the write of the leader's row and the last fence, a few ms on a usual store, and needs a predecessor that works on.

--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -173,7 +173,9 @@
         let read = |table, version| self.read_up_to(table, version, deadline);
         let (progress, jobs, registry) = futures::join!(
             read(Table::Progress, term.version()),
-            read(Table::Jobs, term.fence),
+            // An earlier leader may have stored progress of any job that was stored before its
+            // partition was fenced.
+            read(Table::Jobs, term.version()),
             read(Table::Registry, 0),
         );
         progress && jobs && registry
--- a/tests/control_leader.rs
+++ b/tests/control_leader.rs
@@ -308,9 +308,10 @@
 }
 
 /// Runs a leader in a cell with one job, which a caller has cancelled and which ended before that.
-/// The leader has cached the tables as they were before the end. Returns the jobs whose progress the
-/// leader tried to store: none if it has read the end.
-fn jobs_written_by_a_new_leader(feed: Feed) -> Vec<String> {
+/// The leader has cached the tables as they were before the end. With `stored_late`, the job was
+/// stored after the leader had been elected and before the progress was fenced. Returns the jobs
+/// whose progress the leader tried to store: none if it has read the end.
+fn jobs_written_by_a_new_leader(feed: Feed, stored_late: bool) -> Vec<String> {
     let clock = Clock::real();
     let (_trigger, stop) = stop::pair();
     let inner = MemoryStore::default();
@@ -320,14 +321,22 @@
     let id = JobId(5);
     let spec = JobSpec { steps: vec![Step { count: 1, ..Step::default() }], ..JobSpec::default() };
     let row = JobRow { queue: "q".into(), team: None, at: clock.wall(), spec };
-    async_std::task::block_on(async {
-        store.inner.put(config().key, config().value);
+    let put_job = || {
         store.inner.put(rows::job_key(id), rows::encode(&row));
         store.inner.put(rows::cancel_key(id), rows::encode(&clock.wall()));
+    };
+    async_std::task::block_on(async {
+        store.inner.put(config().key, config().value);
+        if !stored_late {
+            put_job();
+        }
         let fence = store.inner.put(rows::leader_key(), Vec::new());
         for table in [Table::Config, Table::Jobs, Table::Progress] {
             leader.mirror.poll(table, 0).await.unwrap();
         }
+        if stored_late {
+            put_job();
+        }
         let ended =
             ProgressRow { state: JobState::Completed, ended: clock.wall(), steps: Vec::new() };
         store.inner.put(rows::progress_key(id), rows::encode(&ended));
@@ -350,19 +359,26 @@
 
 #[test]
 fn a_new_leader_stores_nothing_for_a_job_that_has_ended() {
-    assert_eq!(jobs_written_by_a_new_leader(Feed::Complete), Vec::<String>::new());
+    assert_eq!(jobs_written_by_a_new_leader(Feed::Complete, false), Vec::<String>::new());
 }
 
 /// Guards against a term that begins without the newest progress because the table was discarded
 /// while the leader's poll was in flight.
 #[test]
 fn a_term_begins_on_complete_tables_if_one_is_discarded_meanwhile() {
-    assert_eq!(jobs_written_by_a_new_leader(Feed::Expires), Vec::<String>::new());
+    assert_eq!(jobs_written_by_a_new_leader(Feed::Expires, false), Vec::<String>::new());
 }
 
 /// Guards against a term that begins without the newest progress because the feed answers without
 /// rows although it is behind.
 #[test]
 fn a_term_begins_once_the_feed_has_reached_its_version() {
-    assert_eq!(jobs_written_by_a_new_leader(Feed::Behind), Vec::<String>::new());
+    assert_eq!(jobs_written_by_a_new_leader(Feed::Behind, false), Vec::<String>::new());
+}
+
+/// Guards against a job that is started a second time after a change of leader: it was stored after
+/// the election, and started by the old leader before its partition was fenced.
+#[test]
+fn a_term_begins_with_the_jobs_that_were_stored_until_the_last_fence() {
+    assert_eq!(jobs_written_by_a_new_leader(Feed::Complete, true), Vec::<String>::new());
 }
