Progress that this scheduler did not store is not overwritten

What callers see: tasks that have completed or run elsewhere are started again, and what was stored about them is lost (TWICE, BUDGET), if a leader lacks progress of a job for any reason.

Cause: a commit that found other versions than expected copied the versions and stored its own state over the rows, on the assumption that only an earlier write of the same term can be there.

Fix: a job knows whether a write of its progress got no answer since the last known version. Without one, a row with another version is foreign: it is kept, and the term ends; the next one reads the tables up to that row. Unreadable rows are replaced as before: they would end one term after the other.

Logs: the line about a conflict has the fencing token and the versions expected and found of the first five rows; foreign rows have a line of their own (error).

Evidence: progress_of_another_scheduler_ends_the_term_and_is_kept failed before and passes now.

Checked: with a flag that is never set, a_late_write_of_the_same_scheduler_keeps_the_term and mixed_faults_violate_no_invariant fail, as they must.

--- a/src/control/engine/commit.rs
+++ b/src/control/engine/commit.rs
@@ -3,13 +3,17 @@
 //! A write without an answer may be applied seconds later if its conditions still hold. Each row is
 //! therefore written under the condition that it has the version last known to this scheduler: a
 //! late write finds a newer version and has no effect.
+//!
+//! A row with another version than expected is therefore an earlier write of this scheduler without
+//! an answer, or not its own. A row that is not its own is never overwritten: it shows that this
+//! scheduler lacks progress of the job, and ends the term.
 
 use super::runs::Stage;
 use super::{Engine, Now};
 use crate::control::model::{JobId, JobState, StepId};
 use crate::control::partitions::{self, Partition, PartitionScope};
 use crate::control::ports::Row;
-use crate::control::rows;
+use crate::control::rows::{self, ProgressRow};
 
 /// Delay before a change of only the state shown to callers is stored, ms, unless another change of
 /// the job is stored earlier. Most lookups end within it, which saves them one write of three.
@@ -20,6 +24,9 @@
 /// starves. The rest goes by rank.
 const OLDEST_FRACTION: usize = 4;
 
+/// Most rows of a conflict that are logged.
+const MAX_LOGGED_ROWS: usize = 5;
+
 /// What an unstored change delays; lower values are stored first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
@@ -158,7 +165,14 @@
         match out {
             Outcome::Done(version) => self.stored(batch, *version, now),
             Outcome::Conflict(found) => self.conflict(batch, found),
-            Outcome::Unknown => self.store_again(batch),
+            Outcome::Unknown => {
+                for w in &batch.writes {
+                    if let Some(job) = self.jobs.get_mut(&w.job) {
+                        job.unanswered = true;
+                    }
+                }
+                self.store_again(batch);
+            }
         }
     }
 
@@ -178,6 +192,7 @@
             job.version = version;
             job.stored = w.rev;
             job.storing = None;
+            job.unanswered = false;
             self.record_stored(w.job, w.rev, now);
             let Some(job) = self.jobs.get(&w.job) else { continue };
             let steps: Vec<StepId> = job.steps.iter().map(|s| s.id).collect();
@@ -196,16 +211,38 @@
         }
     }
 
-    /// Handles rows with other versions than expected: an earlier write without an answer was
-    /// applied. Only the leader writes these rows, so that its own state is current and only the
-    /// versions are copied.
+    /// Handles a batch of which nothing was stored because some rows have other versions than
+    /// expected. Of an earlier write without an answer only the version is copied, since this
+    /// scheduler's own state is newer. An unreadable row, which nobody can load, is replaced.
     fn conflict(&mut self, batch: &Batch, found: &[Row]) {
+        let (mut changed, mut foreign) = (Vec::new(), Vec::new());
         for w in &batch.writes {
             let key = rows::progress_key(w.job);
-            let version = found.iter().find(|r| r.key == key).map_or(0, |r| r.version);
-            if let Some(job) = self.jobs.get_mut(&w.job) {
-                job.version = version;
+            let row = found.iter().find(|r| r.key == key);
+            let version = row.map_or(0, |r| r.version);
+            let Some(job) = self.jobs.get_mut(&w.job) else { continue };
+            if version == w.version {
+                continue;
+            }
+            let entry = format!("{}: expected {}, found {version}", w.job, w.version);
+            let readable = row.is_none_or(|r| rows::decode::<ProgressRow>(&r.value).is_ok());
+            if readable && !job.unanswered {
+                foreign.push(entry);
+                continue;
             }
+            changed.push(entry);
+            job.version = version;
+            job.unanswered = false;
+        }
+        let total = (changed.len(), foreign.len());
+        changed.truncate(MAX_LOGGED_ROWS);
+        foreign.truncate(MAX_LOGGED_ROWS);
+        log::info!(fence = self.fence, rows = batch.writes.len(), changed = total.0, jobs:? = changed;
+            "commit conflicts with an earlier write of this scheduler");
+        if total.1 > 0 {
+            log::error!(fence = self.fence, rows = batch.writes.len(), foreign = total.1,
+                jobs:? = foreign; "commit conflicts with progress that this scheduler did not store");
+            self.superseded = true;
         }
         self.store_again(batch);
     }
--- a/src/control/engine/jobs.rs
+++ b/src/control/engine/jobs.rs
@@ -139,6 +139,8 @@
     pub unstored: Option<Unstored>,
     /// Version of its progress row in the store.
     pub version: u64,
+    /// Whether a write of its progress got no answer, and may have been applied.
+    pub unanswered: bool,
     /// Length of the critical path from each step on, ms.
     pub path_ms: Vec<u64>,
     /// Length of the critical path of the whole job, ms.
@@ -168,6 +170,7 @@
             storing: None,
             unstored: None,
             version: 0,
+            unanswered: false,
             path_ms: Vec::new(),
             longest: 0,
         }
--- a/src/control/leader/calls.rs
+++ b/src/control/leader/calls.rs
@@ -115,7 +115,6 @@
                     if !partitions.iter().map(fence).all(matches) {
                         return Event::Replaced;
                     }
-                    log::info!(rows = batch.writes.len(); "commit conflicts with an earlier write of this scheduler");
                     Outcome::Conflict(found)
                 }
                 Err(e) => {
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -331,6 +331,7 @@
 
     /// Panics if an invariant was violated.
     pub fn check(&self) {
+        assert!(!self.engine.superseded, "nobody else has been elected or has stored progress");
         assert!(self.violations.is_empty(), "{:#?}", self.violations);
     }
 }
--- a/tests/common/control/store.rs
+++ b/tests/common/control/store.rs
@@ -86,6 +86,12 @@
         Outcome::Done(self.version)
     }
 
+    /// Stores an encoded progress row of a job, like another scheduler.
+    pub fn put_progress(&mut self, id: JobId, value: Vec<u8>) {
+        self.version += 1;
+        self.store.insert(id, (self.version, value));
+    }
+
     /// State of a job in the store.
     pub fn stored(&self, id: JobId) -> JobState {
         let row = self.store.get(&id).map(|(_, v)| rows::decode::<ProgressRow>(v).unwrap());
--- a/tests/control_store_backlog.rs
+++ b/tests/control_store_backlog.rs
@@ -10,6 +10,7 @@
 use currantgw::control::leader::CommitBatching;
 use currantgw::control::model::{Approval, JobId, JobState};
 use currantgw::control::partitions::{Partition, PartitionScope};
+use currantgw::control::rows::{self, ProgressRow};
 use currantgw::kernel::res::Resources;
 
 /// Times of a healthy store.
@@ -229,3 +230,50 @@
     assert_eq!(cell.stored(lost), JobState::Completed);
     cell.check();
 }
+
+/// A job with one running task, of whose progress another scheduler has stored `value`. Its
+/// cancellation is to be stored next.
+fn job_with_progress_of_another(value: Vec<u8>) -> (Cell, JobId) {
+    let mut cell = Cell::new(2, 1);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 60_000)]);
+    cell.run(1_500);
+    assert_eq!(cell.stored(job), JobState::Running);
+    cell.put_progress(job, value);
+    cell.cancel(job);
+    cell.run(500);
+    (cell, job)
+}
+
+/// Guards against progress that is overwritten by a scheduler that has never read it, which starts
+/// tasks again that have completed.
+#[test]
+fn progress_of_another_scheduler_ends_the_term_and_is_kept() {
+    let row = ProgressRow { state: JobState::Completed, ended: 1, steps: Vec::new() };
+    let (cell, job) = job_with_progress_of_another(rows::encode(&row));
+    assert!(cell.engine.superseded);
+    assert_eq!(cell.stored(job), JobState::Completed);
+}
+
+/// A row that nobody can read doesn't end one term after the other.
+#[test]
+fn an_unreadable_progress_row_is_replaced() {
+    let (cell, job) = job_with_progress_of_another(b"junk".to_vec());
+    cell.check();
+    assert_eq!(cell.stored(job), JobState::Cancelled);
+}
+
+/// Guards against a term that ends because of a late write of its own.
+#[test]
+fn a_late_write_of_the_same_scheduler_keeps_the_term() {
+    let mut cell = Cell::new(4, 1);
+    cell.faults.commits = 0.5;
+    let mut jobs = Vec::new();
+    for n in 1..=100 {
+        jobs.push(cell.submit(n << 56 | n, "patient", vec![step(2, 500, 2_000)]));
+        cell.run(300);
+    }
+    cell.faults.commits = 0.0;
+    cell.run(20_000);
+    cell.check();
+    assert!(jobs.iter().all(|j| cell.stored(*j) == JobState::Completed));
+}
