Log lines of a term name which one of its process it is

`term begins` and `term ends` have `nth`, the number of the term among those of its process, and `term begins` the version up to which the tables were read.

--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -130,6 +130,8 @@
     seen: Mutex<Observed>,
     /// Fencing token of the last term of this process; 0 before the first.
     last_fence: AtomicU64,
+    /// Number of terms of this process so far.
+    terms: AtomicU64,
     /// Wakes a waiting candidate when the leader becomes suspect.
     wakeup: (Sender<()>, Receiver<()>),
 }
@@ -170,8 +172,8 @@
         let reads = Dependency::new("store, office", clock.clone());
         let started = clock.mono();
         let wakeup = channel::bounded(1);
-        let (seen, last_fence) = Default::default();
-        Self { store, clock, me, reads, started, seen, last_fence, wakeup }
+        let (seen, last_fence, terms) = Default::default();
+        Self { store, clock, me, reads, started, seen, last_fence, terms, wakeup }
     }
 
     /// This instance as a candidate that is not able yet.
@@ -196,6 +198,11 @@
         Some((seen.leader.clone()?, seen.leader_version))
     }
 
+    /// Number of terms that this process has won so far.
+    pub fn terms(&self) -> u64 {
+        self.terms.load(Ordering::Relaxed)
+    }
+
     /// Records the leader named by another instance over a link, which arrives before a poll of the
     /// store, or while the store is unavailable.
     pub fn record_leader(&self, row: LeaderRow, version: u64) {
@@ -465,6 +472,7 @@
         let versions: Option<Vec<u64>> = future::join_all(all).await.into_iter().collect();
         let fence_versions = versions?.try_into().ok()?;
         self.last_fence.store(fence, Ordering::Relaxed);
+        self.terms.fetch_add(1, Ordering::Relaxed);
         Some(Term { fence, fence_versions })
     }
 
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -145,10 +145,12 @@
             }
         }
         let ms = self.clock.mono() - began;
-        log::info!(fence = term.fence, jobs = engine.job_count(), load_ms = ms; "term begins");
+        let nth = self.election.terms();
+        log::info!(fence = term.fence, nth, version = term.version(), jobs = engine.job_count(),
+            load_ms = ms; "term begins");
         let why = self.run(&mut engine, term, &updates, stop).await;
         self.mirror.subscribe(None);
-        log::info!(fence = term.fence, why = why; "term ends");
+        log::info!(fence = term.fence, nth, why = why; "term ends");
         // The successor shows the teams from now on.
         engine.teams().for_each(|(_, t)| set_gauges(&t.name, 0, 0, 0));
         if stop.fired() {
--- a/tests/control_election.rs
+++ b/tests/control_election.rs
@@ -144,6 +144,7 @@
     election.reset();
     let second = election.campaign(|| false, || true).await;
     assert!(second.fence > first.fence, "{} after {}", second.fence, first.fence);
+    assert_eq!(election.terms(), 2);
     for partition in Partition::all() {
         assert!(!may_write(&store, &first, partition).await, "{}", partition.name());
         assert!(may_write(&store, &second, partition).await, "{}", partition.name());
