An ended job is known to the leader until its rows are deleted

What callers see: a job that completed two minutes ago starts again, or is shown as cancelled.

Cause: the leader removes a job from its engine 120 s after its end, deletes its rows, and removed it from its cache even if a deletion failed; nothing deleted the rows later. A request for the job then found no entry in the cache and read the job's row from the store, without its progress, since that table counts as cached. The scheduler took the row for a newly submitted job. A full read of the jobs table did the same.

Fix: a job leaves the cache once both deletions were acknowledged; others are repeated with the next collection.

Evidence: an_ended_job_is_known_until_its_rows_are_deleted failed before (Some(Cancelled), not Some(Completed)) and passes now, with the others of control_leader.rs, control_links.rs and control_mirror.rs (19 tests).

Ruled out as the cause of the incident: a run of the users lasts about 75 s, and jobs are kept for 120 s.

--- a/src/control/leader/calls.rs
+++ b/src/control/leader/calls.rs
@@ -7,7 +7,7 @@
 use crate::control::mirror::Table;
 use crate::control::model::JobId;
 use crate::control::partitions::{Partition, PartitionScope};
-use crate::control::ports::{Commit, Key, Txn};
+use crate::control::ports::{Commit, CommitError, Key, Txn};
 use crate::control::rows;
 use futures::future::{BoxFuture, FutureExt};
 use std::collections::BTreeSet;
@@ -58,33 +58,42 @@
     pub(super) fn gc_later(&self) -> BoxFuture<'_, Event> {
         async move {
             self.clock.sleep(GC_INTERVAL_MS).await;
-            Event::GcDue
+            Event::GcDue(Vec::new())
         }
         .boxed()
     }
 
-    /// Deletes the rows of ended jobs. The job's own row goes first: a job without progress would
-    /// appear never to have started.
+    /// Deletes the rows of ended jobs. Jobs whose rows may still be stored stay in the cache: a job
+    /// found in the store and not in the cache would appear to be a new one.
     pub(super) fn collect_garbage(&self, expired: Vec<JobId>) -> BoxFuture<'_, Event> {
         async move {
+            let mut remaining = Vec::new();
             for id in expired {
-                let keys = vec![rows::job_key(id), rows::cancel_key(id)];
-                let job = Txn { remove: keys, ..Txn::default() };
-                let progress = Txn { remove: vec![rows::progress_key(id)], ..Txn::default() };
-                for txn in [job, progress] {
-                    if let Err(e) = self.store.commit(&txn, COMMIT_MS).await {
+                match self.delete_job(id).await {
+                    Ok(()) => self.mirror.forget(id),
+                    Err(e) => {
                         log::warn!(job:% = id, why:% = e; "ended job not removed");
-                        break;
+                        remaining.push(id);
                     }
                 }
-                self.mirror.forget(id);
             }
             self.clock.sleep(GC_INTERVAL_MS).await;
-            Event::GcDue
+            Event::GcDue(remaining)
         }
         .boxed()
     }
 
+    /// Deletes the rows of a job. The job's own row goes first: a job without progress would appear
+    /// never to have started.
+    async fn delete_job(&self, id: JobId) -> Result<(), CommitError> {
+        let keys = vec![rows::job_key(id), rows::cancel_key(id)];
+        let job = Txn { remove: keys, ..Txn::default() };
+        let progress = Txn { remove: vec![rows::progress_key(id)], ..Txn::default() };
+        self.store.commit(&job, COMMIT_MS).await?;
+        self.store.commit(&progress, COMMIT_MS).await?;
+        Ok(())
+    }
+
     pub(super) fn commit(
         &self,
         term: Term,
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -76,7 +76,8 @@
     Replaced,
     HeartbeatDue,
     Heartbeat(Result<bool, CommitError>, u64),
-    GcDue,
+    /// With the ended jobs that could not be deleted.
+    GcDue(Vec<JobId>),
 }
 
 /// What the leader uses of its instance.
@@ -260,8 +261,9 @@
                         calls.push(self.heartbeat(term));
                         calls.push(self.heartbeat_later());
                     }
-                    Event::GcDue => {
-                        let expired = engine.expire(self.now(), GC_JOBS);
+                    Event::GcDue(mut expired) => {
+                        let max = GC_JOBS.saturating_sub(expired.len());
+                        expired.extend(engine.expire(self.now(), max));
                         calls.push(self.collect_garbage(expired));
                     }
                     other => self.apply_result(engine, other),
@@ -335,7 +337,8 @@
             Event::Polled(k, res) => engine.polled(k, res, now),
             Event::Advised(step, runners, res) => engine.advice_received(step, &runners, res, now),
             Event::Replaced => engine.superseded = true,
-            Event::Committed(..) | Event::Heartbeat(..) | Event::HeartbeatDue | Event::GcDue => {}
+            Event::Committed(..) | Event::Heartbeat(..) | Event::HeartbeatDue | Event::GcDue(_) => {
+            }
         }
     }
 
--- a/tests/control_leader.rs
+++ b/tests/control_leader.rs
@@ -6,6 +6,7 @@
 }
 
 use common::table::MemoryStore;
+use currantgw::control::access::Caller;
 use currantgw::control::election::{Election, Term};
 use currantgw::control::engine::Rules;
 use currantgw::control::leader::Leader;
@@ -382,3 +383,53 @@
 fn a_term_begins_with_the_jobs_that_were_stored_until_the_last_fence() {
     assert_eq!(jobs_written_by_a_new_leader(Feed::Complete, true), Vec::<String>::new());
 }
+
+/// Guards against a job that has completed and starts again. Its rows could not be deleted, and the
+/// leader had removed it from its cache: a caller's request read its row from the store, and it
+/// appeared to be a new job.
+#[test]
+fn an_ended_job_is_known_until_its_rows_are_deleted() {
+    let clock = Clock::real();
+    let (_trigger, stop) = stop::pair();
+    let store = Arc::new(Late {
+        inner: MemoryStore::default(),
+        feed: Feed::Complete,
+        polls: Default::default(),
+        written: Default::default(),
+    });
+    let leader = leader(&clock, store.clone());
+    let id = JobId(5);
+    let spec = JobSpec { steps: vec![Step { count: 1, ..Step::default() }], ..JobSpec::default() };
+    let row = JobRow { queue: "q".into(), team: None, at: 1, spec };
+    let ended = ProgressRow { state: JobState::Completed, ended: 1, steps: Vec::new() };
+    let get = || async {
+        match leader.mirror.job_state(id) {
+            Some(state) => Some(state),
+            None => leader.mirror.find_job(id, &Caller::Anyone).await.unwrap(),
+        }
+    };
+    async_std::task::block_on(async {
+        store.inner.put(config().key, config().value);
+        leader.mirror.poll(Table::Config, 0).await.unwrap();
+        store.inner.put(rows::job_key(id), rows::encode(&row));
+        store.inner.put(rows::cancel_key(id), rows::encode(&1u64));
+        store.inner.put(rows::progress_key(id), rows::encode(&ended));
+        store.inner.set_unavailable([rows::job_partition(id)]);
+        let fence = store.inner.put(rows::leader_key(), Vec::new());
+        let fences: Vec<u64> =
+            Partition::all().map(|p| store.inner.put(rows::fence_key(p), Vec::new())).collect();
+        let term = Term { fence, fence_versions: fences.try_into().unwrap() };
+        let calls = async {
+            pause(1_200).await;
+            assert_eq!(get().await, Some(JobState::Completed));
+            store.inner.set_unavailable([]);
+            pause(1_200).await;
+            assert_eq!(store.inner.row(&rows::job_key(id)), None, "deleted once that is possible");
+            assert_eq!(store.inner.row(&rows::progress_key(id)), None);
+            assert_eq!(get().await, None);
+        };
+        let serve = Box::pin(leader.serve(term, &stop));
+        futures::future::select(Box::pin(calls), serve).await;
+    });
+    assert_eq!(*store.written.lock().unwrap(), Vec::<String>::new());
+}
