An answer of the store without its version is malformed

What callers see: nothing known; found by reading.

Cause: rows and version of an answer had defaults, so that the body `{}` counted as an empty partition at version 0, or as a feed without changes that had been polled, or as a write stored at version 0. The table counted as read although its rows were missing.

--- /dev/null
+++ b/tests/platform_store.rs
@@ -0,0 +1,60 @@
+//! Client of the platform's store, on answers that are incomplete.
+
+use async_std::net::TcpListener;
+use async_std::task::{self, JoinHandle};
+use currantgw::control::ports::{Commit, CommitError, ReadError, Store, Txn};
+use currantgw::http::ConnPool;
+use currantgw::kernel::clock::Clock;
+use currantgw::platform::store::RowStore;
+use futures::{AsyncReadExt, AsyncWriteExt};
+use std::net::SocketAddr;
+
+/// Timeout of a call, ms.
+const CALL_MS: u64 = 2_000;
+
+/// An answer with `body`, whose head gives the length `len`.
+fn answer(body: &str, len: usize) -> String {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close";
+    format!("{head}\r\nContent-Length: {len}\r\n\r\n{body}")
+}
+
+/// A server that sends each of `answers` on a connection of its own, and then closes it.
+async fn serve(answers: Vec<String>) -> (SocketAddr, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let task = task::spawn(async move {
+        for answer in answers {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = [0; 4_096];
+            let _ = stream.read(&mut request).await;
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+    });
+    (addr, task)
+}
+
+/// Guards against a table that counts as read although its rows are missing: an answer without the
+/// store's version holds no rows either.
+#[async_std::test]
+async fn an_answer_without_a_version_is_malformed() {
+    let (addr, server) = serve(vec![answer("{}", 2); 3]).await;
+    let store = RowStore::new(ConnPool::new(Clock::real()), addr);
+    let page = store.page("jobs", "00", "", None, 500).await;
+    assert_eq!(page.err(), Some(ReadError::Malformed));
+    let changes = store.changes("jobs", 7, 0).await;
+    assert_eq!(changes.err(), Some(ReadError::Malformed));
+    let stored = store.commit(&Txn::default(), CALL_MS).await;
+    assert!(matches!(stored, Err(CommitError::Malformed)), "{stored:?}");
+    server.await;
+}
+
+#[async_std::test]
+async fn an_answer_with_a_version_is_read() {
+    let body = r#"{"schema_version":9}"#;
+    let (addr, server) = serve(vec![answer(body, body.len()); 2]).await;
+    let store = RowStore::new(ConnPool::new(Clock::real()), addr);
+    assert_eq!(store.page("jobs", "00", "", None, 500).await.unwrap().version, 9);
+    let stored = store.commit(&Txn::default(), CALL_MS).await;
+    assert!(matches!(stored, Ok(Commit::Done(9))), "{stored:?}");
+    server.await;
+}
