An idle connection that the other side has closed is not used

What callers see: a call after a pause ends in "connection closed". Its outcome is unknown to the caller, so that a start that never reached its runner is handled as one that may run.

Cause: connections are kept without a limit of time, and the pool gave them out without a look.

Fix: a connection that has something to read before the call (the end of the stream, or bytes that no call has asked for) is closed, and the next one or a new one is used.

Evidence: a_connection_that_was_closed_while_idle_is_not_used failed before (Broken("connection closed")) and passes now, with the three others of platform_store.rs.

Each call now makes one more system call, a `recv` with MSG_PEEK.

--- a/src/http.rs
+++ b/src/http.rs
@@ -5,7 +5,7 @@
 
 use crate::kernel::clock::Clock;
 use async_std::net::TcpStream;
-use futures::AsyncReadExt;
+use futures::{AsyncReadExt, FutureExt};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -98,8 +98,17 @@
         Self { idle: Arc::default(), clock }
     }
 
+    /// An idle connection to `addr`, if there is one. Connections that have something to read are
+    /// closed: the other side has closed them, or has sent what no call has asked for.
     fn take_idle(&self, addr: SocketAddr) -> Option<TcpStream> {
-        self.idle.lock().unwrap().get_mut(&addr)?.pop()
+        let mut idle = self.idle.lock().unwrap();
+        let conns = idle.get_mut(&addr)?;
+        loop {
+            let stream = conns.pop()?;
+            if stream.peek(&mut [0]).now_or_never().is_none() {
+                return Some(stream);
+            }
+        }
     }
 
     fn put_back(&self, addr: SocketAddr, stream: TcpStream) {
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -8,6 +8,7 @@
 use currantgw::platform::store::RowStore;
 use futures::{AsyncReadExt, AsyncWriteExt};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Timeout of a call, ms.
 const CALL_MS: u64 = 2_000;
@@ -46,6 +47,22 @@
     server.await;
 }
 
+/// Guards against orders of unknown outcome: the other side had closed an idle connection, and the
+/// next call was sent on it.
+#[async_std::test]
+async fn a_connection_that_was_closed_while_idle_is_not_used() {
+    let body = r#"{"rows":[]}"#;
+    let open = answer(body, body.len()).replace("\r\nConnection: close", "");
+    let (addr, server) = serve(vec![open, answer(body, body.len())]).await;
+    let conns = ConnPool::new(Clock::real());
+    for _ in 0..2 {
+        let reply = conns.call(addr, Method::Post, "/", &[], Some(Vec::new()), CALL_MS).await;
+        assert_eq!(reply.unwrap().body, body.as_bytes());
+        task::sleep(Duration::from_millis(50)).await;
+    }
+    server.await;
+}
+
 /// Guards against a table that counts as read although its rows are missing: an answer without the
 /// store's version holds no rows either.
 #[async_std::test]
