--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -5,7 +5,9 @@
 //! condition that both rows are still as it saw them; a leader that still sends heartbeats makes
 //! that write fail. The version of the leader's row is the fencing token. A leader that has not
 //! noticed its replacement cannot store a heartbeat, which has the leader's row as a condition, and
-//! is refused by every runner that its successor has polled.
+//! is refused by every runner that its successor has polled. Each term has a token of its own, also
+//! one that follows another of the same process: otherwise late orders and commits of the first term
+//! would be accepted in the second.
 //!
 //! Progress is stored in several partitions, whose transactions cannot all check the leader's row.
 //! So each partition has a fence row with the token of the leader that may write there, which is a
@@ -25,6 +27,7 @@
 use futures::future::{self, Either};
 use rand::Rng;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 /// Time between heartbeats of the leader, ms.
@@ -125,6 +128,10 @@
     reads: Dependency,
     started: u64,
     seen: Mutex<Observed>,
+    /// Fencing token of the last term of this process; 0 before the first.
+    last_fence: AtomicU64,
+    /// Number of terms of this process so far.
+    terms: AtomicU64,
     /// Wakes a waiting candidate when the leader becomes suspect.
     wakeup: (Sender<()>, Receiver<()>),
 }
@@ -165,7 +172,8 @@
         let reads = Dependency::new("store, office", clock.clone());
         let started = clock.mono();
         let wakeup = channel::bounded(1);
-        Self { store, clock, me, reads, started, seen: Mutex::default(), wakeup }
+        let (seen, last_fence, terms) = Default::default();
+        Self { store, clock, me, reads, started, seen, last_fence, terms, wakeup }
     }
 
     /// This instance as a candidate that is not able yet.
@@ -190,6 +198,11 @@
         Some((seen.leader.clone()?, seen.leader_version))
     }
 
+    /// Number of terms that this process has won so far.
+    pub fn terms(&self) -> u64 {
+        self.terms.load(Ordering::Relaxed)
+    }
+
     /// Records the leader named by another instance over a link, which arrives before a poll of the
     /// store, or while the store is unavailable.
     pub fn record_leader(&self, row: LeaderRow, version: u64) {
@@ -271,11 +284,16 @@
             let seen = self.seen.lock().unwrap().clone();
             let now = self.clock.mono();
             if seen.leader.as_ref() == Some(&self.me) {
-                // Won by a write whose answer was lost, or not all partitions could be fenced.
-                if let Some(term) = self.fence(seen.leader_version).await {
-                    return term;
+                let elapsed = now.saturating_sub(seen.since);
+                let term = match seen.leader_version > self.last_fence.load(Ordering::Relaxed) {
+                    // Won by a write whose answer was lost, or not all partitions could be fenced.
+                    true => self.fence(seen.leader_version).await,
+                    false => self.acquire(&seen, elapsed).await,
+                };
+                match term {
+                    Some(term) => return term,
+                    None => continue,
                 }
-                continue;
             }
             let elapsed = now.saturating_sub(seen.since);
             let takeover = self.takeover_ms(&seen);
@@ -453,6 +471,8 @@
             Partition::all().map(|partition| self.fence_partition(partition, fence, deadline));
         let versions: Option<Vec<u64>> = future::join_all(all).await.into_iter().collect();
         let fence_versions = versions?.try_into().ok()?;
+        self.last_fence.store(fence, Ordering::Relaxed);
+        self.terms.fetch_add(1, Ordering::Relaxed);
         Some(Term { fence, fence_versions })
     }
 
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -24,7 +24,7 @@
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
 use futures::FutureExt;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex};
 
 /// Shortest time between planning rounds, ms: short against the 250 ms of total delay that a
@@ -65,6 +65,10 @@
 /// Most ended jobs that one garbage collection deletes from the store.
 const GC_JOBS: usize = 20;
 
+/// Most of these that an earlier one could not delete. A partition that accepts no writes must not
+/// keep the jobs of the others.
+const GC_RETRIES: usize = GC_JOBS / 2;
+
 /// Result of a call, or a timer that has fired. The last number of `Committed` and `Heartbeat` is
 /// when the call was sent, local ms.
 enum Event {
@@ -76,7 +80,8 @@
     Replaced,
     HeartbeatDue,
     Heartbeat(Result<bool, CommitError>, u64),
-    GcDue,
+    /// With the ended jobs that could not be deleted.
+    GcDue(Vec<JobId>),
 }
 
 /// What the leader uses of its instance.
@@ -145,10 +150,12 @@
             }
         }
         let ms = self.clock.mono() - began;
-        log::info!(fence = term.fence, jobs = engine.job_count(), load_ms = ms; "term begins");
+        let nth = self.election.terms();
+        log::info!(fence = term.fence, nth, version = term.version(), jobs = engine.job_count(),
+            load_ms = ms; "term begins");
         let why = self.run(&mut engine, term, &updates, stop).await;
         self.mirror.subscribe(None);
-        log::info!(fence = term.fence, why = why; "term ends");
+        log::info!(fence = term.fence, nth, why = why; "term ends");
         // The successor shows the teams from now on.
         engine.teams().for_each(|(_, t)| set_gauges(&t.name, 0, 0, 0));
         if stop.fired() {
@@ -173,27 +180,37 @@
         let read = |table, version| self.read_up_to(table, version, deadline);
         let (progress, jobs, registry) = futures::join!(
             read(Table::Progress, term.version()),
-            read(Table::Jobs, term.fence),
+            // An earlier leader may have stored progress of any job that was stored before its
+            // partition was fenced.
+            read(Table::Jobs, term.version()),
             read(Table::Registry, 0),
         );
         progress && jobs && registry
     }
 
+    /// Polls a table until it is cached up to `version`; false if that takes until `deadline`, local
+    /// ms. An answer without rows doesn't show that it is: the table may have been discarded while
+    /// the poll was in flight.
     async fn read_up_to(&self, table: Table, version: u64, deadline: u64) -> bool {
         let (began, mut polls, mut rows) = (self.clock.mono(), 0, 0);
-        while self.mirror.cached_version(table) < Some(version) {
+        loop {
+            let before = self.mirror.cached_version(table);
+            if before >= Some(version) {
+                break;
+            }
             polls += 1;
-            match self.mirror.poll(table, 0).await {
-                Ok(0) => break,
-                Ok(n) => rows += n,
-                Err(_) if self.clock.mono() < deadline => {
-                    self.clock.sleep(RETRY_MS).await;
-                }
-                Err(e) => {
-                    log::error!(table:? = table, why:% = e; "term not started: table not read in time");
-                    return false;
-                }
+            let polled = self.mirror.poll(table, 0).await;
+            rows += polled.as_ref().unwrap_or(&0);
+            let cached = self.mirror.cached_version(table);
+            if cached > before {
+                continue;
             }
+            if self.clock.mono() >= deadline {
+                log::error!(table:? = table, wanted = version, cached:? = cached, polled:? = polled;
+                    "term not started: table not read in time");
+                return false;
+            }
+            self.clock.sleep(RETRY_MS).await;
         }
         log::info!(table:? = table, polls, rows, ms = self.clock.mono() - began;
             "table read for a new term");
@@ -217,6 +234,8 @@
         let writes = Dependency::new("store, commits", self.clock.clone());
         let mut batching = CommitBatching::new(self.cross_part, self.clock.mono());
         let mut planned_ms = 0;
+        // Ended jobs whose rows are still in the store although their retention time is over.
+        let mut undeleted = VecDeque::new();
         loop {
             // With thousands of open steps, planning takes many times [`ROUND_MS`]. Events get as
             // much time as planning: with a fixed time, answers would wait for several rounds.
@@ -248,9 +267,12 @@
                         calls.push(self.heartbeat(term));
                         calls.push(self.heartbeat_later());
                     }
-                    Event::GcDue => {
-                        let expired = engine.expire(self.now(), GC_JOBS);
-                        calls.push(self.collect_garbage(expired));
+                    Event::GcDue(failed) => {
+                        undeleted.extend(failed);
+                        let retries = undeleted.len().min(GC_RETRIES);
+                        let mut ended: Vec<JobId> = undeleted.drain(..retries).collect();
+                        ended.extend(engine.expire(self.now(), GC_JOBS - retries));
+                        calls.push(self.collect_garbage(ended));
                     }
                     other => self.apply_result(engine, other),
                 },
@@ -323,7 +345,8 @@
             Event::Polled(k, res) => engine.polled(k, res, now),
             Event::Advised(step, runners, res) => engine.advice_received(step, &runners, res, now),
             Event::Replaced => engine.superseded = true,
-            Event::Committed(..) | Event::Heartbeat(..) | Event::HeartbeatDue | Event::GcDue => {}
+            Event::Committed(..) | Event::Heartbeat(..) | Event::HeartbeatDue | Event::GcDue(_) => {
+            }
         }
     }
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -5,7 +5,7 @@
 
 use crate::kernel::clock::Clock;
 use async_std::net::TcpStream;
-use futures::AsyncReadExt;
+use futures::{AsyncReadExt, FutureExt};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -98,8 +98,17 @@
         Self { idle: Arc::default(), clock }
     }
 
+    /// An idle connection to `addr`, if there is one. Connections that have something to read are
+    /// closed: the other side has closed them, or has sent what no call has asked for.
     fn take_idle(&self, addr: SocketAddr) -> Option<TcpStream> {
-        self.idle.lock().unwrap().get_mut(&addr)?.pop()
+        let mut idle = self.idle.lock().unwrap();
+        let conns = idle.get_mut(&addr)?;
+        loop {
+            let stream = conns.pop()?;
+            if stream.peek(&mut [0]).now_or_never().is_none() {
+                return Some(stream);
+            }
+        }
     }
 
     fn put_back(&self, addr: SocketAddr, stream: TcpStream) {
@@ -181,12 +190,15 @@
             self.clock.timeout(ms, async_h1::connect(stream, req)).await.map_err(timed_out)?;
         let mut res = head.map_err(|e| CallError::Broken(e.to_string()))?;
         let close = res.header("Connection").is_some_and(|v| v.as_str() == "close");
-        let status = res.status().into();
+        let (status, len) = (res.status().into(), res.len());
         let mut source = res.take_body();
         let (mut body, mut buffer) = (Vec::new(), vec![0; READ_BYTES]);
         loop {
             let read = self.clock.timeout(ms, source.read(&mut buffer)).await.map_err(timed_out)?;
             match read.map_err(|e| CallError::Broken(e.to_string()))? {
+                0 if len.is_some_and(|len| len != body.len()) => {
+                    return Err(CallError::Broken("the body is incomplete".into()));
+                }
                 0 => return Ok((Reply { status, body }, !close)),
                 n => body.extend_from_slice(&buffer[..n]),
             }
