Prove no run lost by an answer whose completions may go on

A runner lists at most 500 unacknowledged completions in an answer. A run whose completion comes after them is in neither list: the scheduler wrote it off as not listed and placed its task again, and the completion that followed was acknowledged without an effect. Callers see tasks that run twice.

The decoder alone knows the number, so the report says whether there may be more; such a report still delivers its completions, and nothing is concluded from what it does not list. The runners of the simulated cell list 500 at a time now, too.

--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -75,6 +75,9 @@
                 self.runners.get_mut(k).unacked.push_back(entry);
             }
         }
+        if report.has_more {
+            return; // A run in neither list may have ended.
+        }
         let active: BTreeMap<(TaskId, Attempt), ActiveRun> =
             report.active.into_iter().map(|a| ((a.task, a.attempt), a)).collect();
         let allocated: Vec<(TaskId, Attempt)> = self.runners.get(k).tasks.keys().copied().collect();
--- a/tests/common/control/orders.rs
+++ b/tests/common/control/orders.rs
@@ -11,6 +11,9 @@
 /// Time that a runner takes to stop a task, ms.
 const STOP_MS: u64 = 100;
 
+/// Most completions that an answer lists.
+const MAX_LISTED: usize = 500;
+
 /// Time to resume from a checkpoint, ms.
 const RESTORE_MS: u64 = 250;
 
@@ -128,7 +131,8 @@
             self.violations.push(format!("{now}: r{i}: completions acknowledged before listed"));
         }
         r.ends.retain(|e| e.number > poll.acked);
-        r.listed = r.ends.last().map_or(r.listed, |e| e.number);
+        let ends: Vec<End> = r.ends.iter().take(MAX_LISTED).cloned().collect();
+        r.listed = ends.last().map_or(r.listed, |e| e.number);
         let active = r.running.iter().map(|(task, x)| ActiveRun {
             task: *task,
             attempt: x.attempt,
@@ -136,7 +140,7 @@
             percent: x.percent(),
             load: 0.0,
         });
-        let (born, clock) = (Some(r.born), r.clock(now));
-        Ok(Report { born, clock, active: active.collect(), ends: r.ends.clone() })
+        let (born, clock, has_more) = (Some(r.born), r.clock(now), ends.len() >= MAX_LISTED);
+        Ok(Report { born, clock, active: active.collect(), ends, has_more })
     }
 }
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -671,6 +671,26 @@
         assert_eq!((numbers, read.bad), (vec![5, 6, 7], vec![BadItem::Number; 2]));
     }
 
+    /// Guards against runs that are taken for lost, since their completions come after the 500 that a
+    /// response lists. Those that cannot be decoded take a place of the 500 as well.
+    #[test]
+    fn a_full_list_of_completions_may_have_more() {
+        let rows = |n: u64| (1..=n).map(|i| json!([i, TASK, i, "done", ""])).collect::<Vec<_>>();
+        let read = |rows: Vec<Value>| {
+            let body = json!({"clock_ms": 1, "active": [], "finished": rows});
+            let read = reports::report(&bytes(&body)).unwrap();
+            (read.report.ends.len(), read.report.has_more)
+        };
+        assert_eq!(read(rows(0)), (0, false));
+        assert_eq!(read(rows(499)), (499, false));
+        assert_eq!(read(rows(500)), (500, true));
+        assert_eq!(read(rows(501)), (501, true));
+        let unreadable = rows(499).into_iter().chain([json!([500, TASK, 0, "done", ""])]);
+        assert_eq!(read(unreadable.collect()), (499, true));
+        assert_eq!(read(vec![json!(null); 500]), (0, true));
+        assert!(!reports::report(b"{\"clock_ms\": 1}").unwrap().report.has_more);
+    }
+
     #[test]
     fn a_response_without_a_clock_or_lists_is_an_error() {
         corrupt_each(&good(), &["/clock_ms"], |_, case, body| match case {
