Prove no run lost by an answer from before its superseded start

A start without an answer is repeated; if its run has ended meanwhile, the runner refuses the second one as superseded. The run then counted as confirmed at time 0 of the runner's clock, so that any answer that did not list it proved its loss, also one that was computed before the run began and that its connection held up: answers on different connections may overtake each other. The task was placed again, and the completion that followed was acknowledged without an effect.

The run is now stopped. The answer to the stop carries the runner's clock, and only an answer from after it can show that the run is over. A poll sent after the refusal would prove the same, with one more state to keep.

Test: a_run_whose_start_is_superseded_is_not_lost_by_an_earlier_answer failed before (one run written off, 0 expected) and passes.

--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -85,6 +85,8 @@
     Repeated,
     /// Its runner has started again, and its start may take effect there.
     Restarted,
+    /// Its start was refused because its attempt has ended or was stopped there.
+    Superseded,
 }
 
 impl StopReason {
@@ -98,6 +100,7 @@
             Self::Preempted => "makes room for a gang",
             Self::Repeated => "earlier stop not answered",
             Self::Restarted => "runner restarted",
+            Self::Superseded => "start superseded",
         }
     }
 }
@@ -284,9 +287,9 @@
             Refusal::NoResponse | Refusal::Unreachable if tries < MAX_START_TRIES => {
                 self.order_start(id, now, START_RETRY_MS);
             }
-            // The attempt has ended or was stopped there: the next poll reports its completion, or
-            // does not list it, and it is marked as lost.
-            Refusal::Superseded => run.stage = Stage::Running { clock: 0 },
+            // The attempt has ended or was stopped there, but an answer that is on its way may be
+            // from before it began. The stop tells the two apart by the runner's clock.
+            Refusal::Superseded => self.order_stop(id, StopReason::Superseded, now),
             Refusal::NoResponse => self.order_stop(id, StopReason::NoAnswer, now),
             _ => {
                 self.record_refusal(k, id, why, now);
--- a/tests/control_written_off.rs
+++ b/tests/control_written_off.rs
@@ -7,7 +7,10 @@
 }
 
 use common::control::{queue, step, Cell, RULES};
-use currantgw::control::model::{JobState, StepId, TaskId};
+use currantgw::control::engine::{Action, Now, Outcome, RunnerKey};
+use currantgw::control::model::{Attempt, EndKind, JobState, StepId, TaskId};
+use currantgw::control::partitions::PartitionScope;
+use currantgw::control::ports::{End, Refusal, Report};
 use currantgw::kernel::res::Resources;
 
 /// More tasks than the completions that an answer of a runner lists.
@@ -28,3 +31,43 @@
     assert!((0..MANY_TASKS).all(|index| cell.starts[&TaskId { step: id, index }] == 1));
     assert_eq!(cell.engine.counts.written_off, 0);
 }
+
+/// Orders that the scheduler sends, besides polls.
+fn orders(cell: &mut Cell) -> Vec<Action> {
+    let acts = cell.engine.take_actions().into_iter();
+    acts.filter(|a| !matches!(a, Action::Poll { .. })).collect()
+}
+
+/// Plans and stores a task's placement, and returns the order of its start.
+fn start_of(cell: &mut Cell, now: Now) -> (RunnerKey, TaskId, Attempt) {
+    cell.engine.plan(now);
+    let batch = cell.engine.take_batch(PartitionScope::All, 46, now);
+    cell.engine.committed(&batch, &Outcome::Done(7), now);
+    match orders(cell).as_slice() {
+        [Action::Start { runner, start, .. }] => (*runner, start.task, start.attempt),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a task that runs twice: its start is refused because it has ended already, and an
+/// answer from before that, which does not list it, arrives afterwards.
+#[test]
+fn a_run_whose_start_is_superseded_is_not_lost_by_an_earlier_answer() {
+    let mut cell = Cell::new(1, 2);
+    cell.run(300);
+    let now = Now { mono: cell.now, wall: cell.now };
+    let clock = cell.runners[0].clock(cell.now);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 10)]);
+    cell.engine.tick(now);
+    let (k, task, attempt) = start_of(&mut cell, now);
+    cell.engine.started(k, task, attempt, Err(Refusal::NoResponse), now);
+    cell.engine.started(k, task, attempt, Err(Refusal::Superseded), now);
+    let report = Report { born: Some(cell.runners[0].born), clock, ..Report::default() };
+    cell.engine.polled(k, Ok(report.clone()), now);
+    assert_eq!(cell.engine.counts.written_off, 0);
+    cell.engine.stopped(k, task, attempt, Ok(clock + 1), now);
+    let end = End { number: 1, task, attempt, kind: EndKind::Done, saved: String::new() };
+    cell.engine.polled(k, Ok(Report { clock: clock + 2, ends: vec![end], ..report }), now);
+    let state = cell.engine.job(job).map(|j| j.state);
+    assert_eq!((state, cell.engine.counts.written_off), (Some(JobState::Completed), 0));
+}
