Count a worker's last contact anew for each holder of its shard

A holder that got a shard back, and whose first poll did not reach a worker, compared the worker's silence with the contact of its own earlier term. Meanwhile another instance had held the shard and extended the task leases, so that the worker was taken for lost at once and its tasks were placed again while they ran on. Callers see tasks that run twice.

The last contact is now recorded by epoch of the shard: the first poll under a new epoch counts as a contact, as it did already for a worker without any. Resetting it when the shard is unloaded is not enough: a shard is polled, and its contacts are recorded, before it is loaded.

Test: a_worker_is_not_lost_by_a_contact_from_before_another_holder failed before (4 double runs, no lease expired) and passes (4 expired, none twice).

--- a/src/entry/sched/load.rs
+++ b/src/entry/sched/load.rs
@@ -35,8 +35,8 @@
                 // last until now plus the lease period, so no worker of these shards may be
                 // considered lost before that time.
                 let now = cx.clock.now();
-                for name in held.keys() {
-                    self.record_contact(name, &BTreeSet::new(), now);
+                for (name, &epoch) in held {
+                    self.record_contact(name, epoch, &BTreeSet::new(), now);
                 }
                 return Err(e);
             }
@@ -51,7 +51,7 @@
                 continue;
             }
             let unreachable: BTreeSet<String> = r.unreachable.into_iter().collect();
-            self.record_contact(&p.shard, &unreachable, now);
+            self.record_contact(&p.shard, p.epoch, &unreachable, now);
             let Some(s) = self.shards.get_mut(&p.shard) else { continue };
             s.ended = r.ended;
             if p.inventory {
@@ -62,9 +62,17 @@
     }
 
     /// Records which workers of `shard` are unreachable, and `now` as the last contact with the
-    /// others and with workers that have none yet.
-    fn record_contact(&mut self, shard: &str, unreachable: &BTreeSet<String>, now: u64) {
-        let Some(s) = self.shards.get(shard) else { return };
+    /// others and with workers that have none yet under `epoch`: the last holder may have extended
+    /// their task leases until now.
+    fn record_contact(
+        &mut self,
+        shard: &str,
+        epoch: u64,
+        unreachable: &BTreeSet<String>,
+        now: u64,
+    ) {
+        let Some(s) = self.shards.get_mut(shard) else { return };
+        let first = s.polled.replace(epoch) != Some(epoch);
         for &k in &s.workers {
             let w = self.workers.get_mut(k);
             let was_unreachable = w.unreachable;
@@ -72,7 +80,7 @@
             if w.unreachable != was_unreachable {
                 log::info!("worker {} reachable={}", w.info.name, was_unreachable);
             }
-            if !w.unreachable || w.last_contact == 0 {
+            if !w.unreachable || first {
                 w.last_contact = now;
             }
         }
--- a/src/entry/sched/mod.rs
+++ b/src/entry/sched/mod.rs
@@ -99,6 +99,8 @@
     pub workers: Vec<WorkerKey>,
     /// Epoch under which the placement rows were read; they are read again under a new epoch.
     pub loaded: Option<u64>,
+    /// Epoch under which its workers were last polled.
+    pub polled: Option<u64>,
     /// Tasks that the workers reported as running at the takeover, by task id with attempt and
     /// worker; removed once reconciled.
     pub running: Option<BTreeMap<String, (u32, String)>>,
@@ -270,7 +272,8 @@
     pub fn unload(&mut self, shard: &str) {
         self.jobs.retain(|_, j| j.row.shard != shard);
         if let Some(s) = self.shards.get_mut(shard) {
-            *s = Shard { workers: std::mem::take(&mut s.workers), ..Shard::default() };
+            let (workers, polled) = (std::mem::take(&mut s.workers), s.polled);
+            *s = Shard { workers, polled, ..Shard::default() };
         }
     }
 
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -6,10 +6,14 @@
 use common::{catalogue, eventually, get, job, post, TestCell};
 use currantgw::entry::jobs::job_id;
 use currantgw::entry::rows::{self, QuotaRow};
+use currantgw::entry::{members, Entry};
+use currantgw::kernel::clock::Clock;
 use currantgw::kernel::res::Resources;
+use currantgw::kernel::stop;
 use currantgw::standin::faults::{Fault, FaultKind, Target};
 use currantgw::standin::PlaceRow;
 use proptest::prelude::*;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Starts a cell with the example catalogue and waits until it is ready.
@@ -68,6 +72,40 @@
     c.stop().await;
 }
 
+/// Guards against a task that runs twice because its worker is taken for lost by the contact of an
+/// earlier term: another instance held the shard since, and extended the task leases.
+#[async_std::test]
+async fn a_worker_is_not_lost_by_a_contact_from_before_another_holder() {
+    let mut cell = common::cell(2, 1, 1);
+    cell.timing.hold_ms = 1_500;
+    let ids = cell.entries.iter().map(|e| e.id.clone()).collect();
+    let owner = members::owner("a-r0", &ids).unwrap().clone();
+    let (second, first) = cell.entries.drain(..).partition(|e| e.id == owner);
+    cell.entries = first;
+    let mut c = TestCell::start(cell).await;
+    c.ready().await;
+    assert_eq!(post(&format!("{}/catalogue", c.url(0)), &catalogue(0)).await.0, 200);
+    submit(&c, 0, &sized_job("sabgha/archive", 4, 4_000, 60_000, "held")).await;
+    assert!(eventually(100, || async { c.platform.stats().started == 4 }).await);
+    c.cell.entries.extend(second);
+    let (mut trigger, stop) = stop::pair();
+    let other = Entry::new(&c.cell, &owner, Clock::real(), stop).unwrap();
+    let run = async_std::task::spawn(other.clone().run());
+    let holds = |e: Arc<Entry>| async move { e.members.lock().await.held.contains_key("a-r0") };
+    assert!(eventually(100, || holds(other.clone())).await, "not taken over");
+    // Longer than the time after which an unreachable worker is taken for lost.
+    async_std::task::sleep(Duration::from_millis(3_000)).await;
+    let cut = FaultKind::Cut { worker: "a-r0-w0".into() };
+    c.platform.add_faults(vec![Fault::now(Target::Workers, cut, 20_000)]);
+    trigger.fire();
+    run.await.unwrap();
+    assert!(eventually(100, || holds(c.entries[0].clone())).await, "not taken back");
+    assert!(eventually(200, || async { c.platform.stats().started == 8 }).await);
+    let s = c.platform.stats();
+    assert_eq!((s.lapsed, s.double_runs), (4, 0));
+    c.stop().await;
+}
+
 /// Guards against running tasks that are killed by a table outage of twice the task lease. This
 /// happens if the extension of task leases depends on the renewal of shard leases, which fails
 /// during the outage.
