Starve the leader in the simulated cell

A frozen leader of the simulated cell also stopped the calls that were on their way to runners and store. A leader that gets no processor time does not: starts, stops and polls take effect meanwhile, and their answers are handled seconds later, in any order.

Test: a_starved_leader_under_mixed_faults_violates_no_invariant.

--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -34,6 +34,7 @@
 use currantgw::control::rows::{self, JobRow};
 use currantgw::kernel::res::Resources;
 use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -305,6 +306,29 @@
         }
     }
 
+    /// Advances the time by `ms` while the leader gets no processor time: runners and store go on, and
+    /// all that they answer meanwhile is handled afterwards, in any order.
+    pub fn starve(&mut self, ms: u64) {
+        let end = self.now + ms;
+        let mut answers = Vec::new();
+        while self.now < end {
+            self.now += STEP_MS;
+            self.work();
+            self.crash_runners();
+            while let Some(entry) = self.events.first_entry().filter(|e| e.key().0 <= self.now) {
+                let (term, e) = entry.remove();
+                match e {
+                    Event::Arrive { .. } | Event::Apply { .. } | Event::Restarted(_) => {
+                        self.handle_event(term, e)
+                    }
+                    answer => answers.push((term, answer)),
+                }
+            }
+        }
+        answers.shuffle(&mut self.rng);
+        answers.into_iter().for_each(|(term, e)| self.handle_event(term, e));
+    }
+
     fn handle_event(&mut self, term: u64, e: Event) {
         let (now, current) = (self.clocks(), term == self.term);
         match e {
--- a/tests/control_written_off.rs
+++ b/tests/control_written_off.rs
@@ -6,12 +6,17 @@
     pub mod runner;
 }
 
-use common::control::{queue, step, Cell, RULES};
+use common::control::{queue, step, Cell, Faults, RULES};
 use currantgw::control::engine::{Action, Now, Outcome, RunnerKey};
-use currantgw::control::model::{Attempt, EndKind, JobState, StepId, TaskId};
+use currantgw::control::model::{Attempt, EndKind, JobState, Step, StepId, TaskId};
 use currantgw::control::partitions::PartitionScope;
 use currantgw::control::ports::{End, Refusal, Report};
 use currantgw::kernel::res::Resources;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Number of seeds for mixed faults.
+const SEEDS: u64 = 40;
 
 /// More tasks than the completions that an answer of a runner lists.
 const MANY_TASKS: u32 = 1_200;
@@ -71,3 +76,42 @@
     let state = cell.engine.job(job).map(|j| j.state);
     assert_eq!((state, cell.engine.counts.written_off), (Some(JobState::Completed), 0));
 }
+
+/// A leader that gets no processor time for seconds and handles answers late and in any order, beside
+/// runners that are cut off, late and unanswered orders, and leader changes.
+#[test]
+fn a_starved_leader_under_mixed_faults_violates_no_invariant() {
+    for seed in 0..SEEDS {
+        let mut cell = Cell::new(6, seed);
+        let mut rng = StdRng::seed_from_u64(seed ^ 0x57a2);
+        let mut jobs = Vec::new();
+        for n in 0..60_u64 {
+            cell.faults = Faults {
+                late: if rng.gen_bool(0.3) { 0.1 } else { 0.0 },
+                unanswered: if rng.gen_bool(0.3) { 0.1 } else { 0.0 },
+                commits: if rng.gen_bool(0.3) { 0.3 } else { 0.0 },
+                ..Faults::default()
+            };
+            let gang = rng.gen_bool(0.3);
+            let work = Step { gang, ..step(rng.gen_range(1..6), 2_500, rng.gen_range(20..4_000)) };
+            let queue = ["urgent", "patient", "asked"][rng.gen_range(0..3)];
+            jobs.push(cell.submit(n + 1, queue, vec![work]));
+            cell.run(rng.gen_range(10..600));
+            let i = rng.gen_range(0..6);
+            match rng.gen_range(0..8) {
+                0 => cell.change_leader(),
+                1 | 2 => cell.runners[i].unreachable_until = cell.now + rng.gen_range(500..12_000),
+                3 => cell.starve(rng.gen_range(7_000..9_900)),
+                4 | 5 => cell.starve(rng.gen_range(100..3_000)),
+                _ => {}
+            }
+        }
+        cell.faults = Faults::default();
+        cell.run(60_000);
+        assert!(cell.violations.is_empty(), "seed {seed}: {:#?}", cell.violations);
+        for id in jobs {
+            assert!(cell.stored(id).ended(), "seed {seed}: {id} is {:?}", cell.stored(id));
+        }
+        assert_eq!(cell.running(), 0, "seed {seed}");
+    }
+}
