--- a/src/control/engine/losses.rs
+++ b/src/control/engine/losses.rs
@@ -17,15 +17,18 @@
     LeaseOver,
     /// The other members of their gang ended as broken, and their runner does not answer.
     GangBroken,
+    /// Their runner lists them neither as active nor as completed.
+    NotListed,
 }
 
 impl Loss {
     /// Name in log lines and metrics.
-    fn name(self) -> &'static str {
+    pub(super) fn name(self) -> &'static str {
         match self {
             Self::OtherIncarnation => "another life",
             Self::LeaseOver => "lease over",
             Self::GangBroken => "gang broken",
+            Self::NotListed => "not listed",
         }
     }
 }
@@ -72,7 +75,10 @@
         // A runner that is still registered when its lease expires is unreachable and has not
         // crashed.
         let crashed = why != Loss::LeaseOver || !runner.listed;
-        lost.iter().for_each(|id| self.log_lost(k, *id, why, unanswered_since, now));
+        for id in lost {
+            self.log_lost(k, *id, why, unanswered_since, now);
+            self.note_lost(k, *id, why, now);
+        }
         if !draining {
             self.count_lost(k, lost, unanswered_since, crashed, now);
         }
@@ -107,7 +113,6 @@
         let runner = self.runners.get(k);
         let Some(task) = self.task(id) else { return };
         let Some(run) = &task.run else { return };
-        metrics::counter!("control_runs_lost", "why" => why.name()).increment(1);
         log::info!(task:% = id, attempt = task.attempt.0, runner = runner.id, why = why.name(),
             stage = run.stage.name(), ran_ms:? = observed_run_ms(task, unanswered_since),
             silent_ms = now.mono - unanswered_since, beside = runner.tasks.len().saturating_sub(1),
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -1,6 +1,7 @@
 //! Incarnations of runners: their address, the capacity allocated on them, and when their lease
 //! expires.
 
+use super::late_completions::LostRun;
 use super::losses::Loss;
 use super::teams::TeamKey;
 use super::{Action, Engine, Now, RunnerKey};
@@ -118,6 +119,8 @@
     pub tasks: BTreeMap<(TaskId, Attempt), Allocation>,
     /// Those of its tasks that have lost runs with their runners.
     pub suspects: BTreeMap<TaskId, Losses>,
+    /// Runs that were marked as lost and whose completion may yet be reported.
+    pub(super) lost: BTreeMap<(TaskId, Attempt), LostRun>,
     /// Its clock and the local time when it was read, ms.
     pub clock: Option<(u64, u64)>,
     /// Time of the last contact, local ms.
@@ -147,6 +150,9 @@
     pub acked: u64,
     /// Latest end of a lease that was sent, ms of its clock.
     lease_until: u64,
+    /// When an answer shows whether a run that was stopped and is not listed is over, ms of its
+    /// clock.
+    pub(super) settled_at: Option<u64>,
 }
 
 impl Runner {
@@ -165,6 +171,7 @@
             anticipated: Resources::ZERO,
             tasks: BTreeMap::new(),
             suspects: BTreeMap::new(),
+            lost: BTreeMap::new(),
             clock: None,
             last_contact: 0,
             wait_ms: POLL_WAIT_MS,
@@ -179,6 +186,7 @@
             unacked: VecDeque::new(),
             acked: 0,
             lease_until: 0,
+            settled_at: None,
         }
     }
 
@@ -265,6 +273,12 @@
         Some(allocation)
     }
 
+    /// Its clock at `now`, ms, as far as it is known.
+    pub(super) fn clock_at(&self, now: Now) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        Some(clock + now.mono.saturating_sub(at))
+    }
+
     /// Records an answer that carries the runner's clock.
     pub fn record_answer(&mut self, clock: u64, now: Now) {
         self.last_contact = now.mono;
@@ -283,12 +297,16 @@
     /// The end of a lease of `lease_ms` from now, on the runner's clock. It is recorded, since the
     /// order that carries it may take effect even if it is never answered.
     pub fn extend(&mut self, lease_ms: u64, now: Now) -> Option<u64> {
-        let (clock, at) = self.clock?;
-        let until = clock + now.mono.saturating_sub(at) + lease_ms;
+        let until = self.clock_at(now)? + lease_ms;
         self.lease_until = self.lease_until.max(until);
         Some(until)
     }
 
+    /// Latest end of a lease that was sent, ms of its clock.
+    pub(super) fn lease_until(&self) -> u64 {
+        self.lease_until
+    }
+
     /// When every lease that was sent there has expired by the slowest clock, local ms. Before this
     /// term has sent one, only the leases of its predecessors count, which end at
     /// `predecessors`.
@@ -340,6 +358,9 @@
                 Some(_) if idle => IDLE_POLL_WAIT_MS,
                 Some(_) => POLL_WAIT_MS,
             };
+            let settles_in = r.settled_at.zip(r.clock_at(now));
+            let wait_ms = settles_in
+                .map_or(wait_ms, |(at, clock)| wait_ms.min((at + 1).saturating_sub(clock)));
             r.wait_ms = wait_ms.max(POLL_WAIT_MS);
             r.polling = true;
             let poll = PollRequest { fence, acked, until, wait_ms };
--- a/tests/common/control/orders.rs
+++ b/tests/common/control/orders.rs
@@ -102,6 +102,7 @@
         if self.runners_of(task).len() > 1 && !copies {
             self.violations.push(format!("{now}: {task} runs twice"));
         }
+        self.record_restart(task);
     }
 
     /// Carries out a stop on runner `i`.
@@ -124,7 +125,8 @@
         check_fence(r, poll.fence)?;
         r.lease = r.lease.max(poll.until.unwrap_or(0));
         let acknowledged = |e: &&End| e.number <= poll.acked && e.number > r.void;
-        for end in r.ends.iter().filter(acknowledged).filter(|e| e.kind == EndKind::Done) {
+        let noted: Vec<End> = r.ends.iter().filter(acknowledged).cloned().collect();
+        for end in noted.iter().filter(|e| e.kind == EndKind::Done) {
             self.done.insert(end.task, true);
         }
         if r.ends.iter().any(|e| e.number <= poll.acked && e.number > r.listed) {
@@ -133,7 +135,8 @@
         r.ends.retain(|e| e.number > poll.acked);
         let ends: Vec<End> = r.ends.iter().take(MAX_LISTED).cloned().collect();
         r.listed = ends.last().map_or(r.listed, |e| e.number);
-        let active = r.running.iter().map(|(task, x)| ActiveRun {
+        let listed = r.running.iter().filter(|(_, x)| x.started + r.start_lag <= now);
+        let active = listed.map(|(task, x)| ActiveRun {
             task: *task,
             attempt: x.attempt,
             saved: String::new(),
@@ -141,6 +144,8 @@
             load: 0.0,
         });
         let (born, clock, has_more) = (Some(r.born), r.clock(now), ends.len() >= MAX_LISTED);
-        Ok(Report { born, clock, active: active.collect(), ends, has_more })
+        let report = Report { born, clock, active: active.collect(), ends, has_more };
+        self.note_ends(i, &noted);
+        Ok(report)
     }
 }
