--- /dev/null
+++ b/tests/control_written_off.rs
@@ -0,0 +1,145 @@
+//! Runs of which nothing proves that they are over: they keep their capacity, and their tasks are
+//! not started again.
+
+mod common {
+    pub mod control;
+    pub mod runner;
+}
+
+use common::control::{queue, step, Cell, Faults, RULES};
+use currantgw::control::engine::{Action, Now, Outcome, RunnerKey};
+use currantgw::control::model::{Attempt, EndKind, JobId, JobState, Step, StepId, TaskId};
+use currantgw::control::partitions::PartitionScope;
+use currantgw::control::ports::{End, Refusal, Report};
+use currantgw::kernel::res::Resources;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Number of seeds for mixed faults.
+const SEEDS: u64 = 40;
+
+/// More tasks than the completions that an answer of a runner lists.
+const MANY_TASKS: u32 = 1_200;
+
+/// A cell of one runner on which many tasks of a second run.
+fn cell_of_many() -> (Cell, JobId) {
+    let capacity = Resources { cpu: 64_000, mem: 256_000, acc: 0 };
+    let mut cell = Cell::with(RULES, 1, capacity, vec![queue("patient", 2, 3, None)], 1);
+    cell.run(300);
+    let job = cell.submit(1, "patient", vec![step(MANY_TASKS, 10, 1_000)]);
+    cell.run(500);
+    assert_eq!(cell.running(), MANY_TASKS as usize);
+    (cell, job)
+}
+
+/// Checks that each task has started once and that no run was written off.
+fn check_each_ran_once(cell: &Cell, job: JobId) {
+    cell.check();
+    assert_eq!(cell.stored(job), JobState::Completed);
+    let id = StepId { job, occurrence: 0, step: 0 };
+    assert!((0..MANY_TASKS).all(|index| cell.starts[&TaskId { step: id, index }] == 1));
+    assert_eq!(cell.engine.counts.written_off, 0);
+}
+
+/// Guards against tasks that run twice because their completions come after the 500 that one answer
+/// lists.
+#[test]
+fn runs_whose_completions_are_not_listed_yet_are_not_lost() {
+    let (mut cell, job) = cell_of_many();
+    cell.run(4_000);
+    check_each_ran_once(&cell, job);
+}
+
+/// The same for a new leader that cannot store, and thus not acknowledge, the first 500: it stops runs
+/// that its first answers do not list.
+#[test]
+fn runs_whose_completions_are_not_listed_yet_are_not_lost_to_a_new_leader() {
+    let (mut cell, job) = cell_of_many();
+    cell.faults.store_down = true;
+    cell.run(1_500);
+    assert_eq!(cell.running(), 0);
+    cell.change_leader();
+    cell.run(5_000);
+    cell.faults.store_down = false;
+    cell.run(4_000);
+    check_each_ran_once(&cell, job);
+}
+
+/// Orders that the scheduler sends, besides polls.
+fn orders(cell: &mut Cell) -> Vec<Action> {
+    let acts = cell.engine.take_actions().into_iter();
+    acts.filter(|a| !matches!(a, Action::Poll { .. })).collect()
+}
+
+/// Plans and stores a task's placement, and returns the order of its start.
+fn start_of(cell: &mut Cell, now: Now) -> (RunnerKey, TaskId, Attempt) {
+    cell.engine.plan(now);
+    let batch = cell.engine.take_batch(PartitionScope::All, 46, now);
+    cell.engine.committed(&batch, &Outcome::Done(7), now);
+    match orders(cell).as_slice() {
+        [Action::Start { runner, start, .. }] => (*runner, start.task, start.attempt),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a task that runs twice: its start is refused because it has ended already, and an
+/// answer from before that, which does not list it, arrives afterwards.
+#[test]
+fn a_run_whose_start_is_superseded_is_not_lost_by_an_earlier_answer() {
+    let mut cell = Cell::new(1, 2);
+    cell.run(300);
+    let now = Now { mono: cell.now, wall: cell.now };
+    let clock = cell.runners[0].clock(cell.now);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 10)]);
+    cell.engine.tick(now);
+    let (k, task, attempt) = start_of(&mut cell, now);
+    cell.engine.started(k, task, attempt, Err(Refusal::NoResponse), now);
+    cell.engine.started(k, task, attempt, Err(Refusal::Superseded), now);
+    let report = Report { born: Some(cell.runners[0].born), clock, ..Report::default() };
+    cell.engine.polled(k, Ok(report.clone()), now);
+    assert_eq!(cell.engine.counts.written_off, 0);
+    cell.engine.stopped(k, task, attempt, Ok(clock + 1), now);
+    let end = End { number: 1, task, attempt, kind: EndKind::Done, saved: String::new() };
+    cell.engine.polled(k, Ok(Report { clock: clock + 2, ends: vec![end], ..report }), now);
+    let state = cell.engine.job(job).map(|j| j.state);
+    assert_eq!((state, cell.engine.counts.written_off), (Some(JobState::Completed), 0));
+}
+
+/// A leader that gets no processor time for seconds and handles answers late and in any order, beside
+/// runners that are cut off, late and unanswered orders, and leader changes.
+#[test]
+fn a_starved_leader_under_mixed_faults_violates_no_invariant() {
+    for seed in 0..SEEDS {
+        let mut cell = Cell::new(6, seed);
+        let mut rng = StdRng::seed_from_u64(seed ^ 0x57a2);
+        let mut jobs = Vec::new();
+        for n in 0..60_u64 {
+            cell.faults = Faults {
+                late: if rng.gen_bool(0.3) { 0.1 } else { 0.0 },
+                unanswered: if rng.gen_bool(0.3) { 0.1 } else { 0.0 },
+                commits: if rng.gen_bool(0.3) { 0.3 } else { 0.0 },
+                ..Faults::default()
+            };
+            let gang = rng.gen_bool(0.3);
+            let work = Step { gang, ..step(rng.gen_range(1..6), 2_500, rng.gen_range(20..4_000)) };
+            let queue = ["urgent", "patient", "asked"][rng.gen_range(0..3)];
+            jobs.push(cell.submit(n + 1, queue, vec![work]));
+            cell.run(rng.gen_range(10..600));
+            let i = rng.gen_range(0..6);
+            match rng.gen_range(0..8) {
+                0 => cell.change_leader(),
+                1 | 2 => cell.runners[i].unreachable_until = cell.now + rng.gen_range(500..12_000),
+                3 => cell.starve(rng.gen_range(7_000..9_900)),
+                4 | 5 => cell.starve(rng.gen_range(100..3_000)),
+                _ => {}
+            }
+        }
+        cell.faults = Faults::default();
+        cell.run(60_000);
+        assert!(cell.violations.is_empty(), "seed {seed}: {:#?}", cell.violations);
+        for id in jobs {
+            assert!(cell.stored(id).ended(), "seed {seed}: {id} is {:?}", cell.stored(id));
+        }
+        assert_eq!(cell.running(), 0, "seed {seed}");
+    }
+}
