A term after one that found unknown progress reads the tables again

A term ends when a commit finds progress that the scheduler has neither read nor stored. The row may be missing in the cache for good, since the feed is only followed from the cached version on: then each further term of the process would end in the same way, and the cell would have no scheduler.

Jobs and progress are now read in full after such a term, which has a reason of its own in the log ("unknown progress stored"). With that line taken out, `a_term_after_one_that_found_unknown_progress_reads_the_tables_again` fails.

Also: a report whose completions may go on still shows the progress of the active runs; only the runs in neither list are left as they are.

--- a/src/control/engine/commit.rs
+++ b/src/control/engine/commit.rs
@@ -242,7 +242,7 @@
         if total.1 > 0 {
             log::error!(fence = self.fence, rows = batch.writes.len(), foreign = total.1,
                 jobs:? = foreign; "commit conflicts with progress that this scheduler did not store");
-            self.superseded = true;
+            self.stale = true;
         }
         self.store_again(batch);
     }
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -154,6 +154,9 @@
     pub elected_at: u64,
     /// Set once a runner has seen a higher fencing token: this term is over.
     pub superseded: bool,
+    /// Set once the store holds progress that this scheduler has neither read nor stored: this term
+    /// is over.
+    pub stale: bool,
     /// Counts of events in this term.
     pub counts: Counts,
     /// Connections to the advice service; 0 if their number is not known.
@@ -213,6 +216,7 @@
             fence,
             elected_at: now.mono,
             superseded: false,
+            stale: false,
             counts: Counts::default(),
             advice_connections: 0,
             cat: Arc::default(),
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -75,9 +75,6 @@
                 self.runners.get_mut(k).completions.processed(end.number, job, rev);
             }
         }
-        if report.has_more {
-            return; // A run in neither list may have ended.
-        }
         let active: BTreeMap<(TaskId, Attempt), ActiveRun> =
             report.active.into_iter().map(|a| ((a.task, a.attempt), a)).collect();
         self.runners.get_mut(k).settled_at = None;
@@ -85,7 +82,7 @@
         for (id, attempt) in allocated {
             match active.get(&(id, attempt)) {
                 Some(a) => self.run_listed(k, id, a, now),
-                None if ended.contains(&(id, attempt)) => {}
+                None if report.has_more || ended.contains(&(id, attempt)) => {}
                 None => self.run_not_listed(k, id, attempt, report.clock, now),
             }
         }
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -156,6 +156,9 @@
         let why = self.run(&mut engine, term, &updates, stop).await;
         self.mirror.subscribe(None);
         log::info!(fence = term.fence, nth, why = why; "term ends");
+        if engine.stale {
+            self.mirror.discard_jobs();
+        }
         // The successor shows the teams from now on.
         engine.teams().for_each(|(_, t)| set_gauges(&t.name, 0, 0, 0));
         if stop.fired() {
@@ -283,6 +286,8 @@
                 return "instance stops";
             } else if engine.superseded {
                 return "replaced";
+            } else if engine.stale {
+                return "unknown progress stored";
             } else if batching.is_expired(now.mono) {
                 return "no heartbeat stored";
             }
--- a/src/control/mirror/mod.rs
+++ b/src/control/mirror/mod.rs
@@ -308,6 +308,13 @@
         self.state.lock().unwrap().put_progress(id, Progress { version, state, value });
     }
 
+    /// Discards the positions in the feeds of jobs and progress, so that both tables are read again.
+    pub fn discard_jobs(&self) {
+        let mut st = self.state.lock().unwrap();
+        st.forget(Table::Jobs);
+        st.forget(Table::Progress);
+    }
+
     /// Removes a job whose rows were deleted by transactions up to `version`.
     pub fn delete_job(&self, id: JobId, version: u64) {
         self.state.lock().unwrap().delete_job(id, version, self.clock.mono());
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -360,7 +360,8 @@
 
     /// Panics if an invariant was violated.
     pub fn check(&self) {
-        assert!(!self.engine.superseded, "nobody else has been elected or has stored progress");
+        assert!(!self.engine.superseded, "nobody else has been elected");
+        assert!(!self.engine.stale, "nobody else has stored progress");
         let violations: Vec<String> =
             self.violations.iter().cloned().chain(self.forbidden_starts()).collect();
         assert!(violations.is_empty(), "{violations:#?}");
--- a/tests/control_leader.rs
+++ b/tests/control_leader.rs
@@ -251,6 +251,8 @@
     Expires,
     /// The first two answers are from before the term.
     Behind,
+    /// The answers never have the rows.
+    Skips,
 }
 
 /// A store with a fault of the progress feed.
@@ -304,6 +306,10 @@
                 pause(40).await;
                 changes
             }
+            (Feed::Skips, _) => {
+                let changes = self.inner.changes(table, after, 0).await?;
+                Ok(Changes { rows: Vec::new(), ..changes })
+            }
             (Feed::Behind, 0 | 1) => Ok(Changes { rows: Vec::new(), version: after }),
             _ => self.inner.changes(table, after, 0).await,
         }
@@ -435,3 +441,43 @@
     });
     assert_eq!(*store.written.lock().unwrap(), Vec::<String>::new());
 }
+
+/// Guards against terms that end one after the other because the cache lacks a row for good.
+#[test]
+fn a_term_after_one_that_found_unknown_progress_reads_the_tables_again() {
+    let clock = Clock::real();
+    let (_trigger, stop) = stop::pair();
+    let store = Arc::new(Late {
+        inner: MemoryStore::default(),
+        feed: Feed::Skips,
+        polls: Default::default(),
+        written: Default::default(),
+    });
+    let leader = leader(&clock, store.clone());
+    let id = JobId(5);
+    let spec = JobSpec { steps: vec![Step { count: 1, ..Step::default() }], ..JobSpec::default() };
+    let row = JobRow { queue: "q".into(), team: None, at: clock.wall(), spec };
+    let term = || {
+        let fence = store.inner.put(rows::leader_key(), Vec::new());
+        let fences: Vec<u64> =
+            Partition::all().map(|p| store.inner.put(rows::fence_key(p), Vec::new())).collect();
+        Term { fence, fence_versions: fences.try_into().unwrap() }
+    };
+    async_std::task::block_on(async {
+        store.inner.put(config().key, config().value);
+        store.inner.put(rows::job_key(id), rows::encode(&row));
+        store.inner.put(rows::cancel_key(id), rows::encode(&clock.wall()));
+        for table in [Table::Config, Table::Jobs, Table::Progress] {
+            leader.mirror.poll(table, 0).await.unwrap();
+        }
+        let ended =
+            ProgressRow { state: JobState::Completed, ended: clock.wall(), steps: Vec::new() };
+        store.inner.put(rows::progress_key(id), rows::encode(&ended));
+        leader.serve(term(), &stop).await;
+        assert_eq!(store.written.lock().unwrap().len(), 1);
+        let serve = leader.serve(term(), &stop);
+        let _ = async_std::future::timeout(Duration::from_millis(TERM_MS), serve).await;
+        assert_eq!(leader.mirror.job_state(id), Some(JobState::Completed));
+        assert_eq!(store.written.lock().unwrap().len(), 1);
+    });
+}
