A full read of a table removes the jobs that were deleted

What callers see: a job that ended long ago is shown as queued or running, and a new leader starts it again.

Cause: a full read added rows and removed none. An instance that reached neither store nor leader from before the end of a job until after its deletion (over 120 s, and longer than the feeds' history) kept the job with its last known progress. If it was elected, it found runs that no runner lists, and started them again.

Fix: a full read notes the jobs of which it has read a row, or of which one was stored meanwhile, and removes the others. A job whose progress is gone is removed, too, as when the feed reports that. Unreadable rows count as read. `table read` names the number of jobs removed.

--- a/src/control/mirror/mod.rs
+++ b/src/control/mirror/mod.rs
@@ -492,8 +492,9 @@
         let mut st = self.state.lock().unwrap();
         st.readings.get(&table).filter(|r| r.remaining.is_empty())?;
         let reading = st.readings.remove(&table)?;
+        let removed = st.remove_unread(table, &reading.jobs);
         log::info!(table = table.name(), rows = reading.rows, version:? = st.versions.get(&table),
-            ms = self.clock.mono() - reading.began; "table read");
+            removed, ms = self.clock.mono() - reading.began; "table read");
         match table {
             Table::Registry => st.notify(Update::Runners(reading.keys)),
             Table::Config => st.confirm_config(reading.began),
--- a/src/control/mirror/reading.rs
+++ b/src/control/mirror/reading.rs
@@ -7,6 +7,7 @@
 //! read`. So pages that were read are kept, the size of a slice is about what the link has recently
 //! transferred in `SLICE_MS`, and the link is left free between slices.
 
+use crate::control::model::JobId;
 use std::collections::{BTreeSet, VecDeque};
 
 /// Most concurrent reads: one after the other, 64 partitions would take a starting instance 15 s on
@@ -123,6 +124,8 @@
     pub began: u64,
     /// Keys of the registry's rows. The scheduler drops the runners that are not among them.
     pub keys: BTreeSet<String>,
+    /// Jobs of which a row was read or stored since the read began. The others have been deleted.
+    pub jobs: BTreeSet<JobId>,
 }
 
 impl Reading {
--- a/src/control/mirror/state.rs
+++ b/src/control/mirror/state.rs
@@ -158,6 +158,31 @@
         }
     }
 
+    /// Records a row of a job in a table that is being read.
+    fn mark_read(&mut self, table: Table, id: JobId) {
+        if let Some(reading) = self.readings.get_mut(&table) {
+            reading.jobs.insert(id);
+        }
+    }
+
+    /// Removes the jobs of which a full read of a table has found no row, and returns their number.
+    /// A job whose progress is gone has been deleted, too.
+    pub fn remove_unread(&mut self, table: Table, read: &BTreeSet<JobId>) -> usize {
+        let before = self.jobs.len();
+        match table {
+            Table::Jobs => self.jobs.retain(|id, _| read.contains(id)),
+            Table::Progress => {
+                let gone = |id: &JobId| !read.contains(id);
+                for id in self.progress.keys().copied().filter(gone).collect::<Vec<JobId>>() {
+                    self.progress.remove(&id);
+                    self.jobs.remove(&id);
+                }
+            }
+            Table::Config | Table::Registry => {}
+        }
+        before - self.jobs.len()
+    }
+
     /// Records that the catalogue was the newest one at `at`, local ms.
     pub fn confirm_config(&mut self, at: u64) {
         self.config_known = self.config_known.max(Some(at));
@@ -179,7 +204,10 @@
                 Some(JobKey::Job(id) | JobKey::Cancel(id)) if self.is_deleted(id, &row) => {}
                 Some(JobKey::Job(id)) => match rows::decode::<JobRow>(&row.value) {
                     Ok(job) => self.put_job(id, Arc::new(job)),
-                    Err(e) => log::error!(job:% = id, why:% = e; "job row unreadable"),
+                    Err(e) => {
+                        self.mark_read(table, id);
+                        log::error!(job:% = id, why:% = e; "job row unreadable")
+                    }
                 },
                 Some(JobKey::Cancel(id)) => self.put_cancel(id),
                 None => log::error!(key = row.key.key; "unknown key in the jobs table"),
@@ -190,7 +218,12 @@
                     let (version, value) = (row.version, Some(row.value));
                     self.put_progress(id, Progress { version, state, value });
                 }
-                _ => log::error!(key = row.key.key; "progress row unreadable"),
+                (id, _) => {
+                    if let Ok(id) = id {
+                        self.mark_read(table, id);
+                    }
+                    log::error!(key = row.key.key; "progress row unreadable")
+                }
             },
         }
     }
@@ -266,6 +299,7 @@
         if self.without_jobs {
             return;
         }
+        self.mark_read(Table::Jobs, id);
         let entry = self.entry(id);
         if entry.row.is_none() {
             entry.row = Some(row.clone());
@@ -281,6 +315,7 @@
         if self.without_jobs {
             return;
         }
+        self.mark_read(Table::Jobs, id);
         let entry = self.entry(id);
         if !entry.cancelled {
             entry.cancelled = true;
@@ -292,6 +327,7 @@
         if self.without_jobs {
             return;
         }
+        self.mark_read(Table::Progress, id);
         match self.progress.get(&id) {
             Some(old) if old.version > p.version => {}
             Some(old) if old.version == p.version && old.value.is_some() => {}
--- a/tests/control_mirror.rs
+++ b/tests/control_mirror.rs
@@ -117,6 +117,9 @@
     /// The row of a job was deleted, then that of its progress, and the history of the jobs' feed
     /// has expired.
     JobRemoved,
+    /// The rows of the first job and of its progress were deleted, and the history of both feeds has
+    /// expired.
+    FirstRemoved,
     /// Reads of one partition are refused.
     PartitionLost,
     /// Reads are slow, and every second one fails.
@@ -146,6 +149,11 @@
     }
 }
 
+/// Whether a row belongs to the first job of the store.
+fn is_first(row: &Row) -> bool {
+    row.key.key == one_per_partition()[0].to_string()
+}
+
 /// Latency of a read under [`Fault::ReadsFail`], ms.
 const SLOW_READ_MS: u64 = 400;
 
@@ -178,6 +186,7 @@
         }
         let all = self.inner.partitions.get(partition).into_iter().flatten();
         let rest = all.filter(|r| r.key.table == table && r.key.key.as_str() >= from);
+        let rest = rest.filter(|r| !self.has_fault(Fault::FirstRemoved) || !is_first(r));
         let rows: Vec<Row> = rest.cloned().collect();
         let has_more = rows.len() > limit;
         Ok(Page { rows: rows.into_iter().take(limit).collect(), has_more, version: 10 })
@@ -189,6 +198,9 @@
             self.clock.advance(5_500);
             return Err(ReadError::Unreachable("timed out".into()));
         }
+        if self.has_fault(Fault::FirstRemoved) && after < 11 {
+            return Err(ReadError::HistoryExpired);
+        }
         if !self.has_fault(Fault::JobRemoved) {
             return Ok(Changes { rows: Vec::new(), version: after });
         }
@@ -244,6 +256,50 @@
     assert!(mirror.snapshot().is_empty());
 }
 
+/// Guards against a job that ended long ago and is started again by a new leader that was cut off from
+/// the store for the whole time from before its end until after its deletion.
+#[async_std::test]
+async fn a_full_read_removes_the_jobs_that_were_deleted() {
+    let ids = &one_per_partition()[..2];
+    let mut inner = Slow::with_jobs(ids);
+    let running = ProgressRow { state: JobState::Running, ended: 0, steps: Vec::new() };
+    for &id in ids {
+        let row = Row { key: rows::progress_key(id), value: rows::encode(&running), version: 6 };
+        inner.partitions.entry(row.key.part.clone()).or_default().push(row);
+    }
+    let store = Faulty::new(inner, Fault::FirstRemoved, Clock::real());
+    let mirror = mirror_of(&store);
+    for table in [Table::Jobs, Table::Progress] {
+        mirror.poll(table, 0).await.unwrap();
+    }
+    assert_eq!(mirror.snapshot().len(), 2);
+    store.active.store(true, Ordering::Relaxed);
+    for table in [Table::Progress, Table::Jobs] {
+        mirror.poll(table, 0).await.unwrap();
+        assert_eq!(mirror.job_state(ids[0]), None);
+    }
+    let left: Vec<JobId> = mirror.snapshot().into_iter().map(|job| job.id).collect();
+    assert_eq!(left, ids[1..]);
+    assert_eq!(mirror.job_state(ids[1]), Some(JobState::Running));
+}
+
+/// A job that is stored while a table is read stays in the cache, although no page holds it.
+#[async_std::test]
+async fn a_full_read_keeps_the_jobs_that_are_stored_meanwhile() {
+    let id = one_per_partition()[9];
+    let store = Arc::new(Slow::with_jobs(&[]));
+    let clock = Clock::real();
+    let mirror = Mirror::new(store, Arc::new(StoreHealth::new(clock.clone())), clock);
+    let row = JobRow { queue: "q".into(), team: None, at: 1, spec: JobSpec::default() };
+    let put = async {
+        task::sleep(Duration::from_millis(ANSWER_MS / 2)).await;
+        mirror.put_job(id, Arc::new(row));
+        mirror.put_state(id, 40, JobState::Running);
+    };
+    let _ = futures::join!(mirror.poll(Table::Jobs, 0), mirror.poll(Table::Progress, 0), put);
+    assert_eq!(mirror.job_state(id), Some(JobState::Running));
+}
+
 /// Guards against an instance that has read only a few jobs while one partition is unavailable.
 /// Reads of that partition were refused, each refusal halved the next slice, and every slice began
 /// with the unavailable partition.
