A poll sent before a table was discarded has no effect on it

What callers see: a deleted job comes back into the cache of an instance, which starts it again if it is elected.

Cause: two polls of a table are in flight at once, one is told that the history has expired, and a full read begins. The answer to the other one was dropped only until the first slice had been read. After that it moved the position in the feed forward, past changes that pages still in flight don't show: a page from before a deletion, applied after it, brought the row back, and the feed reported the deletion no more.

Fix: the cache counts how often a table was discarded, and drops answers to polls sent before the last time. Such a poll also no longer discards the table by an error of its own.

Evidence: a_poll_sent_before_the_table_was_discarded_has_no_effect failed before (Some(Queued), not None) and passes now, with the others of control_mirror, control_leader, control_links, control_views, control_roles and control_path (56).

--- a/src/control/mirror/mod.rs
+++ b/src/control/mirror/mod.rs
@@ -361,7 +361,9 @@
     /// Polls the feed of a table and applies its changes. Discards the position in the feed, so
     /// that the whole table is read again, if the feed's history no longer reaches back to it.
     async fn follow(&self, table: Table, wait_ms: u64) -> Result<usize, ReadError> {
-        let after = self.state.lock().unwrap().versions.get(&table).copied().unwrap_or(0);
+        let position = |st: &State| Some((*st.versions.get(&table)?, st.discards(table)));
+        let found = position(&self.state.lock().unwrap());
+        let Some((after, discards)) = found else { return Ok(0) };
         let sent = self.clock.mono();
         let res = self.store.changes(table.name(), after, wait_ms).await;
         let mut st = self.state.lock().unwrap();
@@ -369,16 +371,14 @@
             // The changes are more than the link transfers within a read's timeout, and the next
             // poll would request even more: the table is read in slices instead.
             let too_large = self.clock.mono() - sent >= FEED_TOO_LARGE_MS;
-            // Another caller may have begun a full read meanwhile, which is then kept.
+            // Another caller may have begun a full read or polled meanwhile, which is then kept.
             if (*e == ReadError::HistoryExpired || too_large)
-                && st.versions.get(&table) == Some(&after)
+                && position(&st) == Some((after, discards))
             {
                 st.forget(table);
             }
         })?;
-        if !st.versions.contains_key(&table) {
-            // Discarded while the poll was in flight: these changes alone would not be the whole
-            // table.
+        if st.discards(table) != discards {
             return Ok(0);
         }
         let n = changes.rows.len();
--- a/src/control/mirror/state.rs
+++ b/src/control/mirror/state.rs
@@ -51,6 +51,9 @@
     deleted: BTreeMap<JobId, (u64, u64)>,
     /// Version up to which a table is cached.
     pub versions: BTreeMap<Table, u64>,
+    /// Number of times that a table was discarded. Answers to polls sent before are of no use: these
+    /// changes would be applied in the wrong order with the pages of the full read that follows.
+    discards: BTreeMap<Table, u64>,
     /// Full reads in progress; the cached contents of these tables are incomplete.
     pub readings: BTreeMap<Table, Reading>,
     /// When the last successful poll of a table's feed was sent, local ms.
@@ -71,6 +74,11 @@
         self.versions.get(&table).copied().filter(|_| complete)
     }
 
+    /// Number of times that a table was discarded so far.
+    pub fn discards(&self, table: Table) -> u64 {
+        self.discards.get(&table).copied().unwrap_or(0)
+    }
+
     /// Whether a table is cached.
     pub fn caches(&self, table: Table) -> bool {
         !self.without_jobs || !matches!(table, Table::Jobs | Table::Progress)
@@ -89,6 +97,7 @@
 
     /// Discards the position in a table's feed, so that the whole table is read again.
     pub fn forget(&mut self, table: Table) {
+        *self.discards.entry(table).or_default() += 1;
         self.versions.remove(&table);
         self.readings.remove(&table);
     }
--- a/tests/control_mirror.rs
+++ b/tests/control_mirror.rs
@@ -396,3 +396,81 @@
     mirror.poll(Table::Jobs, 0).await.unwrap();
     assert_eq!(mirror.job_state(id), Some(JobState::Queued));
 }
+
+/// Version up to which the table was read first, in [`Interleaved`].
+const FIRST_READ: u64 = 10;
+
+/// Version of the deletion of a job, in [`Interleaved`].
+const DELETION: u64 = 30;
+
+/// A store of one job. Two polls of the feed are sent at the same time: the history that the second
+/// one requests has expired, and the answer to the first one, with the deletion of the job, arrives
+/// during the full read. The page with the job is from before the deletion and arrives last.
+struct Interleaved {
+    inner: Slow,
+    job: JobId,
+    polls: AtomicU64,
+}
+
+async fn pause(ms: u64) {
+    task::sleep(Duration::from_millis(ms)).await;
+}
+
+#[tide::utils::async_trait]
+impl Store for Interleaved {
+    async fn commit(&self, _: &Txn, _: u64) -> Result<Commit, CommitError> {
+        Err(CommitError::NotDone("a store to read from".into()))
+    }
+
+    async fn page(
+        &self,
+        _: &str,
+        partition: &str,
+        _: &str,
+        _: Option<&str>,
+        _: usize,
+    ) -> Result<Page, ReadError> {
+        let again = self.polls.load(Ordering::Relaxed) > 0;
+        let rows = self.inner.partitions.get(partition).cloned().unwrap_or_default();
+        if again && !rows.is_empty() {
+            pause(300).await;
+        }
+        let version = if again { FIRST_READ + 10 } else { FIRST_READ };
+        Ok(Page { rows, has_more: false, version })
+    }
+
+    async fn changes(&self, _: &str, after: u64, _: u64) -> Result<Changes, ReadError> {
+        match self.polls.fetch_add(1, Ordering::Relaxed) {
+            0 => pause(100).await,
+            1 => return Err(ReadError::HistoryExpired),
+            _ => {}
+        }
+        let gone = Change::Removed(rows::job_key(self.job));
+        let rows = if after < DELETION { vec![gone] } else { Vec::new() };
+        Ok(Changes { rows, version: DELETION + 10 })
+    }
+}
+
+/// Guards against a deleted job that comes back and is started again: a poll that was in flight when
+/// the table was discarded moved the position in the feed beyond the deletion, and a page that was
+/// read before the deletion arrived after it.
+#[async_std::test]
+async fn a_poll_sent_before_the_table_was_discarded_has_no_effect() {
+    let job = one_per_partition()[40];
+    let inner = Slow::with_jobs(&[job]);
+    let store = Arc::new(Interleaved { inner, job, polls: AtomicU64::new(0) });
+    let clock = Clock::real();
+    let mirror = Mirror::new(store, Arc::new(StoreHealth::new(clock.clone())), clock);
+    mirror.poll(Table::Jobs, 0).await.unwrap();
+    assert_eq!(mirror.cached_version(Table::Jobs), Some(FIRST_READ));
+    let second = async {
+        pause(20).await;
+        mirror.poll(Table::Jobs, 0).await
+    };
+    let (first, second) = futures::join!(mirror.poll(Table::Jobs, 0), second);
+    first.unwrap();
+    second.unwrap();
+    mirror.poll(Table::Jobs, 0).await.unwrap();
+    assert_eq!(mirror.job_state(job), None);
+    assert_eq!(mirror.cached_version(Table::Jobs), Some(DELETION + 10));
+}
