A submission of unknown outcome is not refused

What callers see: 503 "not accepted" for a job that runs (REFUSED).

Cause: if the store rejects a transaction for good (400, 403, 413: a batch beyond 1 MB), all its requests were answered as not stored, also those of which an earlier write got no answer and may have been applied. The other two places where a batch is given up make that difference.

Fix: one function for the three places.

Evidence: a_submission_of_unknown_outcome_is_never_refused failed before (NotStored, not Unknown) and passes now, with the other test of control_submissions.rs, and control_path, control_keys and control_links (38). A first form of the test failed for another reason, a store that had never been served, and was corrected before the fix was judged.

Not seen: in the users' record.

--- a/src/control/submissions.rs
+++ b/src/control/submissions.rs
@@ -87,6 +87,13 @@
 }
 
 impl Request {
+    fn outcome_if_given_up(&self) -> WriteOutcome {
+        match self.outcome_unknown {
+            true => WriteOutcome::Unknown,
+            false => WriteOutcome::NotStored,
+        }
+    }
+
     /// Outcome of a submission whose id has the stored row `found`: the same job, if its caller may
     /// see that one. An unreadable row counts as the same job, since its team is not known.
     fn outcome_where_stored(&self, found: &[u8]) -> WriteOutcome {
@@ -109,6 +116,15 @@
     }
 }
 
+/// Gives up on a batch that is not stored now: an earlier try of a request whose outcome is unknown
+/// may still be applied.
+fn give_up(batch: Vec<Request>) {
+    for r in batch {
+        let out = r.outcome_if_given_up();
+        let _ = r.done.send(out);
+    }
+}
+
 /// Submission writer of one instance: a queue and a [`Writer`] for each partition.
 pub struct SubmissionWriter {
     queues: Vec<Sender<Request>>,
@@ -229,10 +245,7 @@
         if self.link.is_live() {
             return remaining;
         }
-        let (outcome_unknown, not_stored): (Vec<_>, Vec<_>) =
-            remaining.into_iter().partition(|r| r.outcome_unknown);
-        answer_all(not_stored, WriteOutcome::NotStored);
-        answer_all(outcome_unknown, WriteOutcome::Unknown);
+        give_up(remaining);
         Vec::new()
     }
 
@@ -241,11 +254,7 @@
         let now = self.clock.mono();
         let (remaining, expired): (Vec<_>, Vec<_>) =
             batch.into_iter().partition(|r| r.deadline > now);
-        for r in expired {
-            let out =
-                if r.outcome_unknown { WriteOutcome::Unknown } else { WriteOutcome::NotStored };
-            let _ = r.done.send(out);
-        }
+        give_up(expired);
         remaining
     }
 
@@ -303,7 +312,7 @@
             }
             Err(CommitError::Rejected(status)) => {
                 log::error!(status = status, rows = batch.len(); "store rejects submissions");
-                answer_all(batch, WriteOutcome::NotStored);
+                give_up(batch);
                 Vec::new()
             }
             Err(e) => {
