--- a/src/control/mirror/state.rs
+++ b/src/control/mirror/state.rs
@@ -51,6 +51,9 @@
     deleted: BTreeMap<JobId, (u64, u64)>,
     /// Version up to which a table is cached.
     pub versions: BTreeMap<Table, u64>,
+    /// Number of times that a table was discarded. Answers to polls sent before are of no use: these
+    /// changes would be applied in the wrong order with the pages of the full read that follows.
+    discards: BTreeMap<Table, u64>,
     /// Full reads in progress; the cached contents of these tables are incomplete.
     pub readings: BTreeMap<Table, Reading>,
     /// When the last successful poll of a table's feed was sent, local ms.
@@ -71,6 +74,11 @@
         self.versions.get(&table).copied().filter(|_| complete)
     }
 
+    /// Number of times that a table was discarded so far.
+    pub fn discards(&self, table: Table) -> u64 {
+        self.discards.get(&table).copied().unwrap_or(0)
+    }
+
     /// Whether a table is cached.
     pub fn caches(&self, table: Table) -> bool {
         !self.without_jobs || !matches!(table, Table::Jobs | Table::Progress)
@@ -89,6 +97,7 @@
 
     /// Discards the position in a table's feed, so that the whole table is read again.
     pub fn forget(&mut self, table: Table) {
+        *self.discards.entry(table).or_default() += 1;
         self.versions.remove(&table);
         self.readings.remove(&table);
     }
@@ -158,6 +167,31 @@
         }
     }
 
+    /// Records a row of a job in a table that is being read.
+    fn mark_read(&mut self, table: Table, id: JobId) {
+        if let Some(reading) = self.readings.get_mut(&table) {
+            reading.jobs.insert(id);
+        }
+    }
+
+    /// Removes the jobs of which a full read of a table has found no row, and returns their number.
+    /// A job whose progress is gone has been deleted, too.
+    pub fn remove_unread(&mut self, table: Table, read: &BTreeSet<JobId>) -> usize {
+        let before = self.jobs.len();
+        match table {
+            Table::Jobs => self.jobs.retain(|id, _| read.contains(id)),
+            Table::Progress => {
+                let gone = |id: &JobId| !read.contains(id);
+                for id in self.progress.keys().copied().filter(gone).collect::<Vec<JobId>>() {
+                    self.progress.remove(&id);
+                    self.jobs.remove(&id);
+                }
+            }
+            Table::Config | Table::Registry => {}
+        }
+        before - self.jobs.len()
+    }
+
     /// Records that the catalogue was the newest one at `at`, local ms.
     pub fn confirm_config(&mut self, at: u64) {
         self.config_known = self.config_known.max(Some(at));
@@ -179,7 +213,10 @@
                 Some(JobKey::Job(id) | JobKey::Cancel(id)) if self.is_deleted(id, &row) => {}
                 Some(JobKey::Job(id)) => match rows::decode::<JobRow>(&row.value) {
                     Ok(job) => self.put_job(id, Arc::new(job)),
-                    Err(e) => log::error!(job:% = id, why:% = e; "job row unreadable"),
+                    Err(e) => {
+                        self.mark_read(table, id);
+                        log::error!(job:% = id, why:% = e; "job row unreadable")
+                    }
                 },
                 Some(JobKey::Cancel(id)) => self.put_cancel(id),
                 None => log::error!(key = row.key.key; "unknown key in the jobs table"),
@@ -190,7 +227,12 @@
                     let (version, value) = (row.version, Some(row.value));
                     self.put_progress(id, Progress { version, state, value });
                 }
-                _ => log::error!(key = row.key.key; "progress row unreadable"),
+                (id, _) => {
+                    if let Ok(id) = id {
+                        self.mark_read(table, id);
+                    }
+                    log::error!(key = row.key.key; "progress row unreadable")
+                }
             },
         }
     }
@@ -266,6 +308,7 @@
         if self.without_jobs {
             return;
         }
+        self.mark_read(Table::Jobs, id);
         let entry = self.entry(id);
         if entry.row.is_none() {
             entry.row = Some(row.clone());
@@ -281,6 +324,7 @@
         if self.without_jobs {
             return;
         }
+        self.mark_read(Table::Jobs, id);
         let entry = self.entry(id);
         if !entry.cancelled {
             entry.cancelled = true;
@@ -292,6 +336,7 @@
         if self.without_jobs {
             return;
         }
+        self.mark_read(Table::Progress, id);
         match self.progress.get(&id) {
             Some(old) if old.version > p.version => {}
             Some(old) if old.version == p.version && old.value.is_some() => {}
