Time a superseded start by the answer to a stop

A superseded start counted as stopped at the time that the runner's clock has by the leader's reckoning. A leader that gets no processor time reads an answer seconds late and takes the clock to be that much behind; an earlier answer, from before the run began, then seems to be from after the stop, and the run is written off although its completion follows. Its task is placed again. Now the run is stopped, and the answer to the stop carries the runner's clock.

It takes a clock read more than `stop_ms` late, and an answer that is overtaken by two starts: the test builds it.

Test: a_run_whose_start_is_superseded_is_not_lost_by_a_clock_read_late failed before (one run written off, 0 expected) and passes; the one without the late reading passed before.

--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -102,6 +102,8 @@
     NotListed,
     /// An earlier run has completed its task.
     Done,
+    /// Its start was refused because its attempt has ended or was stopped there.
+    Superseded,
 }
 
 impl StopReason {
@@ -117,6 +119,7 @@
             Self::Restarted => "runner restarted",
             Self::NotListed => "not listed",
             Self::Done => "task done",
+            Self::Superseded => "start superseded",
         }
     }
 }
@@ -338,7 +341,7 @@
         let Some(task) = self.task_mut(id) else { return };
         let Some(run) = task.run.as_mut() else { return };
         run.outcome_unknown |= why == Refusal::NoResponse;
-        let (outcome_unknown, tries, attempt) = (run.outcome_unknown, run.tries, task.attempt);
+        let (outcome_unknown, tries) = (run.outcome_unknown, run.tries);
         match why {
             Refusal::Fenced => {}
             Refusal::OtherRunner => {
@@ -350,13 +353,9 @@
             Refusal::NoResponse | Refusal::Unreachable if tries < MAX_START_TRIES => {
                 self.order_start(id, now, START_RETRY_MS);
             }
-            // The attempt has ended or was stopped there, and cannot start any more.
-            Refusal::Superseded => {
-                let answered = self.runners.get(k).clock_at(now);
-                if let Some(run) = self.run_mut(k, id, attempt) {
-                    run.stage = Stage::Stopping { answered };
-                }
-            }
+            // The attempt has ended or was stopped there, and cannot start any more. The refusal does
+            // not carry the runner's clock; the answer to a stop does.
+            Refusal::Superseded => self.order_stop(id, StopReason::Superseded, now),
             Refusal::NoResponse => self.order_stop(id, StopReason::NoAnswer, now),
             _ => {
                 self.record_refusal(k, id, why, now);
--- a/tests/control_written_off.rs
+++ b/tests/control_written_off.rs
@@ -86,8 +86,19 @@
 /// answer from before that, which does not list it, arrives afterwards.
 #[test]
 fn a_run_whose_start_is_superseded_is_not_lost_by_an_earlier_answer() {
+    superseded_run_is_not_lost(0);
+}
+
+/// The same for a leader that read the runner's clock late, and takes it to be seconds behind.
+#[test]
+fn a_run_whose_start_is_superseded_is_not_lost_by_a_clock_read_late() {
+    superseded_run_is_not_lost(3_000);
+}
+
+fn superseded_run_is_not_lost(starved_ms: u64) {
     let mut cell = Cell::new(1, 2);
     cell.run(300);
+    cell.starve(starved_ms);
     let now = Now { mono: cell.now, wall: cell.now };
     let clock = cell.runners[0].clock(cell.now);
     let job = cell.submit(1, "patient", vec![step(1, 1_000, 10)]);
