Count a worker's silence from the answer to its last start

A start extends the task leases of its worker when it takes effect, up to half a lease after the poll that reached the worker. Only a start whose answer was lost counted as a contact; an answered one did not, and the worker's silence was counted from the poll. If commit and start took more than a second and a twentieth of the lease, and the worker was cut off right after, its tasks were placed again before their leases expired there. Callers see tasks that run twice.

Test: a_worker_is_not_lost_before_the_leases_of_its_last_start_expire (starts that take effect 1.85 s late under a lease of 4.2 s) failed before (4 double runs, no lease expired) and passes (4 expired, none twice).

--- a/src/entry/sched/orders.rs
+++ b/src/entry/sched/orders.rs
@@ -40,12 +40,11 @@
         }
         let answers = cx.platform.start(batch.clone()).await;
         let now = cx.clock.now();
-        if answers.is_err() {
-            // The starts may have taken effect, and with them the task leases that they carry.
-            for req in &batch {
-                if let Some(&k) = self.names.get(&req.worker) {
-                    self.workers.get_mut(k).last_contact = now;
-                }
+        // The starts may have taken effect up to now, also if their answer was lost, and with them the
+        // task leases that they carry.
+        for req in &batch {
+            if let Some(&k) = self.names.get(&req.worker) {
+                self.workers.get_mut(k).last_contact = now;
             }
         }
         let mut lost = BTreeSet::new();
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -106,6 +106,28 @@
     c.stop().await;
 }
 
+/// Guards against a task that runs twice because its worker's silence is counted from the poll before
+/// the start: the start took effect much later, and extended the task leases.
+#[async_std::test]
+async fn a_worker_is_not_lost_before_the_leases_of_its_last_start_expire() {
+    let mut cell = common::cell(1, 1, 1);
+    cell.timing.hold_ms = 4_200;
+    cell.timing.round_ms = 200;
+    let c = TestCell::start(cell).await;
+    c.ready().await;
+    assert_eq!(post(&format!("{}/catalogue", c.url(0)), &catalogue(0)).await.0, 200);
+    let late = FaultKind::Delay { ms: 1_850 };
+    c.platform.add_faults(vec![Fault::now(Target::Starts, late, 1_800)]);
+    submit(&c, 0, &sized_job("sabgha/archive", 4, 4_000, 60_000, "late")).await;
+    assert!(eventually(100, || async { c.platform.stats().started == 4 }).await);
+    let cut = FaultKind::Cut { worker: "a-r0-w0".into() };
+    c.platform.add_faults(vec![Fault::now(Target::Workers, cut, 20_000)]);
+    assert!(eventually(300, || async { c.platform.stats().started == 8 }).await);
+    let s = c.platform.stats();
+    assert_eq!((s.lapsed, s.double_runs), (4, 0));
+    c.stop().await;
+}
+
 /// Guards against running tasks that are killed by a table outage of twice the task lease. This
 /// happens if the extension of task leases depends on the renewal of shard leases, which fails
 /// during the outage.
