--- a/src/control/mirror/mod.rs
+++ b/src/control/mirror/mod.rs
@@ -308,11 +308,16 @@
         self.state.lock().unwrap().put_progress(id, Progress { version, state, value });
     }
 
-    /// Removes a job whose rows have been deleted.
-    pub fn forget(&self, id: JobId) {
+    /// Discards the positions in the feeds of jobs and progress, so that both tables are read again.
+    pub fn discard_jobs(&self) {
         let mut st = self.state.lock().unwrap();
-        st.jobs.remove(&id);
-        st.progress.remove(&id);
+        st.forget(Table::Jobs);
+        st.forget(Table::Progress);
+    }
+
+    /// Removes a job whose rows were deleted by transactions up to `version`.
+    pub fn delete_job(&self, id: JobId, version: u64) {
+        self.state.lock().unwrap().delete_job(id, version, self.clock.mono());
     }
 
     /// Version up to which a table is cached; none until a full read has completed.
@@ -526,6 +531,9 @@
             .map(|r| (Table::Progress, r))
             .chain(job.rows.into_iter().map(|r| (Table::Jobs, r)))
         {
+            if st.is_deleted(id, &row) {
+                continue;
+            }
             found.put(table, row.clone());
             st.put(table, row);
         }
