--- a/tests/control_submissions.rs
+++ b/tests/control_submissions.rs
@@ -63,6 +63,7 @@
         cross_part: true,
         advice: None,
         hold_max_ms: 10_000,
+        stop_ms: 400,
         grace_ms: 2_600,
         keep_ms: 120_000,
         contracts: Default::default(),
