Soak: a stopped run is listed as ended within the time that a stop takes

The time until the completion is listed came on top of the time of the stop, so that both together could be longer than the platform's bound of 400 ms.

--- a/tests/common/soak/runner.rs
+++ b/tests/common/soak/runner.rs
@@ -60,7 +60,8 @@
     listed_at: Instant,
     /// End of its work and how it ends; none while a gang waits.
     work: Option<(Instant, How)>,
-    stop_at: Option<Instant>,
+    /// When its stop takes effect, and by when its completion is listed then.
+    stop: Option<(Instant, Instant)>,
     /// Since it is no longer active: how it ended, when the completion is listed, and its number if
     /// it has one already.
     ended: Option<(How, Instant, Option<u64>)>,
@@ -168,7 +169,7 @@
             started: now,
             listed_at,
             work: (!step.gang).then_some((now + work, how)),
-            stop_at: None,
+            stop: None,
             ended: None,
         };
         // A run of a lower attempt that is still there keeps its capacity under another name.
@@ -184,7 +185,8 @@
         let r = &mut self.runners[n];
         let Some(run) = r.runs.get_mut(task).filter(|x| x.ended.is_none()) else { return };
         r.last_seq += u64::from(self.gaps.early_number);
-        run.ended = Some((how, now + gap, self.gaps.early_number.then_some(r.last_seq)));
+        let listed_at = run.stop.map_or(now + gap, |(_, latest)| latest.min(now + gap));
+        run.ended = Some((how, listed_at, self.gaps.early_number.then_some(r.last_seq)));
         let (attempt, key) = (run.attempt, run.key);
         let name = task.split('#').next().unwrap_or(task);
         let closed = r.closed.entry(name.into()).or_default();
@@ -220,8 +222,8 @@
             return None;
         }
         let gang = (step_of(task).to_string(), run.attempt);
-        match (is_break, run.work, run.stop_at) {
-            (false, _, Some(at)) if at <= now => Some(How::Stopped),
+        match (is_break, run.work, run.stop) {
+            (false, _, Some((at, _))) if at <= now => Some(How::Stopped),
             (false, Some((at, how)), _) if at <= now => Some(how),
             (false, None, _) if run.started + Duration::from_millis(GANG_WAIT_MS) <= now => {
                 Some(How::Alone)
@@ -356,12 +358,12 @@
                 Err(reason) => refused(reason),
             },
             "stop" => {
-                let stop_at = now + self.between((0, STOP_MS));
+                let stop = (now + self.between((0, STOP_MS)), now + Duration::from_millis(STOP_MS));
                 let r = &mut self.runners[n];
                 let closed = r.closed.entry(task.into()).or_default();
                 *closed = attempt.max(*closed);
                 if let Some(run) = r.runs.get_mut(task).filter(|x| x.attempt <= attempt) {
-                    run.stop_at = Some(run.stop_at.unwrap_or(stop_at));
+                    run.stop.get_or_insert(stop);
                 }
                 (200, json!({"clock_ms": clock}))
             }
