A stopped stray run takes its capacity until its completion is listed

A run that no scheduler expects (a start that took effect late) was taken off the capacity of its runner by the first answer that did not list it as active.

Its capacity now stays allocated until its completion is listed, or until answers have not listed it for `stop_ms`. `a_stray_run_whose_completion_is_not_listed_yet_takes_its_capacity` fails before (two starts overcommit the runner) and passes.

Also: what is remembered of lost runs is bounded by the time for which ended jobs are kept.

--- a/src/control/engine/late_completions.rs
+++ b/src/control/engine/late_completions.rs
@@ -25,7 +25,9 @@
     /// Remembers that a task's run is marked as lost, in case its completion is reported later.
     pub(super) fn note_lost(&mut self, k: RunnerKey, id: TaskId, why: Loss, now: Now) {
         let Some(attempt) = self.task(id).map(|t| t.attempt) else { return };
+        let keep_ms = self.rules.keep_ms;
         let runner = self.runners.get_mut(k);
+        runner.lost.retain(|_, l| l.at + keep_ms > now.mono);
         let lost = LostRun { why, at: now.mono, lease_until: runner.lease_until() };
         if runner.lost.insert((id, attempt), lost).is_none() {
             metrics::counter!("control_runs_lost", "why" => why.name()).increment(1);
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -88,17 +88,18 @@
         }
         for (task, attempt) in active.into_keys() {
             if self.run_mut(k, task, attempt).is_none() {
-                self.stop_orphan(k, task, attempt);
+                self.stop_orphan(k, task, attempt, report.clock);
             }
         }
     }
 
-    /// Stops an orphaned run: a start that took effect late. It takes capacity until it is no longer
-    /// listed.
-    fn stop_orphan(&mut self, k: RunnerKey, task: TaskId, attempt: Attempt) {
+    /// Stops an orphaned run: a start that took effect late. It takes capacity until its completion
+    /// is listed, or answers have not listed it for the time that a stop takes.
+    fn stop_orphan(&mut self, k: RunnerKey, task: TaskId, attempt: Attempt, clock: u64) {
         let job = self.jobs.get(&task.step.job);
         if job.is_some_and(|j| (task.step.step as usize) < j.row.spec.steps.len()) {
             self.allocate(k, task, attempt, Losses::default());
+            self.runners.get_mut(k).strays.insert((task, attempt), clock);
         }
         let Some(to) = self.runners.get(k).call() else { return };
         log::warn!(task:% = task, attempt = attempt.0, runner = to.id; "stray run stopped");
@@ -163,7 +164,10 @@
     fn run_not_listed(&mut self, k: RunnerKey, id: TaskId, attempt: Attempt, clock: u64, now: Now) {
         let rules = self.rules;
         let Some(run) = self.run_mut(k, id, attempt) else {
-            self.deallocate(k, id, attempt);
+            let last_listed = self.runners.get(k).strays.get(&(id, attempt));
+            if last_listed.is_none_or(|at| at + rules.stop_ms < clock) {
+                self.deallocate(k, id, attempt);
+            }
             return;
         };
         let stage = run.stage;
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -118,6 +118,8 @@
     pub anticipated: Resources,
     /// Tasks that run or may run there, and the capacity allocated to each.
     pub tasks: BTreeMap<(TaskId, Attempt), Allocation>,
+    /// Runs that no scheduler expects there, and when an answer last listed them, ms of its clock.
+    pub(super) strays: BTreeMap<(TaskId, Attempt), u64>,
     /// Those of its tasks that have lost runs with their runners.
     pub suspects: BTreeMap<TaskId, Losses>,
     /// Runs that were marked as lost and whose completion may yet be reported.
@@ -166,6 +168,7 @@
             provisional: Resources::ZERO,
             anticipated: Resources::ZERO,
             tasks: BTreeMap::new(),
+            strays: BTreeMap::new(),
             suspects: BTreeMap::new(),
             lost: BTreeMap::new(),
             clock: None,
@@ -264,6 +267,7 @@
         let allocation = self.tasks.remove(&(id, attempt))?;
         self.used = self.used.sub(&allocation.need);
         self.suspects.remove(&id);
+        self.strays.remove(&(id, attempt));
         Some(allocation)
     }
 
--- a/tests/common/control/work.rs
+++ b/tests/common/control/work.rs
@@ -118,11 +118,17 @@
 
     /// Runs a task on runner `i` that no scheduler expects there, and lists its completion.
     pub fn run_stray(&mut self, i: usize, task: TaskId) {
+        self.start_stray(i, task);
+        self.runners[i].end(task, EndKind::Done, self.now);
+    }
+
+    /// Starts a task on runner `i` that no scheduler expects there.
+    pub fn start_stray(&mut self, i: usize, task: TaskId) {
         let step = &self.jobs[&task.step.job].spec.steps[task.step.step as usize];
         let run = Running {
             attempt: Attempt(9),
             started: self.now,
-            total_work: 0,
+            total_work: step.estimate,
             work_done: 0,
             stopping: None,
             resources: step.need,
@@ -131,6 +137,5 @@
             checkpoints: false,
         };
         self.runners[i].running.insert(task, run);
-        self.runners[i].end(task, EndKind::Done, self.now);
     }
 }
--- a/tests/control_unlisted.rs
+++ b/tests/control_unlisted.rs
@@ -98,6 +98,24 @@
     assert!((0..60).all(|n| cell.stored(JobId(n + 1)) == JobState::Completed));
 }
 
+/// Guards against runners overcommitted by stopped runs that no scheduler expects there, and whose
+/// completions are not listed yet.
+#[test]
+fn a_stray_run_whose_completion_is_not_listed_yet_takes_its_capacity() {
+    let mut cell = Cell::new(1, 11);
+    set_lags(&mut cell, 0, 300);
+    cell.run(300);
+    let job = cell.submit(1, "patient", vec![step(2, 6_000, 60_000)]);
+    cell.cancel(job);
+    cell.start_stray(0, task(job, 0));
+    cell.start_stray(0, task(job, 1));
+    cell.run(60);
+    cell.submit(2, "patient", vec![step(2, 6_000, 500)]);
+    cell.run(3_000);
+    cell.check();
+    assert_eq!(cell.stored(JobId(2)), JobState::Completed);
+}
+
 /// Guards against tasks started twice after a leader change because their runs are not listed.
 #[test]
 fn a_new_leader_waits_for_runs_that_are_not_listed_yet() {
