--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -178,7 +178,7 @@
                 Some(clock + rules.stop_ms)
             }
             Absence::Over => {
-                self.write_off_unlisted(k, id, stage, clock, now);
+                self.write_off_unlisted(k, id, clock, now);
                 None
             }
         };
@@ -200,12 +200,14 @@
         self.order_stop(id, StopReason::NotListed, now);
     }
 
-    fn write_off_unlisted(&mut self, k: RunnerKey, id: TaskId, stage: Stage, clock: u64, now: Now) {
+    fn write_off_unlisted(&mut self, k: RunnerKey, id: TaskId, clock: u64, now: Now) {
         let attempt = self.task(id).map_or(0, |t| t.attempt.0);
+        let run = self.run_of(id);
+        let (listed, stopped) =
+            (run.is_some_and(|r| r.listed), run.and_then(|r| r.stage.stopped()));
         let runner = self.runners.get(k);
-        log::info!(task:% = id, attempt, runner = runner.id, stage = stage.name(), clock,
-            confirmed:? = stage.confirmed(), last_completion = runner.completions.highest;
-            "run not listed: written off");
+        log::info!(task:% = id, attempt, runner = runner.id, listed, clock, stopped:? = stopped,
+            last_completion = runner.completions.highest; "run not listed: written off");
         self.note_lost(k, id, Loss::NotListed, now);
         self.counts.written_off += 1;
         self.release(id, now);
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -71,12 +71,11 @@
         }
     }
 
-    /// Time of the runner's clock when it last confirmed the run or its stop, ms.
-    pub fn confirmed(self) -> Option<u64> {
+    /// Time of the runner's clock when it acknowledged the stop, ms.
+    pub fn stopped(self) -> Option<u64> {
         match self {
-            Self::Running { clock } => Some(clock),
             Self::Stopping { answered } => answered,
-            Self::Storing { .. } | Self::Sent | Self::Inherited { .. } => None,
+            _ => None,
         }
     }
 }
