Expect no late completion of a gang's member that was never confirmed

A gang waits with its next attempt while completions that may yet be reported could add up to the failures that its queue allows.

Only a member that its runner had confirmed is expected to be reported.

--- a/src/control/engine/late_completions.rs
+++ b/src/control/engine/late_completions.rs
@@ -6,7 +6,7 @@
 //! attempt is one that an earlier leader has processed.
 
 use super::losses::Loss;
-use super::runs::{Stage, StopReason};
+use super::runs::{Run, Stage, StopReason};
 use super::{Engine, Now, RunnerKey};
 use crate::control::model::{Attempt, EndKind, TaskId};
 use crate::control::ports::End;
@@ -37,14 +37,18 @@
         }
     }
 
-    /// Records that the completion of an attempt may yet be reported, and counts then.
+    /// Records that the completion of an attempt may yet be reported, and counts then. A gang may have
+    /// to wait for such completions, so those of members that were never confirmed are not expected.
     fn expect_completion(&mut self, id: TaskId, attempt: Attempt) {
         let gang = self.jobs.get(&id.step.job).is_some_and(|j| j.spec(id.step).gang);
+        let confirmed = self.run_of(id).is_some_and(Run::confirmed);
         let Some(step) = self.step_mut(id.step) else { return };
-        if gang {
+        if !gang {
+            if let Some(task) = step.tasks.get_mut(id.index as usize) {
+                task.unreported.insert(attempt);
+            }
+        } else if confirmed {
             step.unreported.entry(attempt).or_insert(0);
-        } else if let Some(task) = step.tasks.get_mut(id.index as usize) {
-            task.unreported.insert(attempt);
         }
     }
 
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -181,6 +181,11 @@
         self.listed && !self.outcome_unknown
     }
 
+    /// Whether its runner has confirmed that it runs.
+    pub fn confirmed(&self) -> bool {
+        self.listed || self.unlisted_since.is_some()
+    }
+
     /// What follows from an answer that does not list it, given at `clock`, ms of the runner's
     /// clock.
     pub fn absent(&mut self, clock: u64, rules: &Rules) -> Absence {
