A test that fails: a gang held back by attempts that never began

Cause: a write-off as not listed enters the gang's attempt into `StepRun::unreported` (late_completions.rs, `expect_completion`), also if it never began. The current term ignores it (lease end 0), but `Job::load` gives each attempt in the row the end of the predecessors' leases, and `may_retry` waits while these could add up to the failures allowed. Nothing removes an attempt that never began.

The test fails always ("gang true": Queued, not Completed); its first case, single tasks, passes. Not fixed here.

--- a/tests/control_unlisted.rs
+++ b/tests/control_unlisted.rs
@@ -6,8 +6,9 @@
     pub mod runner;
 }
 
-use common::control::{step, Cell, Faults, STEP_MS};
+use common::control::{queue, step, Cell, Faults, RULES, STEP_MS};
 use currantgw::control::model::{JobId, JobState, Step, StepId, TaskId};
+use currantgw::kernel::res::Resources;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -264,3 +265,42 @@
     cell.run(3_000);
     assert_eq!(cell.runners[0].acked, 2);
 }
+
+/// Orders that no runner receives: a leader places a task `starts` more times, and the next one finds
+/// placements that never began.
+fn place_in_vain(cell: &mut Cell, starts: u64) {
+    let ordered = cell.engine.counts.starts + starts;
+    cell.faults.late = 1.0;
+    while cell.engine.counts.starts < ordered && cell.now < NEVER_MS {
+        cell.run(STEP_MS);
+    }
+    cell.faults.late = 0.0;
+    cell.change_leader();
+    cell.runners.iter_mut().for_each(|r| r.refuses_until = NEVER_MS);
+    while cell.engine.counts.written_off < starts && cell.now < NEVER_MS {
+        cell.run(STEP_MS);
+    }
+    cell.run(100);
+    cell.runners.iter_mut().for_each(|r| r.refuses_until = 0);
+}
+
+/// Guards against a gang that is held back after a leader change by attempts that never began, which
+/// count as failures that may yet be reported.
+#[test]
+fn attempts_of_a_gang_that_never_began_do_not_hold_it_back() {
+    for gang in [false, true] {
+        let capacity = Resources { cpu: 16_000, mem: 64_000, acc: 0 };
+        let mut cell = Cell::with(RULES, 2, capacity, vec![queue("q", 2, 3, None)], 1);
+        cell.run(300);
+        let job = cell.submit(1, "q", vec![Step { gang, ..step(2, 10_000, 500) }]);
+        place_in_vain(&mut cell, 2);
+        place_in_vain(&mut cell, 2);
+        cell.runners.iter_mut().for_each(|r| r.refuses_until = NEVER_MS);
+        cell.run(200);
+        cell.change_leader();
+        cell.runners.iter_mut().for_each(|r| r.refuses_until = 0);
+        cell.run(3_000);
+        assert_eq!(cell.stored(job), JobState::Completed, "gang {gang}");
+        cell.check();
+    }
+}
