A test that fails: more missing completion numbers than are remembered

What callers see: tasks that are done start again (TWICE) after many runs of a runner have ended at once.

Cause: `Completions` remembers 64 missing numbers (MAX_MISSING) and drops the lowest ones beyond. A dropped number is neither awaited nor new: it is acknowledged before it is listed, and if it is listed, `receive` ignores it and it is acknowledged without an effect. Its run is written off after the length of a lease and the task starts again.

Not fixed here.

--- a/tests/control_unlisted.rs
+++ b/tests/control_unlisted.rs
@@ -267,6 +267,22 @@
     assert_eq!(cell.runners[0].acked, 2);
 }
 
+/// Guards against completions that are acknowledged before they are listed because more numbers are
+/// missing than are remembered.
+#[test]
+fn many_completions_that_are_listed_out_of_order_are_all_processed() {
+    const MANY_TASKS: u32 = 140;
+    let mut cell = Cell::new(1, 11);
+    cell.runners[0].out_of_order = true;
+    set_lags(&mut cell, 0, 60);
+    cell.run(300);
+    let job = cell.submit(1, "patient", vec![step(MANY_TASKS, 10, 1_000)]);
+    cell.run(25_000);
+    cell.check();
+    assert_eq!(cell.stored(job), JobState::Completed);
+    assert!((0..MANY_TASKS).all(|index| cell.starts[&task(job, index)] == 1));
+}
+
 /// Guards against a runner overcommitted by a stray run that was stopped and whose completion is not
 /// listed yet.
 #[test]
