A test that fails: two members' failures of one attempt of a gang count twice

What callers see: a job shown as failed after fewer attempts than allowed (LOST).

Cause: `mark_failed` (reports.rs) counts an attempt once, by `failed_attempt`. `fail_late` (late_completions.rs) neither looks at that field nor sets it.

Evidence: gang_fails is 2 after one attempt, of which one member's failure was listed at once and the other's 20 ms after its write-off. It needs a runner that lists the end later than `stop_ms` after the stop was acknowledged, and two members that fail by themselves.

Not fixed here.

--- a/tests/control_written_off.rs
+++ b/tests/control_written_off.rs
@@ -154,3 +154,46 @@
         assert_eq!(cell.running(), 0, "seed {seed}");
     }
 }
+
+/// Guards against a gang's attempt that counts as two failures: one member's failure is listed after a
+/// write-off, another one's at once.
+#[test]
+fn an_attempt_of_a_gang_counts_as_one_failure() {
+    let mut cell = Cell::new(2, 3);
+    cell.run(300);
+    let now = Now { mono: cell.now, wall: cell.now };
+    let later = Now { mono: now.mono + RULES.stop_ms + 100, wall: now.wall + RULES.stop_ms + 100 };
+    let job = cell.submit(1, "patient", vec![Step { gang: true, ..step(2, 16_000, 1_000) }]);
+    cell.engine.tick(now);
+    cell.engine.plan(now);
+    let batch = cell.engine.take_batch(PartitionScope::All, 46, now);
+    cell.engine.committed(&batch, &Outcome::Done(7), now);
+    let starts: Vec<(RunnerKey, TaskId, Attempt)> = orders(&mut cell)
+        .into_iter()
+        .filter_map(|act| match act {
+            Action::Start { runner, start, .. } => Some((runner, start.task, start.attempt)),
+            _ => None,
+        })
+        .collect();
+    let [(k, unlisted, attempt), (other, listed, _)] = starts[..] else { panic!("{starts:?}") };
+    let known = |k: RunnerKey| {
+        let (_, r) = cell.engine.runners().find(|(key, _)| *key == k).unwrap();
+        let r = cell.runners.iter().find(|fake| fake.id == r.id).unwrap();
+        (r.born, r.clock(now.mono), r.clock(later.mono))
+    };
+    let ((born, stopped, clock), (other_born, began, other_clock)) = (known(k), known(other));
+    let failed =
+        |task| End { number: 1, task, attempt, kind: EndKind::Failed, saved: String::new() };
+    let report = |born, clock, ends| Report { born: Some(born), clock, ends, ..Report::default() };
+    cell.engine.started(other, listed, attempt, Ok(began), now);
+    for _ in 0..3 {
+        cell.engine.started(k, unlisted, attempt, Err(Refusal::NoResponse), now);
+    }
+    cell.engine.stopped(k, unlisted, attempt, Ok(stopped), now);
+    cell.engine.polled(k, Ok(report(born, clock, vec![])), later);
+    assert_eq!(cell.engine.counts.written_off, 1);
+    let ends = vec![failed(listed)];
+    cell.engine.polled(other, Ok(report(other_born, other_clock, ends)), later);
+    cell.engine.polled(k, Ok(report(born, clock + 20, vec![failed(unlisted)])), later);
+    assert_eq!(cell.engine.job(job).map(|j| j.steps[0].gang_fails), Some(1));
+}
