Remember more missing numbers of completions than a runner ends runs at once

With 140 runs that end together, and every other completion listed 60 ms late, more numbers were missing than the 64 that were remembered: six completions were acknowledged before they were listed, and their tasks done twice. Found by review; `many_completions_that_are_listed_out_of_order_are_all_processed` fails before and passes. Below the first number that a new leader receives 64 are awaited as before.

--- a/src/control/engine/completions.rs
+++ b/src/control/engine/completions.rs
@@ -7,8 +7,12 @@
 use crate::control::model::JobId;
 use std::collections::BTreeMap;
 
-/// Most missing numbers that are remembered, and most of them below a number that is received.
-const MAX_MISSING: u64 = 64;
+/// Most missing numbers that are remembered: more than the runs that a runner ends at once.
+const MAX_MISSING: u64 = 4_096;
+
+/// Most missing numbers below the first one that is received: a new leader does not know which of
+/// them an earlier one has received.
+const MAX_MISSING_BEFORE: u64 = 64;
 
 /// Received completions of one incarnation of a runner.
 #[derive(Clone, Debug, Default)]
@@ -42,7 +46,8 @@
         if number <= self.highest {
             return self.missing.remove(&number).is_some();
         }
-        let first = (self.highest + 1).max(number.saturating_sub(MAX_MISSING));
+        let before = if self.highest == 0 { MAX_MISSING_BEFORE } else { MAX_MISSING };
+        let first = (self.highest + 1).max(number.saturating_sub(before));
         self.missing.extend((first..number).map(|n| (n, self.answered)));
         while self.missing.len() as u64 > MAX_MISSING {
             self.missing.pop_first();
