--- a/src/control/engine/commit.rs
+++ b/src/control/engine/commit.rs
@@ -234,14 +234,18 @@
             job.version = version;
             job.unanswered = false;
         }
-        let total = (changed.len(), foreign.len());
-        changed.truncate(MAX_LOGGED_ROWS);
-        foreign.truncate(MAX_LOGGED_ROWS);
-        log::info!(fence = self.fence, rows = batch.writes.len(), changed = total.0, jobs:? = changed;
-            "commit conflicts with an earlier write of this scheduler");
-        if total.1 > 0 {
-            log::error!(fence = self.fence, rows = batch.writes.len(), foreign = total.1,
-                jobs:? = foreign; "commit conflicts with progress that this scheduler did not store");
+        let rows = batch.writes.len();
+        if !changed.is_empty() {
+            let total = changed.len();
+            changed.truncate(MAX_LOGGED_ROWS);
+            log::info!(fence = self.fence, rows, changed = total, jobs:? = changed;
+                "commit conflicts with an earlier write of this scheduler");
+        }
+        if !foreign.is_empty() {
+            let total = foreign.len();
+            foreign.truncate(MAX_LOGGED_ROWS);
+            log::error!(fence = self.fence, rows, foreign = total, jobs:? = foreign;
+                "commit conflicts with progress that this scheduler did not store");
             self.stale = true;
         }
         self.store_again(batch);
