--- a/src/control/engine/late_completions.rs
+++ b/src/control/engine/late_completions.rs
@@ -40,15 +40,16 @@
     /// Records that the completion of an attempt may yet be reported, and counts then. A gang may have
     /// to wait for such completions, so those of members that were never confirmed are not expected.
     fn expect_completion(&mut self, id: TaskId, attempt: Attempt) {
-        let gang = self.jobs.get(&id.step.job).is_some_and(|j| j.spec(id.step).gang);
+        let Some(job) = self.jobs.get(&id.step.job) else { return };
+        let (gang, lasts) = (job.spec(id.step).gang, job.spec(id.step).lasts);
         let confirmed = self.run_of(id).is_some_and(Run::confirmed);
         let Some(step) = self.step_mut(id.step) else { return };
-        if !gang {
-            if let Some(task) = step.tasks.get_mut(id.index as usize) {
-                task.unreported.insert(attempt);
+        if gang {
+            if confirmed && step.failed_attempt < attempt {
+                step.unreported.entry(attempt).or_insert(0);
             }
-        } else if confirmed {
-            step.unreported.entry(attempt).or_insert(0);
+        } else if let Some(task) = step.tasks.get_mut(id.index as usize).filter(|_| !lasts) {
+            task.unreported.insert(attempt);
         }
     }
 
@@ -68,53 +69,70 @@
         };
         let spec = job.spec(end.task.step);
         let (gang, lasts) = (spec.gang, spec.lasts);
-        match end.kind {
+        let changed = match end.kind {
             EndKind::Done if !lasts => self.complete_late(end.task, gang, now),
-            EndKind::Failed if expected || within_lease => self.fail_late(k, end.task, gang),
-            _ => return,
+            EndKind::Failed if expected || within_lease => self.fail_late(k, end, gang),
+            _ => false,
+        };
+        if changed || expected {
+            self.mark_changed(end.task.step.job);
+            self.update_state(end.task.step.job, now);
         }
-        self.mark_changed(end.task.step.job);
-        self.update_state(end.task.step.job, now);
     }
 
-    /// Whether the completion of an attempt was expected; it is not any more. Of a gang, a member
-    /// that ended as broken leaves the failure of another one to be expected.
+    /// Whether the completion of an attempt was expected; it is not any more. Another end than a
+    /// failure of one member leaves the failure of another one of its gang to be expected, but the gang
+    /// does not wait for it.
     fn take_expected(&mut self, end: &End) -> bool {
         let Some(step) = self.step_mut(end.task.step) else { return false };
-        if end.kind == EndKind::Broken {
-            step.unreported.entry(end.attempt).and_modify(|lease_end| *lease_end = 0);
-            return false;
-        }
-        let of_gang = step.unreported.remove(&end.attempt).is_some();
         let task = step.tasks.get_mut(end.task.index as usize);
-        of_gang || task.is_some_and(|t| t.unreported.remove(&end.attempt))
+        if task.is_some_and(|t| t.unreported.remove(&end.attempt)) {
+            return true;
+        }
+        match end.kind {
+            EndKind::Done | EndKind::Failed => step.unreported.remove(&end.attempt).is_some(),
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
+                step.unreported.entry(end.attempt).and_modify(|lease_end| *lease_end = 0);
+                false
+            }
+        }
     }
 
-    /// Marks a task as done by an earlier run than its current one, which is stopped.
-    fn complete_late(&mut self, id: TaskId, gang: bool, now: Now) {
+    /// Marks a task as done by an earlier run than its current one, which is stopped. Returns whether
+    /// it was not done before.
+    fn complete_late(&mut self, id: TaskId, gang: bool, now: Now) -> bool {
         if self.task(id).is_none_or(|t| t.done) {
-            return;
+            return false;
         }
         self.mark_done(id, gang);
         if gang {
             self.stop_step(id.step, StopReason::Done, now);
-            return;
+            return true;
         }
         match self.run_of(id).map(|r| r.stage) {
             Some(Stage::Storing { .. }) => self.release(id, now),
             Some(_) => self.order_stop(id, StopReason::Done, now),
             None => {}
         }
+        true
     }
 
-    fn fail_late(&mut self, k: RunnerKey, id: TaskId, gang: bool) {
-        let Some(step) = self.step_mut(id.step) else { return };
+    /// Counts a failure of an earlier run than the task's current one. Returns whether it counts: not
+    /// for a task that is done, and once for each attempt of a gang.
+    fn fail_late(&mut self, k: RunnerKey, end: &End, gang: bool) -> bool {
+        let Some(step) = self.step_mut(end.task.step) else { return false };
+        let Some(task) = step.tasks.get_mut(end.task.index as usize) else { return false };
+        if task.done {
+            return false;
+        }
+        task.avoid.insert(k);
         if gang {
             step.gang_fails += 1;
-        } else if let Some(task) = step.tasks.get_mut(id.index as usize) {
-            task.avoid.insert(k);
+            step.failed_attempt = step.failed_attempt.max(end.attempt);
+        } else {
             task.fails += 1;
         }
+        true
     }
 
     fn log_late(&self, k: RunnerKey, end: &End, lost: Option<LostRun>, now: Now) {
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -68,7 +68,7 @@
     pub lease_ms: u64,
     /// Longest lease that a runner grants, ms.
     pub hold_max_ms: u64,
-    /// Longest time from a stop order that a runner acknowledged until it lists the run as ended, ms.
+    /// Longest time from a stop order that a runner acknowledged until the run has ended, ms.
     pub stop_ms: u64,
     /// For this long after a new leader was elected its predecessor may have extended leases, ms.
     pub step_down_ms: u64,
@@ -78,6 +78,16 @@
     pub placement: Placement,
 }
 
+/// Longest time from the end of a run until its runner lists the completion, ms.
+const LISTING_MS: u64 = 200;
+
+impl Rules {
+    /// Time from the acknowledgement of a stop until the runner has listed the end of its run, ms.
+    fn settle_ms(&self) -> u64 {
+        self.stop_ms + LISTING_MS
+    }
+}
+
 /// A call for the driver to carry out.
 #[derive(Clone, Debug)]
 pub enum Action {
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -2,7 +2,7 @@
 
 use super::losses::Loss;
 use super::progress::{self, Progress};
-use super::runs::{Absence, Stage, StopReason};
+use super::runs::{Absence, Run, Stage, StopReason};
 use super::{Action, Engine, Now, RunnerKey};
 use crate::control::crashes::Losses;
 use crate::control::model::{Attempt, EndKind, TaskId};
@@ -165,7 +165,7 @@
         let rules = self.rules;
         let Some(run) = self.run_mut(k, id, attempt) else {
             let last_listed = self.runners.get(k).strays.get(&(id, attempt));
-            if last_listed.is_none_or(|at| at + rules.stop_ms < clock) {
+            if last_listed.is_none_or(|at| at + rules.settle_ms() < clock) {
                 self.deallocate(k, id, attempt);
             }
             return;
@@ -175,7 +175,7 @@
             Absence::Inconclusive(settled_at) => settled_at,
             Absence::Suspect => {
                 self.stop_unlisted(k, id, stage, now);
-                Some(clock + rules.stop_ms)
+                Some(clock + rules.settle_ms())
             }
             Absence::Over => {
                 self.write_off_unlisted(k, id, clock, now);
@@ -203,12 +203,19 @@
     fn write_off_unlisted(&mut self, k: RunnerKey, id: TaskId, clock: u64, now: Now) {
         let attempt = self.task(id).map_or(0, |t| t.attempt.0);
         let run = self.run_of(id);
+        let confirmed = run.is_some_and(Run::confirmed);
         let (listed, stopped) =
             (run.is_some_and(|r| r.listed), run.and_then(|r| r.stage.stopped()));
         let runner = self.runners.get(k);
         log::info!(task:% = id, attempt, runner = runner.id, listed, clock, stopped:? = stopped,
             last_completion = runner.completions.highest; "run not listed: written off");
         self.note_lost(k, id, Loss::NotListed, now);
+        if confirmed {
+            self.runners.get_mut(k).health.strike(now.mono);
+            if let Some(task) = self.task_mut(id) {
+                task.avoid.insert(k);
+            }
+        }
         self.counts.written_off += 1;
         self.release(id, now);
         self.gang_broken(id, now);
@@ -268,8 +275,10 @@
         let Some(step) = self.step_mut(id.step).filter(|s| !s.done()) else { return false };
         if gang {
             step.tasks.iter_mut().for_each(|t| t.done = true);
+            step.unreported.clear();
         } else if let Some(task) = step.tasks.get_mut(id.index as usize) {
             task.done = true;
+            task.unreported.clear();
         }
         step.done()
     }
@@ -287,6 +296,7 @@
         } else if step.failed_attempt < attempt {
             step.failed_attempt = attempt;
             step.gang_fails += 1;
+            step.unreported.remove(&attempt);
         }
     }
 }
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -5,7 +5,7 @@
 use super::late_completions::LostRun;
 use super::losses::Loss;
 use super::teams::TeamKey;
-use super::{Action, Engine, Now, Rules, RunnerKey};
+use super::{Action, Engine, Now, RunnerKey};
 use crate::control::crashes::Losses;
 use crate::control::model::{Attempt, Born, JobId, TaskId};
 use crate::control::ports::{PollRequest, RunnerCall, RunnerEntry};
@@ -326,7 +326,8 @@
 impl Engine {
     /// Polls every runner whose next poll is due.
     pub(super) fn poll_runners(&mut self, now: Now) {
-        let (fence, Rules { lease_ms, stop_ms, .. }) = (self.fence, self.rules);
+        let (fence, lease_ms, settle_ms) =
+            (self.fence, self.rules.lease_ms, self.rules.settle_ms());
         let jobs = &self.jobs;
         let stored = |id: JobId, rev: u64| jobs.get(&id).is_none_or(|j| j.stored >= rev);
         let mut acts = Vec::new();
@@ -336,7 +337,7 @@
                 continue;
             }
             let Some(to) = r.call() else { continue };
-            let acked = r.completions.acknowledge(stored, stop_ms);
+            let acked = r.completions.acknowledge(stored, settle_ms);
             // The first poll only reads the runner's clock. A poll after a failed one does not
             // extend the lease either: it may take effect at a runner that receives calls and whose
             // answers are lost, and leases that are sent repeatedly to an unreachable runner would
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -209,7 +209,7 @@
             }
             // A start that arrives after the stop of its attempt is refused.
             Stage::Stopping { answered: Some(stopped) } => {
-                let settled = stopped + rules.stop_ms;
+                let settled = stopped + rules.settle_ms();
                 match clock <= settled {
                     true => Absence::Inconclusive(Some(settled)),
                     false => Absence::Over,
--- a/tests/control_unlisted.rs
+++ b/tests/control_unlisted.rs
@@ -16,8 +16,9 @@
 /// Number of seeds for mixed faults.
 const SEEDS: u64 = 40;
 
-/// Times until a run or a completion is listed, ms: up to the time that a stop takes at most.
-const LAGS_MS: [u64; 4] = [10, 60, 150, 300];
+/// Times until a run or a completion is listed, ms. With the time that the runners take to stop a run,
+/// the last one is longer than a stop takes at most.
+const LAGS_MS: [u64; 5] = [10, 60, 150, 300, 450];
 
 /// Longer than the scheduler waits for a run that is not listed, ms.
 const NEVER_MS: u64 = 60_000;
@@ -103,7 +104,7 @@
 /// Guards against runners overcommitted by stopped runs that no scheduler expects there, and whose
 /// completions are not listed yet.
 #[test]
-fn a_stray_run_whose_completion_is_not_listed_yet_takes_its_capacity() {
+fn stray_runs_on_a_full_runner_take_their_capacity_until_they_are_listed() {
     let mut cell = Cell::new(1, 11);
     set_lags(&mut cell, 0, 300);
     cell.run(300);
@@ -178,6 +179,20 @@
     }
 }
 
+/// Guards against tasks that are placed again and again on a runner that never lists their ends.
+#[test]
+fn a_task_moves_away_from_a_runner_that_lists_no_ends() {
+    let mut cell = Cell::new(2, 13);
+    cell.runners[0].end_lag = NEVER_MS;
+    cell.register(1, false);
+    cell.run(300);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 500)]);
+    cell.run(300);
+    cell.register(1, true);
+    cell.run(15_000);
+    assert_eq!(cell.stored(job), JobState::Completed);
+}
+
 /// Guards against a late failure that is forgotten, or counted twice, after a change of leader.
 #[test]
 fn a_late_failure_counts_once_across_leader_changes() {
@@ -215,7 +230,7 @@
     for seed in 0..SEEDS {
         let mut cell = Cell::new(5, seed);
         let mut rng = StdRng::seed_from_u64(seed ^ 0x115_7ed);
-        let (start, end) = (rng.gen_range(0..300), rng.gen_range(0..300));
+        let (start, end) = (rng.gen_range(0..450), rng.gen_range(0..450));
         cell.own_faults = 0.1;
         let mut jobs = Vec::new();
         for n in 0..60_u64 {
--- a/tests/control_written_off.rs
+++ b/tests/control_written_off.rs
@@ -162,7 +162,8 @@
     let mut cell = Cell::new(2, 3);
     cell.run(300);
     let now = Now { mono: cell.now, wall: cell.now };
-    let later = Now { mono: now.mono + RULES.stop_ms + 100, wall: now.wall + RULES.stop_ms + 100 };
+    let settled = RULES.stop_ms + 500;
+    let later = Now { mono: now.mono + settled, wall: now.wall + settled };
     let job = cell.submit(1, "patient", vec![Step { gang: true, ..step(2, 16_000, 1_000) }]);
     cell.engine.tick(now);
     cell.engine.plan(now);
