--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -77,7 +77,7 @@
         }
         let active: BTreeMap<(TaskId, Attempt), ActiveRun> =
             report.active.into_iter().map(|a| ((a.task, a.attempt), a)).collect();
-        self.runners.get_mut(k).settled_at = None;
+        self.runners.get_mut(k).recheck_at = None;
         let allocated: Vec<(TaskId, Attempt)> = self.runners.get(k).tasks.keys().copied().collect();
         for (id, attempt) in allocated {
             match active.get(&(id, attempt)) {
@@ -171,8 +171,8 @@
             return;
         };
         let stage = run.stage;
-        let settled_at = match run.absent(clock, &rules) {
-            Absence::Inconclusive(settled_at) => settled_at,
+        let recheck_at = match run.judge_absence(clock, &rules) {
+            Absence::Inconclusive(recheck_at) => recheck_at,
             Absence::Suspect => {
                 self.stop_unlisted(k, id, stage, now);
                 Some(clock + rules.settle_ms())
@@ -182,9 +182,9 @@
                 None
             }
         };
-        if let Some(at) = settled_at {
+        if let Some(at) = recheck_at {
             let runner = self.runners.get_mut(k);
-            runner.settled_at = Some(runner.settled_at.map_or(at, |earlier| earlier.min(at)));
+            runner.recheck_at = Some(runner.recheck_at.map_or(at, |earlier| earlier.min(at)));
         }
     }
 
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -150,7 +150,7 @@
     lease_until: u64,
     /// When an answer shows whether a run that was stopped and is not listed is over, ms of its
     /// clock.
-    pub(super) settled_at: Option<u64>,
+    pub(super) recheck_at: Option<u64>,
 }
 
 impl Runner {
@@ -183,7 +183,7 @@
             polled_at: 0,
             completions: Completions::default(),
             lease_until: 0,
-            settled_at: None,
+            recheck_at: None,
         }
     }
 
@@ -355,7 +355,7 @@
                 Some(_) if idle => IDLE_POLL_WAIT_MS,
                 Some(_) => POLL_WAIT_MS,
             };
-            let settles_in = r.settled_at.zip(r.clock_at(now));
+            let settles_in = r.recheck_at.zip(r.clock_at(now));
             let wait_ms = settles_in
                 .map_or(wait_ms, |(at, clock)| wait_ms.min((at + 1).saturating_sub(clock)));
             r.wait_ms = wait_ms.max(POLL_WAIT_MS);
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -188,7 +188,7 @@
 
     /// What follows from an answer that does not list it, given at `clock`, ms of the runner's
     /// clock.
-    pub fn absent(&mut self, clock: u64, rules: &Rules) -> Absence {
+    pub fn judge_absence(&mut self, clock: u64, rules: &Rules) -> Absence {
         match self.stage {
             Stage::Storing { .. } | Stage::Sent | Stage::Stopping { answered: None } => {
                 Absence::Inconclusive(None)
