--- a/src/control/engine/completions.rs
+++ b/src/control/engine/completions.rs
@@ -58,7 +58,7 @@
 
     /// Records that a completion was processed. It may be acknowledged once revision `rev` of its job
     /// is stored.
-    pub fn processed(&mut self, number: u64, job: JobId, rev: u64) {
+    pub fn record_processed(&mut self, number: u64, job: JobId, rev: u64) {
         self.unacked.insert(number, (job, rev));
     }
 
--- a/src/control/engine/jobs.rs
+++ b/src/control/engine/jobs.rs
@@ -71,7 +71,8 @@
     /// Members of the gang that ended because another had.
     pub broken: Broken,
     /// Attempts of the gang with a member whose completion was not received, each of which may have
-    /// been a failure, and when the lease of that member's runner expires, local ms.
+    /// been a failure, and until when the gang waits for it, local ms: the end of the lease of that
+    /// member's runner, or 0.
     pub unreported: BTreeMap<Attempt, u64>,
     /// Results of advice requests.
     pub approvals: Approvals,
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -72,7 +72,7 @@
                 self.process_completion(k, &end, report.clock, now);
                 let job = end.task.step.job;
                 let rev = self.jobs.get(&job).map_or(0, |j| j.rev);
-                self.runners.get_mut(k).completions.processed(end.number, job, rev);
+                self.runners.get_mut(k).completions.record_processed(end.number, job, rev);
             }
         }
         let active: BTreeMap<(TaskId, Attempt), ActiveRun> =
@@ -289,9 +289,11 @@
         let Some(task) = step.tasks.get_mut(id.index as usize) else { return };
         task.avoid.insert(k);
         let attempt = task.attempt;
+        // An earlier run may have completed it.
         if task.done {
-            // An earlier run has completed it.
-        } else if !gang {
+            return;
+        }
+        if !gang {
             task.fails += 1;
         } else if step.failed_attempt < attempt {
             step.failed_attempt = attempt;
