--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -29,12 +29,13 @@
 mod runs;
 mod store_backlog;
 mod teams;
+mod unlisted;
 
 pub use commit::{Batch, Outcome, Write};
 pub use jobs::{Job, StepRun, Task};
 pub use round::MAX_CHECKS_PER_ROUND;
 pub use runners::{Runner, RunnerHealth};
-pub use runs::{Absence, Run, Stage};
+pub use runs::{Run, Stage};
 pub use teams::{TeamKey, TeamUse, TeamView};
 
 use super::crashes::LossRate;
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -1,8 +1,7 @@
 //! Handling of a runner's poll results: its active runs and its completions.
 
-use super::losses::Loss;
 use super::progress::{self, Progress};
-use super::runs::{Absence, Run, Stage, StopReason};
+use super::runs::{Stage, StopReason};
 use super::{Action, Engine, Now, RunnerKey};
 use crate::control::crashes::Losses;
 use crate::control::model::{Attempt, EndKind, TaskId};
@@ -160,68 +159,6 @@
         self.order_stop(id, StopReason::NoProgress, now);
     }
 
-    /// Handles a run that the runner does not list, while its capacity is still allocated.
-    fn run_not_listed(&mut self, k: RunnerKey, id: TaskId, attempt: Attempt, clock: u64, now: Now) {
-        let rules = self.rules;
-        let Some(run) = self.run_mut(k, id, attempt) else {
-            let last_listed = self.runners.get(k).strays.get(&(id, attempt));
-            if last_listed.is_none_or(|at| at + rules.settle_ms() < clock) {
-                self.deallocate(k, id, attempt);
-            }
-            return;
-        };
-        let stage = run.stage;
-        let recheck_at = match run.judge_absence(clock, &rules) {
-            Absence::Inconclusive(recheck_at) => recheck_at,
-            Absence::Suspect => {
-                self.stop_unlisted(k, id, stage, now);
-                Some(clock + rules.settle_ms())
-            }
-            Absence::Over => {
-                self.write_off_unlisted(k, id, clock, now);
-                None
-            }
-        };
-        if let Some(at) = recheck_at {
-            let runner = self.runners.get_mut(k);
-            runner.recheck_at = Some(runner.recheck_at.map_or(at, |earlier| earlier.min(at)));
-        }
-    }
-
-    /// Stops a run that may be over. One that was placed on an earlier incarnation of its runner
-    /// was lost with it.
-    fn stop_unlisted(&mut self, k: RunnerKey, id: TaskId, stage: Stage, now: Now) {
-        match stage {
-            Stage::Inherited { born } if born.is_some() && born != self.runners.get(k).born => {
-                self.record_lost(k, &[id], Loss::OtherIncarnation, now);
-            }
-            _ => {}
-        }
-        self.order_stop(id, StopReason::NotListed, now);
-    }
-
-    fn write_off_unlisted(&mut self, k: RunnerKey, id: TaskId, clock: u64, now: Now) {
-        let attempt = self.task(id).map_or(0, |t| t.attempt.0);
-        let run = self.run_of(id);
-        let confirmed = run.is_some_and(Run::confirmed);
-        let (listed, stopped) =
-            (run.is_some_and(|r| r.listed), run.and_then(|r| r.stage.stopped()));
-        let runner = self.runners.get(k);
-        log::info!(task:% = id, attempt, runner = runner.id, listed, clock, stopped:? = stopped,
-            last_completion = runner.completions.highest; "run not listed: written off");
-        self.note_lost(k, id, Loss::NotListed, now);
-        if confirmed {
-            self.runners.get_mut(k).health.strike(now.mono);
-            if let Some(task) = self.task_mut(id) {
-                task.avoid.insert(k);
-            }
-        }
-        self.counts.written_off += 1;
-        self.release(id, now);
-        self.gang_broken(id, now);
-        self.update_state(id.step.job, now);
-    }
-
     /// Handles a completion that was reported at `clock`, ms of the runner's clock.
     fn process_completion(&mut self, k: RunnerKey, end: &End, clock: u64, now: Now) {
         self.counts.ends += 1;
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -9,12 +9,9 @@
 //!   takes at most;
 //! - the lease of its runner has expired;
 //! - another incarnation has replaced the runner, and no order can start the run there.
-//!
-//! A single answer that does not list a run proves nothing: a runner may list a run some time after
-//! its start, and a completion some time after the run has ended.
 
 use super::progress::Progress;
-use super::{Action, Engine, Now, Rules, RunnerKey};
+use super::{Action, Engine, Now, RunnerKey};
 use crate::control::model::{Attempt, Born, StepId, TaskId};
 use crate::control::ports::{Refusal, StartOrder, StopOrder};
 
@@ -123,17 +120,6 @@
     }
 }
 
-/// What follows from an answer that does not list a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Absence {
-    /// Nothing yet. A further answer at this time of the runner's clock may tell more, ms.
-    Inconclusive(Option<u64>),
-    /// It may be over. Its attempt has to be stopped to know.
-    Suspect,
-    /// It is over, or has never begun.
-    Over,
-}
-
 /// A run of a task on a runner.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -185,38 +171,6 @@
     pub fn confirmed(&self) -> bool {
         self.listed || self.unlisted_since.is_some()
     }
-
-    /// What follows from an answer that does not list it, given at `clock`, ms of the runner's
-    /// clock.
-    pub fn judge_absence(&mut self, clock: u64, rules: &Rules) -> Absence {
-        match self.stage {
-            Stage::Storing { .. } | Stage::Sent | Stage::Stopping { answered: None } => {
-                Absence::Inconclusive(None)
-            }
-            // The poll raised the fencing token, so that a predecessor's start that has not arrived
-            // yet never takes effect; it may have arrived just before.
-            Stage::Inherited { .. } => Absence::Suspect,
-            Stage::Running { clock: confirmed } if clock <= confirmed => {
-                Absence::Inconclusive(None)
-            }
-            // Its completion will be listed: runners list completions until they are acknowledged.
-            Stage::Running { .. } => {
-                let since = *self.unlisted_since.get_or_insert(clock);
-                match clock < since + rules.lease_ms {
-                    true => Absence::Inconclusive(None),
-                    false => Absence::Suspect,
-                }
-            }
-            // A start that arrives after the stop of its attempt is refused.
-            Stage::Stopping { answered: Some(stopped) } => {
-                let settled = stopped + rules.settle_ms();
-                match clock <= settled {
-                    true => Absence::Inconclusive(Some(settled)),
-                    false => Absence::Over,
-                }
-            }
-        }
-    }
 }
 
 impl Engine {
