--- a/src/control/engine/commit.rs
+++ b/src/control/engine/commit.rs
@@ -213,7 +213,7 @@
 
     /// Handles a batch of which nothing was stored because some rows have other versions than
     /// expected. Of an earlier write without an answer only the version is copied, since this
-    /// scheduler's own state is newer. An unreadable row, which nobody can load, is replaced.
+    /// scheduler's own state is newer. An unreadable row, which cannot be loaded, is replaced.
     fn conflict(&mut self, batch: &Batch, found: &[Row]) {
         let (mut changed, mut foreign) = (Vec::new(), Vec::new());
         for w in &batch.writes {
--- a/tests/control_leader.rs
+++ b/tests/control_leader.rs
@@ -442,7 +442,7 @@
     assert_eq!(*store.written.lock().unwrap(), Vec::<String>::new());
 }
 
-/// Guards against terms that end one after the other because the cache lacks a row for good.
+/// Guards against terms that end one after the other because the cache permanently lacks a row.
 #[test]
 fn a_term_after_one_that_found_unknown_progress_reads_the_tables_again() {
     let clock = Clock::real();
--- a/tests/control_store_backlog.rs
+++ b/tests/control_store_backlog.rs
@@ -254,7 +254,7 @@
     assert_eq!(cell.stored(job), JobState::Completed);
 }
 
-/// A row that nobody can read doesn't end one term after the other.
+/// An unreadable row doesn't end one term after the other.
 #[test]
 fn an_unreadable_progress_row_is_replaced() {
     let (cell, job) = job_with_progress_of_another(b"junk".to_vec());
--- a/tests/control_unlisted.rs
+++ b/tests/control_unlisted.rs
@@ -291,7 +291,7 @@
     }
 }
 
-/// Guards against runners that are polled without a pause because a number is missing for good.
+/// Guards against runners that are polled without a pause because a number never arrives.
 #[test]
 fn a_missing_number_does_not_keep_completions_from_being_acknowledged() {
     let mut cell = Cell::new(1, 10);
