--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -86,6 +86,20 @@
     check(&Plan { traffic_s: 9, tail_s: 3, faults: faults("kill"), ..short(2, gaps) });
 }
 
+/// Guards against tasks that run again because their completion does not fit into an answer.
+#[test]
+fn no_rule_is_broken_with_runners_that_list_few_completions_at_once() {
+    check(&short(2, Gaps { page: 5, ..SLOW_LISTS }));
+}
+
+/// Guards against tasks that run again because a new leader finds more completions than one answer
+/// lists, so that it receives some of them late.
+#[test]
+fn no_rule_is_broken_by_takeovers_with_completions_that_wait_to_be_listed() {
+    let gaps = Gaps { page: 2, ..Gaps::NONE };
+    check(&Plan { traffic_s: 9, tail_s: 3, faults: faults("kill"), ..short(2, gaps) });
+}
+
 #[test]
 #[ignore = "run by hand"]
 fn runs_by_hand() {
