Soak: each run has a directory of its own

Cause: the directory of a run was named by its seed and the process, so that tests with one seed in one process wrote each other's settings: instances came up on the addresses and the store of another test.

Change: the name also has the number of the run.

--- a/tests/common/soak/mod.rs
+++ b/tests/common/soak/mod.rs
@@ -22,6 +22,7 @@
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,9 @@
     "no progress: task stopped",
 ];
 
+/// Number of the next run of this process: runs with one seed have directories of their own.
+static NEXT_RUN: AtomicU32 = AtomicU32::new(0);
+
 /// Times that a runner takes, each as a range in ms, and the size of its answers.
 #[derive(Clone, Copy, Debug)]
 pub struct Gaps {
@@ -122,7 +126,8 @@
 
 /// Runs a plan to its end.
 pub async fn run(plan: &Plan) -> Outcome {
-    let name = format!("soak-{}-{}", plan.seed, std::process::id());
+    let run = NEXT_RUN.fetch_add(1, Ordering::Relaxed);
+    let name = format!("soak-{}-{}-{run}", plan.seed, std::process::id());
     let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::create_dir_all(&dir).unwrap();
     let mut rng = StdRng::seed_from_u64(plan.seed);
