A list of completions is complete only if an earlier one was longer

An answer with fewer than 500 completions counted as complete. A new leader stopped an inherited run whose completion waited behind the list, and wrote it off 600 ms later, as the list had not reached it by then.

Ruled out: the time to wait after the stop (any bound is exceeded by a long enough list), and the acknowledgement of missing numbers (the lists were in order).

Change: an answer is complete if it lists no completion, or fewer than an earlier answer of the same incarnation: a runner that has listed more would have listed more again. Nothing is concluded from others, and the runner is polled again at once. `Report::has_more` is gone: 500 at a time is one case of this rule, and the report counts the completions that could not be decoded instead, since they take a place in the list.

--- a/src/control/engine/completions.rs
+++ b/src/control/engine/completions.rs
@@ -21,6 +21,8 @@
     pub highest: u64,
     /// When the last answer was given, ms of the runner's clock.
     answered: u64,
+    /// Most completions that an answer has listed: one that lists fewer was not cut short.
+    longest: usize,
     /// Lower numbers that were not received, and when a higher one first was, ms of the runner's
     /// clock.
     missing: BTreeMap<u64, u64>,
@@ -36,9 +38,12 @@
         number > self.highest || self.missing.contains_key(&number)
     }
 
-    /// Records an answer that was given at `clock`, ms of the runner's clock.
-    pub fn record_answer(&mut self, clock: u64) {
+    /// Records an answer that was given at `clock`, ms of the runner's clock, and lists this many
+    /// completions. Returns whether it lists all that the runner had to list.
+    pub fn record_answer(&mut self, clock: u64, listed: usize) -> bool {
         self.answered = clock;
+        self.longest = self.longest.max(listed);
+        listed == 0 || listed < self.longest
     }
 
     /// Records that the last answer lists a completion. Returns whether it is new.
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -65,7 +65,9 @@
     fn process_report(&mut self, k: RunnerKey, report: Report, now: Now) {
         let ended: BTreeSet<(TaskId, Attempt)> =
             report.ends.iter().map(|e| (e.task, e.attempt)).collect();
-        self.runners.get_mut(k).completions.record_answer(report.clock);
+        let listed = report.ends.len() + report.unreadable;
+        let completions = &mut self.runners.get_mut(k).completions;
+        let complete = completions.record_answer(report.clock, listed);
         for end in report.ends {
             if self.runners.get_mut(k).completions.receive(end.number) {
                 self.process_completion(k, &end, report.clock, now);
@@ -81,8 +83,8 @@
         for (id, attempt) in allocated {
             match active.get(&(id, attempt)) {
                 Some(a) => self.run_listed(k, id, a, now),
-                None if report.has_more || ended.contains(&(id, attempt)) => {}
-                None => self.run_not_listed(k, id, attempt, report.clock, now),
+                None if ended.contains(&(id, attempt)) => {}
+                None => self.run_not_listed(k, id, attempt, (report.clock, complete), now),
             }
         }
         for (task, attempt) in active.into_keys() {
--- a/src/control/engine/unlisted.rs
+++ b/src/control/engine/unlisted.rs
@@ -2,7 +2,8 @@
 //!
 //! A single such answer proves nothing: a runner may list a run some time after its start, and a
 //! completion some time after the run has ended. A run is over once its attempt was stopped and an
-//! answer still does not list it after the time that a stop and the listing take.
+//! answer still does not list it after the time that a stop and the listing take. That answer must
+//! list all completions: a runner lists a limited number at a time.
 
 use super::losses::Loss;
 use super::runs::{Run, Stage, StopReason};
@@ -55,19 +56,21 @@
 }
 
 impl Engine {
-    /// Handles a run that the runner does not list, while its capacity is still allocated.
+    /// Handles a run that an answer given at `clock`, ms of the runner's clock, does not list, while
+    /// its capacity is still allocated. Nothing follows from an answer that does not list all
+    /// completions.
     pub(super) fn run_not_listed(
         &mut self,
         k: RunnerKey,
         id: TaskId,
         attempt: Attempt,
-        clock: u64,
+        (clock, complete): (u64, bool),
         now: Now,
     ) {
         let rules = self.rules;
         let Some(run) = self.run_mut(k, id, attempt) else {
             let last_listed = self.runners.get(k).strays.get(&(id, attempt));
-            if last_listed.is_none_or(|at| at + rules.settle_ms() < clock) {
+            if complete && last_listed.is_none_or(|at| at + rules.settle_ms() < clock) {
                 self.deallocate(k, id, attempt);
             }
             return;
@@ -75,6 +78,7 @@
         let stage = run.stage;
         let recheck_at = match run.judge_absence(clock, &rules) {
             Absence::Inconclusive(recheck_at) => recheck_at,
+            _ if !complete => Some(clock),
             Absence::Suspect => {
                 self.stop_unlisted(k, id, stage, now);
                 Some(clock + rules.settle_ms())
--- a/src/control/ports.rs
+++ b/src/control/ports.rs
@@ -252,8 +252,8 @@
     pub active: Vec<ActiveRun>,
     /// Completions that have not been acknowledged, oldest first.
     pub ends: Vec<End>,
-    /// Whether there may be more completions: a run in neither list may then have ended.
-    pub has_more: bool,
+    /// Number of completions that the runner listed and that cannot be decoded.
+    pub unreadable: usize,
 }
 
 /// Error of a call to a runner.
--- a/tests/common/runner.rs
+++ b/tests/common/runner.rs
@@ -31,6 +31,9 @@
     pub checkpoints: bool,
 }
 
+/// Most completions that an answer lists by the platform's protocol.
+const MAX_LISTED: usize = 500;
+
 /// Work between two checkpoints, ms.
 const CHECKPOINT_MS: u64 = 2_000;
 
@@ -87,6 +90,8 @@
     /// Whether completions are numbered when runs end, and every other one is listed at once: those
     /// of higher numbers are listed first.
     pub out_of_order: bool,
+    /// Most completions that an answer lists.
+    pub page: usize,
     /// Runs that have ended and are not listed yet: the time when they are, ms, the completion,
     /// and the resources in use.
     pub ending: Vec<(u64, End, Resources)>,
@@ -130,6 +135,7 @@
             start_lag: 0,
             end_lag: 0,
             out_of_order: false,
+            page: MAX_LISTED,
             ending: Vec::new(),
             ends: Vec::new(),
             ended: Vec::new(),
@@ -158,6 +164,7 @@
             start_lag: self.start_lag,
             end_lag: self.end_lag,
             out_of_order: self.out_of_order,
+            page: self.page,
             ..Self::new(0, self.capacity)
         };
     }
--- a/tests/control_written_off.rs
+++ b/tests/control_written_off.rs
@@ -65,6 +65,37 @@
     check_each_ran_once(&cell, job);
 }
 
+/// Guards against tasks that run twice because a runner lists fewer completions at a time than the
+/// protocol allows, and a new leader takes the first lists for complete.
+#[test]
+fn completions_beyond_short_lists_are_not_lost_to_a_new_leader() {
+    for page in [3, 20, 100] {
+        let (mut cell, job) = cell_of_many();
+        cell.runners[0].page = page;
+        cell.faults.store_down = true;
+        cell.run(1_500);
+        assert_eq!(cell.running(), 0);
+        cell.change_leader();
+        cell.run(5_000);
+        cell.faults.store_down = false;
+        cell.run(30_000);
+        check_each_ran_once(&cell, job);
+    }
+}
+
+/// The same for tasks that have ended before the new leader's first poll, on a store that works.
+#[test]
+fn completions_beyond_short_lists_are_awaited_by_a_new_leader() {
+    for page in [1, 3, 20] {
+        let (mut cell, job) = cell_of_many();
+        cell.runners[0].page = page;
+        cell.run(500);
+        cell.change_leader();
+        cell.run(60_000);
+        check_each_ran_once(&cell, job);
+    }
+}
+
 /// Orders that the scheduler sends, besides polls.
 fn orders(cell: &mut Cell) -> Vec<Action> {
     let acts = cell.engine.take_actions().into_iter();
