Model checks: a variant must fail by an assertion

The variant -DSLOW -DNOLATE of unlisted.pml failed as expected, but with "blocking sel in d_step": a selection of the model had no branch left, and the check counted the error of the model as the expected failure. The variant fails by "a start after an acknowledged end" (627 states). scripts/spin-check: 37 checks passed, no other variant failed for another reason.

--- a/spec/unlisted.pml
+++ b/spec/unlisted.pml
@@ -99,7 +99,9 @@
        :: stage != NONE && runs == attempt ->
           stage = NONE;
           if :: done_there -> done = true :: else -> skip fi
-#ifndef NOLATE
+#ifdef NOLATE
+       :: else -> skip
+#else
        :: else -> if :: done_there -> done = true :: else -> skip fi
 #endif
        fi
