The answer to a poll sent before the store refused calls does not end the refusals

Polls of the feed that the store had accepted before were answered with 200 at the end of their wait of up to 1 s, and each of them started the 250 ms again; one also withdrew a report already made (seen in a trace of health, reports and heartbeats).

Ruled out: the store's stand-in is right to answer calls that it has accepted, as a store does.

Failures count from the first one until a call that was sent after it is served. `stalled_ms` and `unavailable` keep their rule. The new test fails before (50 ms instead of 250 ms) and passes after.

--- a/src/control/store_health.rs
+++ b/src/control/store_health.rs
@@ -35,6 +35,9 @@
     awaited: BTreeMap<u64, u64>,
     /// Time of the first failed call since the last served one, local ms.
     failing_since: Option<u64>,
+    /// Time of the first failed call since the last served one that was sent after a failure, local
+    /// ms.
+    refusing_since: Option<u64>,
     next_id: u64,
 }
 
@@ -66,11 +69,13 @@
         earliest.map_or(0, |since| now.saturating_sub(since))
     }
 
-    /// Time for which the store has refused or failed calls without serving any, ms. Calls without
-    /// a response so far do not count.
+    /// Time for which the store has refused or failed calls without serving any that was sent
+    /// meanwhile, ms. A poll that the store accepted before it began to refuse calls, and answers
+    /// at the end of its wait, does not show that it serves calls again. Calls without a response
+    /// so far do not count.
     pub fn failing_ms(&self) -> u64 {
         let now = self.clock.mono();
-        self.state.lock().unwrap().failing_since.map_or(0, |since| now.saturating_sub(since))
+        self.state.lock().unwrap().refusing_since.map_or(0, |since| now.saturating_sub(since))
     }
 
     /// Whether the store is considered unavailable to this process.
@@ -80,12 +85,12 @@
 
     /// Records the start of a call that the store may hold for `wait_ms` before it answers.
     pub fn call(&self, wait_ms: u64) -> Call<'_> {
-        let due = self.clock.mono() + wait_ms;
+        let sent = self.clock.mono();
         let mut st = self.state.lock().unwrap();
         st.next_id += 1;
         let id = st.next_id;
-        st.awaited.insert(id, due);
-        Call { store_health: self, id }
+        st.awaited.insert(id, sent + wait_ms);
+        Call { store_health: self, id, sent }
     }
 }
 
@@ -94,6 +99,8 @@
 pub struct Call<'a> {
     store_health: &'a StoreHealth,
     id: u64,
+    /// When the call was sent, local ms.
+    sent: u64,
 }
 
 impl Call<'_> {
@@ -105,8 +112,10 @@
         if served {
             st.last_served = now;
             st.failing_since = None;
+            st.refusing_since = st.refusing_since.filter(|&since| self.sent < since);
         } else {
             st.failing_since.get_or_insert(now);
+            st.refusing_since.get_or_insert(now);
         }
     }
 }
--- a/tests/control_store_health.rs
+++ b/tests/control_store_health.rs
@@ -83,3 +83,23 @@
     clock.advance(100);
     assert_eq!(store_health.stalled_ms(), 100);
 }
+
+/// Guards against a leader that reports only after a second that the store refuses its calls. Polls
+/// of the feed that the store had accepted before were answered meanwhile, each as if the store had
+/// served the leader again.
+#[test]
+fn the_answer_to_a_poll_sent_before_the_refusals_does_not_end_them() {
+    let (clock, store_health) = served_at_10();
+    let held = [store_health.call(200), store_health.call(300)];
+    clock.advance(10);
+    store_health.call(0).ended(false);
+    for poll in held {
+        clock.advance(100);
+        poll.ended(true);
+        store_health.call(0).ended(false);
+    }
+    clock.advance(50);
+    assert_eq!(store_health.failing_ms(), 250);
+    store_health.call(0).ended(true);
+    assert_eq!(store_health.failing_ms(), 0);
+}
