A report that the store refuses the leader is followed by a poll that does not wait

The report wakes the candidate, and shortens the time of the takeover from 1,050 to 500 ms without a heartbeat. The candidate then polls the election, with the wait of up to 400 ms that it had computed before the report, and decides only after that poll. In a trace, the report came after 439 ms without a heartbeat, and the takeover 403 ms later.

After a wakeup the poll does not wait. `MemoryStore::changed` is public for it.

--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -324,8 +324,11 @@
             let spent = self.clock.mono() - began;
             let interval = if linked() { LINKED_INTERVAL_MS } else { POLL_INTERVAL_MS };
             let pause = Box::pin(self.clock.sleep(interval.saturating_sub(spent).min(remaining)));
-            future::select(pause, self.wakeup.1.recv()).await;
-            wait_ms = WATCH_MS.min(remaining.saturating_sub(interval));
+            wait_ms = match future::select(pause, self.wakeup.1.recv()).await {
+                Either::Left(_) => WATCH_MS.min(remaining.saturating_sub(interval)),
+                // The takeover may be due earlier than that.
+                Either::Right(_) => 0,
+            };
         }
     }
 
--- a/tests/common/table.rs
+++ b/tests/common/table.rs
@@ -66,7 +66,7 @@
     }
 
     /// Returns the rows of `table` written after version `after`; deletions are not included.
-    fn changed(&self, table: &str, after: u64) -> Changes {
+    pub fn changed(&self, table: &str, after: u64) -> Changes {
         let st = self.state.lock().unwrap();
         let mut rows: Vec<Row> = st.rows.values().cloned().collect();
         rows.retain(|r| r.key.table == table && r.version > after);
--- a/tests/control_election.rs
+++ b/tests/control_election.rs
@@ -14,8 +14,13 @@
 use currantgw::control::rows::{self, FenceRow, LeaderRow};
 use currantgw::control::settings::NodeSettings;
 use currantgw::kernel::clock::Clock;
+use futures::task as poll;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 /// When the instance of the test has read what it needs to lead, ms.
@@ -218,3 +223,100 @@
         assert!(may_write(&store, &term, partition).await);
     }
 }
+
+/// Silence after which a suspect leader is replaced, ms: with the delay between candidates.
+const SUSPECT_MS: u64 = 500 + 80;
+
+/// A store that answers at once, and holds polls of its feed on the clock of the test.
+struct TimedStore {
+    rows: MemoryStore,
+    clock: Clock,
+}
+
+#[tide::utils::async_trait]
+impl Store for TimedStore {
+    async fn commit(&self, txn: &Txn, ms: u64) -> Result<Commit, CommitError> {
+        self.rows.commit(txn, ms).await
+    }
+
+    async fn page(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: Option<&str>,
+        limit: usize,
+    ) -> Result<Page, ReadError> {
+        self.rows.page(table, part, from, to, limit).await
+    }
+
+    async fn changes(&self, table: &str, after: u64, wait_ms: u64) -> Result<Changes, ReadError> {
+        let until = self.clock.mono() + wait_ms;
+        loop {
+            let found = self.rows.changed(table, after);
+            if !found.rows.is_empty() || self.clock.mono() >= until {
+                return Ok(found);
+            }
+            self.clock.sleep(1).await;
+        }
+    }
+}
+
+/// A leader on a manual clock, and an instance that is linked to it.
+struct Pair {
+    store: Arc<TimedStore>,
+    clock: Clock,
+    links: SocketAddr,
+    candidate: Election,
+}
+
+impl Pair {
+    fn new() -> Self {
+        let clock = Clock::manual();
+        let store = Arc::new(TimedStore { rows: MemoryStore::default(), clock: clock.clone() });
+        let links = "127.0.0.1:2".parse().unwrap();
+        let (life, size, next) = (1, 1_000, String::new());
+        let leader = LeaderRow { node: "leader".into(), life, links: Some(links), size, next };
+        store.rows.put(rows::leader_key(), rows::encode(&leader));
+        let candidate = Election::new(store.clone(), clock.clone(), &settings());
+        Self { store, clock, links, candidate }
+    }
+
+    /// Stores a heartbeat of the leader, and returns its version.
+    fn beat(&self) -> u64 {
+        self.store.rows.put(rows::heartbeat_key(), rows::encode(&self.clock.wall()))
+    }
+
+    /// Whether the candidate has written itself as the leader.
+    fn replaced(&self) -> bool {
+        let row = self.store.rows.row(&rows::leader_key()).expect("there is a leader");
+        rows::decode::<LeaderRow>(&row.value).expect("the row is readable").node == "n"
+    }
+}
+
+/// Polls a future every millisecond of a manual clock, until `ms` have passed.
+fn run_for<F: Future>(clock: &Clock, mut future: Pin<&mut F>, ms: u64) {
+    let mut cx = Context::from_waker(poll::noop_waker_ref());
+    for _ in 0..ms {
+        if let Poll::Ready(_) = future.as_mut().poll(&mut cx) {
+            return;
+        }
+        clock.advance(1);
+    }
+}
+
+/// Guards against a delay of up to 0.4 s of the takeover from a leader that the store refuses. Its
+/// report woke the candidate, whose next poll of the election waited for a change beyond the time
+/// of the takeover, which the report had advanced.
+#[test]
+fn a_poll_after_a_report_does_not_delay_the_takeover() {
+    for report_ms in (50..500).step_by(50) {
+        let pair = Pair::new();
+        pair.beat();
+        let mut campaign = std::pin::pin!(pair.candidate.campaign(|| true, || true));
+        run_for(&pair.clock, campaign.as_mut(), report_ms);
+        pair.candidate.suspect_leader(pair.links);
+        run_for(&pair.clock, campaign.as_mut(), SUSPECT_MS - report_ms);
+        assert!(pair.replaced(), "not replaced {SUSPECT_MS} ms after its heartbeat");
+    }
+}
