The time without a heartbeat of a leader that the store refuses is counted from the heartbeat

A linked instance polls the election every 450 ms, and counts the time without a heartbeat from the poll that showed it. In a trace the last heartbeat was 397 ms old then, and the takeover came 581 ms after that. A poll after the leader's report could also show an old heartbeat, and so withdraw the suspicion.

A report about another leader or an earlier heartbeat has no effect; the takeover is a conditional write as before. More frequent polls were no choice, since each is a priced call.

The new test, on a manual clock with the last heartbeat at 100 to 540 ms, fails if the report has no effect and passes with it.

--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -232,6 +232,31 @@
         }
     }
 
+    /// Version and age, ms, of the last heartbeat that this instance has stored as leader, or of what
+    /// it found when its term began; none if it is not the leader.
+    pub fn last_heartbeat(&self) -> Option<(u64, u64)> {
+        let seen = self.seen.lock().unwrap();
+        let is_leader = seen.leader.as_ref() == Some(&self.me);
+        is_leader.then(|| (seen.heartbeat, self.clock.mono().saturating_sub(seen.since)))
+    }
+
+    /// Records the version and age, ms, of the last heartbeat of the leader at `addr`, as reported by
+    /// it. A poll shows a heartbeat up to [`LINKED_INTERVAL_MS`] later, as if it were new.
+    pub fn record_heartbeat(&self, addr: SocketAddr, version: u64, age_ms: u64) {
+        let mut seen = self.seen.lock().unwrap();
+        let is_leader = seen.leader.as_ref().is_some_and(|l| l.links == Some(addr));
+        if !is_leader || version < seen.heartbeat {
+            return;
+        }
+        let stored = self.clock.mono().saturating_sub(age_ms);
+        seen.since = if version > seen.heartbeat { stored } else { seen.since.min(stored) };
+        seen.heartbeat = version;
+        if seen.suspect {
+            // A full channel already holds a wakeup.
+            let _ = self.wakeup.0.try_send(());
+        }
+    }
+
     /// Whether this instance is eligible: it is at least as large as the last leader, or there has
     /// been no heartbeat for so long that the larger instances are presumed unavailable. Where
     /// there has been no leader, smaller instances become eligible later than larger ones.
@@ -523,7 +548,14 @@
             remove: Vec::new(),
         };
         match self.store.commit(&txn, WRITE_MS).await? {
-            Commit::Done(_) => Ok(true),
+            Commit::Done(version) => {
+                let mut seen = self.seen.lock().unwrap();
+                if version > seen.heartbeat {
+                    seen.heartbeat = version;
+                    seen.since = self.clock.mono();
+                }
+                Ok(true)
+            }
             Commit::Conflict(found) => {
                 let position = self.seen.lock().unwrap().position.unwrap_or(0);
                 self.observe(found, position);
--- a/src/control/links/client.rs
+++ b/src/control/links/client.rs
@@ -336,6 +336,9 @@
                 self.store_unreachable.store(false, Ordering::Relaxed);
                 self.election.record_leader(row, version);
             }
+            Frame::LastHeartbeat { version, age } => {
+                self.election.record_heartbeat(from, version, age);
+            }
             Frame::StoreUnreachable => {
                 self.store_unreachable.store(true, Ordering::Relaxed);
                 // The store serves this instance but not the leader, which can be replaced early.
--- a/src/control/links/mod.rs
+++ b/src/control/links/mod.rs
@@ -123,6 +123,9 @@
     /// The leader known to the sender, and the version of its row.
     #[serde(rename = "Holder")]
     Leader { row: LeaderRow, version: u64 },
+    /// Version and age, ms, of the last heartbeat that the sender has stored as leader. Sent when it
+    /// loses the store, before [`Self::StoreUnreachable`].
+    LastHeartbeat { version: u64, age: u64 },
     /// The sender cannot reach the store.
     #[serde(rename = "Deaf")]
     StoreUnreachable,
--- a/src/control/links/server.rs
+++ b/src/control/links/server.rs
@@ -256,6 +256,11 @@
         loop {
             let unreachable = self.store_unreachable();
             if unreachable != last {
+                if let Some((version, age)) = self.election.last_heartbeat().filter(|_| unreachable)
+                {
+                    self.server
+                        .broadcast(&encode(&Frame::LastHeartbeat { version, age }), |_| true);
+                }
                 self.server.broadcast(&encode(&self.idle_frame()), |_| true);
             }
             last = unreachable;
--- a/tests/control_election.rs
+++ b/tests/control_election.rs
@@ -294,15 +294,16 @@
     }
 }
 
-/// Polls a future every millisecond of a manual clock, until `ms` have passed.
-fn run_for<F: Future>(clock: &Clock, mut future: Pin<&mut F>, ms: u64) {
+/// Polls a future every millisecond of a manual clock, until it is ready or `ms` have passed.
+fn run_for<F: Future>(clock: &Clock, mut future: Pin<&mut F>, ms: u64) -> Option<F::Output> {
     let mut cx = Context::from_waker(poll::noop_waker_ref());
     for _ in 0..ms {
-        if let Poll::Ready(_) = future.as_mut().poll(&mut cx) {
-            return;
+        if let Poll::Ready(out) = future.as_mut().poll(&mut cx) {
+            return Some(out);
         }
         clock.advance(1);
     }
+    None
 }
 
 /// Guards against a delay of up to 0.4 s of the takeover from a leader that the store refuses. Its
@@ -320,3 +321,58 @@
         assert!(pair.replaced(), "not replaced {SUSPECT_MS} ms after its heartbeat");
     }
 }
+
+/// Guards against a takeover from a leader that the store refuses up to 0.4 s later than due. A poll
+/// of the election showed its last heartbeat late, as if it were new: the time without one began
+/// again, and the candidate forgot the leader's report.
+#[test]
+fn a_poll_that_shows_the_last_heartbeat_late_does_not_delay_the_takeover() {
+    for last_ms in (100..560).step_by(20) {
+        let pair = Pair::new();
+        pair.beat();
+        let mut campaign = std::pin::pin!(pair.candidate.campaign(|| true, || true));
+        run_for(&pair.clock, campaign.as_mut(), last_ms);
+        let version = pair.beat();
+        let age = 300;
+        run_for(&pair.clock, campaign.as_mut(), age);
+        pair.candidate.record_heartbeat(pair.links, version, age);
+        pair.candidate.suspect_leader(pair.links);
+        run_for(&pair.clock, campaign.as_mut(), SUSPECT_MS - age);
+        assert!(pair.replaced(), "not replaced {SUSPECT_MS} ms after its heartbeat at {last_ms}");
+    }
+}
+
+/// A leader that stores heartbeats knows the version and the age of the last one, which it reports
+/// once the store refuses it.
+#[test]
+fn a_leader_knows_its_last_heartbeat() {
+    let clock = Clock::manual();
+    let store = Arc::new(TimedStore { rows: MemoryStore::default(), clock: clock.clone() });
+    let election = Election::new(store.clone(), clock.clone(), &settings());
+    assert_eq!(election.last_heartbeat(), None);
+    let campaign = std::pin::pin!(election.campaign(|| false, || true));
+    let term = run_for(&clock, campaign, 1_000).expect("nobody else is a candidate");
+    clock.advance(250);
+    let beat = std::pin::pin!(election.send_heartbeat(term));
+    assert_eq!(run_for(&clock, beat, 1), Some(Ok(true)));
+    let stored = store.rows.row(&rows::heartbeat_key()).expect("there is a heartbeat").version;
+    clock.advance(90);
+    assert_eq!(election.last_heartbeat(), Some((stored, 90)));
+    election.reset();
+    assert_eq!(election.last_heartbeat(), None);
+}
+
+/// A report about an earlier leader, or of an earlier heartbeat than the newest known, has no effect.
+#[test]
+fn a_report_that_is_out_of_date_has_no_effect() {
+    let pair = Pair::new();
+    let earlier = pair.beat();
+    let newest = pair.beat();
+    let mut campaign = std::pin::pin!(pair.candidate.campaign(|| true, || true));
+    run_for(&pair.clock, campaign.as_mut(), 300);
+    pair.candidate.record_heartbeat(pair.links, earlier, 5_000);
+    pair.candidate.record_heartbeat("127.0.0.1:3".parse().unwrap(), newest, 5_000);
+    pair.candidate.suspect_leader(pair.links);
+    run_for(&pair.clock, campaign.as_mut(), 199);
+    assert!(!pair.replaced(), "replaced before 500 ms without a heartbeat");
+}
