--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -67,6 +67,8 @@
     /// Time after which a call to a crashed runner is sent again, ms; 0 if it is not. It reaches the
     /// runner's next incarnation if there is one by then.
     pub resent_after: u64,
+    /// Longest additional delay of an answer, ms: answers overtake each other.
+    pub answer_ms: u64,
 }
 
 /// Duration of transactions: each partition carries out one at a time.
--- a/tests/common/control/calls.rs
+++ b/tests/common/control/calls.rs
@@ -153,7 +153,11 @@
         if answered {
             let idle = matches!(e, Event::Polled(_, Ok(ref r)) if r.ends.is_empty());
             let wait = if idle { IDLE_POLL_MS } else { 0 };
-            self.schedule(ONE_WAY_MS + wait, e);
+            let delay = match self.faults.answer_ms {
+                0 => 0,
+                longest => self.rng.gen_range(0..=longest),
+            };
+            self.schedule(ONE_WAY_MS + wait + delay, e);
         }
     }
 }
--- a/tests/control_crashes.rs
+++ b/tests/control_crashes.rs
@@ -267,7 +267,7 @@
 fn draw_faults(rng: &mut StdRng) -> Faults {
     let mut drawn = |share: f64| if rng.gen_bool(0.3) { share } else { 0.0 };
     let (late, unanswered, commits) = (drawn(0.1), drawn(0.2), drawn(0.3));
-    Faults { late, unanswered, commits, store_down: rng.gen_bool(0.1), resent_after: 0 }
+    Faults { late, unanswered, commits, store_down: rng.gen_bool(0.1), ..Faults::default() }
 }
 
 /// Causes a random disturbance: a leader change, an unreachable runner, a crash, or none.
--- a/tests/control_teams.rs
+++ b/tests/control_teams.rs
@@ -357,7 +357,7 @@
                 unanswered: if rng.gen_bool(0.3) { 0.1 } else { 0.0 },
                 commits: if rng.gen_bool(0.3) { 0.3 } else { 0.0 },
                 store_down: rng.gen_bool(0.1),
-                resent_after: 0,
+                ..Faults::default()
             };
             let count = rng.gen_range(1..6);
             let work = Step {
--- a/tests/control_unlisted.rs
+++ b/tests/control_unlisted.rs
@@ -242,7 +242,7 @@
                 unanswered: if rng.gen_bool(0.2) { 0.1 } else { 0.0 },
                 commits: if rng.gen_bool(0.2) { 0.3 } else { 0.0 },
                 store_down: rng.gen_bool(0.05),
-                resent_after: 0,
+                ..Faults::default()
             };
             let gang = rng.gen_bool(0.3);
             let work = Step { gang, ..step(rng.gen_range(1..6), 2_500, rng.gen_range(100..2_500)) };
