A run that an answer lists as active and as ended is over

Nobody has reported this. A runner that reads its active runs before its completions lists a run that ends in between twice. The completion released the run, and then the list of active runs showed one that no scheduler expected: it was stopped as a stray, and its capacity stayed taken until answers had not listed it for the time of a stop and of the listing (`stop_ms` + 200 ms).

The list of completions decides: an attempt that has ended does not run. It breaks no rule either way; what it costs is a call, a warning, and room on the runner.

The test failed before: one stop, 1,000 of 1,000 thousandths of a core still allocated. `control_unlisted`, `control_written_off`, `control_engine`, `control_restarts`, `control_crashes`, `control_teams` and `scheduling` pass.

--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -85,7 +85,9 @@
                 None => self.run_not_listed(k, id, attempt, report.clock, now),
             }
         }
-        for (task, attempt) in active.into_keys() {
+        // A runner may list the active runs before the completions: a run that ends in between is in
+        // both lists.
+        for (task, attempt) in active.into_keys().filter(|run| !ended.contains(run)) {
             if self.run_mut(k, task, attempt).is_none() {
                 self.stop_orphan(k, task, attempt, report.clock);
             }
--- a/tests/control_answers.rs
+++ b/tests/control_answers.rs
@@ -6,7 +6,11 @@
 }
 
 use common::control::{step, Cell, Faults};
-use currantgw::control::model::Step;
+use currantgw::control::engine::{Action, Now, Outcome};
+use currantgw::control::model::{EndKind, Step};
+use currantgw::control::partitions::PartitionScope;
+use currantgw::control::ports::{ActiveRun, End, Report};
+use currantgw::kernel::res::Resources;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -61,3 +65,30 @@
         assert_eq!(cell.running(), 0, "seed {seed}");
     }
 }
+
+/// Guards against capacity that is taken, and stops that are sent, for a run that has ended: its
+/// runner had listed the active runs before the completions.
+#[test]
+fn a_run_listed_as_active_and_as_ended_is_over() {
+    let mut cell = Cell::new(1, 2);
+    cell.run(300);
+    let now = Now { mono: cell.now, wall: cell.now };
+    let (born, clock) = (Some(cell.runners[0].born), cell.runners[0].clock(cell.now));
+    cell.submit(1, "patient", vec![step(1, 1_000, 10)]);
+    cell.engine.plan(now);
+    let batch = cell.engine.take_batch(PartitionScope::All, 46, now);
+    cell.engine.committed(&batch, &Outcome::Done(7), now);
+    let start = cell.engine.take_actions().into_iter().find_map(|act| match act {
+        Action::Start { runner, start, .. } => Some((runner, start.task, start.attempt)),
+        _ => None,
+    });
+    let (k, task, attempt) = start.expect("the start of the task");
+    cell.engine.started(k, task, attempt, Ok(clock), now);
+    let active = vec![ActiveRun { task, attempt, saved: String::new(), percent: 99.0, load: 0.0 }];
+    let ends = vec![End { number: 1, task, attempt, kind: EndKind::Done, saved: String::new() }];
+    let report = Report { born, clock: clock + 1, active, ends, has_more: false };
+    cell.engine.polled(k, Ok(report), now);
+    let stops = cell.engine.take_actions().into_iter().filter(|a| matches!(a, Action::Stop { .. }));
+    let used = cell.engine.runners().map(|(_, r)| r.used).collect::<Vec<_>>();
+    assert_eq!((stops.count(), used), (0, vec![Resources::ZERO]));
+}
