Acknowledge completions although planning rounds are slow

Callers saw nothing; the runners would: completions that are listed again with each answer and never acknowledged, on a machine whose processor is shared.

Completions are acknowledged only by a poll that is decided at most 400 ms after the answer that listed them. An answer with nothing new in it was followed by a pause of 200 ms, meant for a store that is slow, also if all of it was stored. With planning rounds of 200 ms and more, and the time for events between them, the next poll was decided later than those 400 ms each time: it acknowledged nothing, and its answer again listed nothing new. New completions ended that; the last ones of a runner stayed.

The pause is now short if some of the listed completions may be acknowledged. What an acknowledgement requires is as before.

The test failed before with 4 of 4.

Polls that follow a store slower than 25 ms come after 25 ms instead of 200, so that there are somewhat more of them.

--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -9,11 +9,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Delay after a poll that returned new completions, ms: time to store them, so that the next poll
-/// can acknowledge them.
+/// can acknowledge them. Also the delay after one whose completions may be acknowledged by now: they
+/// are acknowledged only soon after an answer.
 const STORE_DELAY_MS: u64 = 25;
 
-/// Delay after a poll that returned only completions already processed, ms. The store is slow or
-/// unavailable then, and the runner answers such polls at once.
+/// Delay after a poll that returned only completions that are processed and not stored, ms. The store
+/// is slow or unavailable then, and the runner answers such polls at once.
 const UNSTORED_DELAY_MS: u64 = 200;
 
 /// Delay after a failed poll, ms.
@@ -41,13 +42,15 @@
                 runner.lists_completions = !report.ends.is_empty();
                 runner.polled_at = now.mono;
                 let has_new = report.ends.iter().any(|e| runner.completions.is_new(e.number));
-                runner.next_poll = now.mono
-                    + match (report.ends.is_empty(), has_new) {
-                        (true, _) => 0,
-                        (false, true) => STORE_DELAY_MS,
-                        (false, false) => UNSTORED_DELAY_MS,
-                    };
+                let lowest = report.ends.iter().map(|e| e.number).min();
                 self.process_report(k, report, now);
+                let acknowledgeable = self.acknowledgeable(k);
+                let delay = match lowest {
+                    None => 0,
+                    Some(number) if has_new || number <= acknowledgeable => STORE_DELAY_MS,
+                    Some(_) => UNSTORED_DELAY_MS,
+                };
+                self.runners.get_mut(k).next_poll = now.mono + delay;
             }
             Err(why) => {
                 runner.next_poll = now.mono + POLL_RETRY_MS;
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -5,7 +5,7 @@
 use super::late_completions::LostRun;
 use super::losses::Loss;
 use super::teams::TeamKey;
-use super::{Action, Engine, Now, RunnerKey};
+use super::{Action, Engine, Job, Now, RunnerKey};
 use crate::control::crashes::Losses;
 use crate::control::model::{Attempt, Born, JobId, TaskId};
 use crate::control::ports::{PollRequest, RunnerCall, RunnerEntry};
@@ -323,13 +323,25 @@
     }
 }
 
+/// Whether a revision of a job's progress is stored, or the job is not known any more.
+fn is_stored(jobs: &BTreeMap<JobId, Job>, id: JobId, rev: u64) -> bool {
+    jobs.get(&id).is_none_or(|j| j.stored >= rev)
+}
+
 impl Engine {
+    /// Number up to which completions of a runner may be acknowledged.
+    pub(super) fn acknowledgeable(&mut self, k: RunnerKey) -> u64 {
+        let (jobs, settle_ms) = (&self.jobs, self.rules.settle_ms());
+        let stored = |id: JobId, rev: u64| is_stored(jobs, id, rev);
+        self.runners.get_mut(k).completions.acknowledge(stored, settle_ms)
+    }
+
     /// Polls every runner whose next poll is due.
     pub(super) fn poll_runners(&mut self, now: Now) {
         let (fence, lease_ms, settle_ms) =
             (self.fence, self.rules.lease_ms, self.rules.settle_ms());
         let jobs = &self.jobs;
-        let stored = |id: JobId, rev: u64| jobs.get(&id).is_none_or(|j| j.stored >= rev);
+        let stored = |id: JobId, rev: u64| is_stored(jobs, id, rev);
         let mut acts = Vec::new();
         for (k, r) in self.runners.iter_mut() {
             let needed = r.listed || r.announced.is_some() || !r.tasks.is_empty();
--- a/tests/control_answers.rs
+++ b/tests/control_answers.rs
@@ -5,7 +5,7 @@
     pub mod runner;
 }
 
-use common::control::{step, Cell, Faults};
+use common::control::{step, Cell, Faults, STEP_MS};
 use currantgw::control::engine::{Action, Now, Outcome};
 use currantgw::control::model::{EndKind, Step};
 use currantgw::control::partitions::PartitionScope;
@@ -20,6 +20,12 @@
 /// Longest additional delay of an answer, ms.
 const ANSWER_MS: u64 = 500;
 
+/// Duration of a planning round of a leader that is short of processor time, ms.
+const PLAN_MS: u64 = 320;
+
+/// Longest time for which the leader handles events between two rounds, ms.
+const EVENTS_MS: u64 = 120;
+
 /// Guards against runs that are lost or started twice because answers on different connections
 /// overtake each other and the clocks of runners run at different rates.
 #[test]
@@ -66,6 +72,23 @@
     }
 }
 
+/// Guards against completions that are never acknowledged because planning rounds are slow.
+#[test]
+fn completions_are_acknowledged_although_planning_is_slow() {
+    let mut cell = Cell::new(2, 1);
+    cell.run(300);
+    cell.submit(1, "patient", vec![step(4, 1_000, 400)]);
+    for _ in 0..20 {
+        cell.starve(PLAN_MS);
+        cell.freeze(EVENTS_MS - STEP_MS);
+        cell.run(STEP_MS);
+    }
+    cell.check();
+    let listed = cell.runners.iter().map(|r| r.listed.len()).sum::<usize>();
+    let unacked = cell.runners.iter().map(|r| r.ends.len()).sum::<usize>();
+    assert_eq!((listed, unacked), (4, 0));
+}
+
 /// Guards against capacity that is taken, and stops that are sent, for a run that has ended: its
 /// runner had listed the active runs before the completions.
 #[test]
