A runner that stood still has to list nothing in its first answer

Nobody has reported this. A run was written off by the first answer whose clock was later than `stop_ms` and 200 ms after the acknowledged stop. A runner that stands still after the stop (a process that gets no processor time, a machine that is paused) answers the poll that waits when it goes on: its clock is seconds later, and it has listed nothing meanwhile. The task was started again, and the completion of the run came with the next answer: TWICE, or LIMIT for as long as it was not listed. It is the class of the incident: a conclusion from what one answer does not contain.

The 200 ms for the listing now count from the first answer that does not list the run after the time that a stop takes. While nothing stands still, the decision comes as late as before; it takes one poll more.

Not covered: a runner that takes longer than 200 ms of its own running time to list an end, strays (only their capacity), and missing numbers of completions, which are awaited by the runner's clock alone.

--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -125,6 +125,7 @@
         let Some(run) = task.run.as_mut().filter(|r| r.runner == k) else { return };
         run.listed = true;
         run.unlisted_since = None;
+        run.ended_since = None;
         run.progress.record(a.percent, now.mono);
         let progress = run.progress;
         match run.stage {
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -5,8 +5,8 @@
 //! run twice. A run therefore keeps its capacity until one of these:
 //!
 //! - its completion is reported;
-//! - a stop of its attempt was acknowledged, and a poll does not list it after the time that a stop
-//!   takes at most;
+//! - a stop of its attempt was acknowledged, and polls after the time that a stop takes at most do not
+//!   list it for the time that the listing of a completion takes;
 //! - the lease of its runner has expired;
 //! - another incarnation has replaced the runner, and no order can start the run there.
 
@@ -136,6 +136,9 @@
     /// Since when answers have not listed it although its start was confirmed, ms of the runner's
     /// clock.
     pub unlisted_since: Option<u64>,
+    /// Since when answers have not listed it although its stop has to be over, ms of the runner's
+    /// clock.
+    pub ended_since: Option<u64>,
     /// Progress as reported by the runner.
     pub progress: Progress,
     /// When a stop was last sent, local ms.
@@ -155,6 +158,7 @@
             outcome_unknown: false,
             listed: false,
             unlisted_since: None,
+            ended_since: None,
             progress,
             stop_at: 0,
             ticket: None,
@@ -214,6 +218,7 @@
             return;
         }
         run.stage = Stage::Stopping { answered: None };
+        run.ended_since = None;
         run.stop_at = now.mono;
         let k = run.runner;
         self.stopping.insert(id);
--- a/src/control/engine/unlisted.rs
+++ b/src/control/engine/unlisted.rs
@@ -1,12 +1,13 @@
 //! Runs that an answer of their runner lists neither as active nor as completed.
 //!
 //! A single such answer proves nothing: a runner may list a run some time after its start, and a
-//! completion some time after the run has ended. A run is over once its attempt was stopped and an
-//! answer still does not list it after the time that a stop and the listing take.
+//! completion some time after the run has ended. A run is over once its attempt was stopped, and
+//! answers after the time that a stop takes do not list it for the time that the listing takes. A
+//! runner that stood still meanwhile has listed nothing, so that time counts from the first of them.
 
 use super::losses::Loss;
 use super::runs::{Run, Stage, StopReason};
-use super::{Engine, Now, Rules, RunnerKey};
+use super::{Engine, Now, Rules, RunnerKey, LISTING_MS};
 use crate::control::model::{Attempt, TaskId};
 
 /// What follows from an answer that does not list a run.
@@ -44,9 +45,13 @@
             }
             // A start that arrives after the stop of its attempt is refused.
             Stage::Stopping { answered: Some(stopped) } => {
-                let settled = stopped + rules.settle_ms();
-                match clock <= settled {
-                    true => Absence::Inconclusive(Some(settled)),
+                let ended = stopped + rules.stop_ms;
+                if clock <= ended {
+                    return Absence::Inconclusive(Some(ended));
+                }
+                let listed = *self.ended_since.get_or_insert(clock) + LISTING_MS;
+                match clock <= listed {
+                    true => Absence::Inconclusive(Some(listed)),
                     false => Absence::Over,
                 }
             }
