Await missing completions of a runner that stood still

A completion that is listed after one with a higher number holds back the acknowledgement for as long as a stop and the listing take, by the runner's clock. A runner that stands still for longer lists nothing meanwhile: its first answer ended the wait, the higher number was acknowledged, and the runner forgot the other one unseen. Its task then runs again after `done`, or its failure does not count.

At most 200 ms between two answers count as waiting now, which is the usual time between answers that list completions.

The test failed before: number 2 acknowledged by the poll after the first answer, 3 s later, with number 1 missing. `control_answers`, `control_unlisted`, `control_written_off`, `control_restarts`, `control_engine` and `control_store_backlog` pass.

--- a/src/control/engine/completions.rs
+++ b/src/control/engine/completions.rs
@@ -14,6 +14,10 @@
 /// them an earlier one has received.
 const MAX_MISSING_BEFORE: u64 = 64;
 
+/// Longest time between two answers that counts as waiting for a missing number, ms. A runner that
+/// stands still lists nothing.
+const MAX_GAP_MS: u64 = 200;
+
 /// Received completions of one incarnation of a runner.
 #[derive(Clone, Debug, Default)]
 pub struct Completions {
@@ -21,8 +25,9 @@
     pub highest: u64,
     /// When the last answer was given, ms of the runner's clock.
     answered: u64,
-    /// Lower numbers that were not received, and when a higher one first was, ms of the runner's
-    /// clock.
+    /// Time between answers so far, ms of the runner's clock, without what is beyond [`MAX_GAP_MS`].
+    waited: u64,
+    /// Lower numbers that were not received, and the value of `waited` when a higher one first was.
     missing: BTreeMap<u64, u64>,
     /// Those that are not acknowledged: job, and its revision that must be stored before.
     unacked: BTreeMap<u64, (JobId, u64)>,
@@ -38,6 +43,7 @@
 
     /// Records an answer that was given at `clock`, ms of the runner's clock.
     pub fn record_answer(&mut self, clock: u64) {
+        self.waited += clock.saturating_sub(self.answered).min(MAX_GAP_MS);
         self.answered = clock;
     }
 
@@ -48,7 +54,7 @@
         }
         let before = if self.highest == 0 { MAX_MISSING_BEFORE } else { MAX_MISSING };
         let first = (self.highest + 1).max(number.saturating_sub(before));
-        self.missing.extend((first..number).map(|n| (n, self.answered)));
+        self.missing.extend((first..number).map(|n| (n, self.waited)));
         while self.missing.len() as u64 > MAX_MISSING {
             self.missing.pop_first();
         }
@@ -68,10 +74,10 @@
     }
 
     /// Number up to which completions may be acknowledged. `stored` is whether a revision of a job is
-    /// stored. A missing number is awaited until an answer does not list it after `wait_ms`.
+    /// stored. A missing number is awaited until answers have not listed it for `wait_ms`.
     pub fn acknowledge(&mut self, stored: impl Fn(JobId, u64) -> bool, wait_ms: u64) -> u64 {
         while let Some((&number, &(job, rev))) = self.unacked.first_key_value() {
-            let awaited = self.missing.range(..number).any(|(_, at)| at + wait_ms >= self.answered);
+            let awaited = self.missing.range(..number).any(|(_, at)| at + wait_ms >= self.waited);
             if awaited || !stored(job, rev) {
                 break;
             }
--- a/tests/control_answers.rs
+++ b/tests/control_answers.rs
@@ -150,3 +150,30 @@
     let state = cell.engine.job(job).map(|j| j.state);
     assert_eq!((state, cell.engine.counts.written_off), (Some(JobState::Completed), 0));
 }
+
+/// Guards against a completion that is forgotten before it is listed: its runner stood still, and the
+/// first answer afterwards lists only one with a higher number.
+#[test]
+fn a_completion_is_awaited_from_a_runner_that_stood_still() {
+    let mut cell = Cell::new(1, 4);
+    cell.run(300);
+    let now = Now { mono: cell.now, wall: cell.now };
+    let (born, clock) = (Some(cell.runners[0].born), cell.runners[0].clock(cell.now));
+    cell.submit(1, "patient", vec![step(1, 1_000, 10)]);
+    let (k, task, attempt) = start_of(&mut cell, now);
+    cell.engine.started(k, task, attempt, Ok(clock), now);
+    let ends = vec![End { number: 2, task, attempt, kind: EndKind::Done, saved: String::new() }];
+    let report = Report { born, clock: clock + 1, ends, ..Report::default() };
+    cell.engine.polled(k, Ok(report.clone()), now);
+    let batch = cell.engine.take_batch(PartitionScope::All, 46, now);
+    cell.engine.committed(&batch, &Outcome::Done(8), now);
+    let later = Now { mono: now.mono + STILL_MS, wall: now.wall + STILL_MS };
+    cell.engine.polled(k, Ok(Report { clock: clock + STILL_MS, ..report }), later);
+    let next = Now { mono: later.mono + 200, wall: later.wall + 200 };
+    cell.engine.tick(next);
+    let acked = cell.engine.take_actions().into_iter().find_map(|act| match act {
+        Action::Poll { poll, .. } => Some(poll.acked),
+        _ => None,
+    });
+    assert_eq!(acked, Some(0));
+}
