A new leader takes the jobs only from tables that are cached at that moment

Nobody has reported this, and it takes a thread that loses the processor at the wrong moment. A term waited until jobs, progress and the registry were cached, one after the other, and copied the jobs afterwards. Another thread of the instance that had decided before the election not to cache jobs any more could drop them in between. The term then began without them: it acknowledged completions of jobs that it did not know, and treated the jobs that the feed brought back as new ones. `commit conflicts with progress that this scheduler did not store` ends such a term before it starts anything; what it has acknowledged is lost.

The check and the copy are now made under one lock, and the tables are read again if the check fails.

The test, in which jobs are dropped while the registry is read, failed before: the leader stored progress of a job that had ended. Now it stores none. That the two threads meet in this way outside of a test was not seen.

--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -12,7 +12,7 @@
 use super::engine::{Batch, Engine, Now, Outcome, Rules, RunnerKey};
 use super::health::Dependency;
 use super::links::server::LinkServer;
-use super::mirror::{Mirror, Table, Update};
+use super::mirror::{Mirror, StoredJob, Table, Update};
 use super::model::{Attempt, JobId, JobState, StepId, TaskId};
 use super::partitions::{self, PartitionScope};
 use super::ports::{Advice, AdviceError, CommitError, Refusal, Report, Runners, Store};
@@ -133,15 +133,14 @@
         // Changes from here on arrive through the channel, earlier ones are in the snapshot. A job
         // that is in both is ignored the second time.
         self.mirror.subscribe(Some(tx));
-        if !self.read_tables(term).await {
+        let Some(mut jobs) = self.read_tables(term).await else {
             self.mirror.subscribe(None);
             self.step_down(term).await;
             return;
-        }
+        };
         let mut engine = Engine::new(self.rules, term.fence, self.now());
         engine.set_catalogue(self.mirror.catalogue());
         // Shares of teams are counted in the order of submission.
-        let mut jobs = self.mirror.snapshot();
         jobs.sort_by_key(|job| job.row.at);
         for job in jobs {
             engine.add_job(job.id, job.row, job.progress, self.now());
@@ -177,18 +176,26 @@
 
     /// Reads everything that earlier leaders have stored, and the registry. The tables are read
     /// concurrently: one after the other they would add most of a second to a takeover on a slow
-    /// store.
-    async fn read_tables(&self, term: Term) -> bool {
+    /// store. Returns all jobs, or none if that takes too long.
+    async fn read_tables(&self, term: Term) -> Option<Vec<StoredJob>> {
         let deadline = self.clock.mono() + STEP_DOWN_MS / 2;
         let read = |table, version| self.read_up_to(table, version, deadline);
-        let (progress, jobs, registry) = futures::join!(
-            read(Table::Progress, term.version()),
-            // An earlier leader may have stored progress of any job that was stored before its
-            // partition was fenced.
-            read(Table::Jobs, term.version()),
-            read(Table::Registry, 0),
-        );
-        progress && jobs && registry
+        loop {
+            let (progress, jobs, registry) = futures::join!(
+                read(Table::Progress, term.version()),
+                // An earlier leader may have stored progress of any job that was stored before its
+                // partition was fenced.
+                read(Table::Jobs, term.version()),
+                read(Table::Registry, 0),
+            );
+            if !(progress && jobs && registry) {
+                return None;
+            }
+            // A table may have been discarded while the others were read.
+            if let Some(jobs) = self.mirror.snapshot_at(term.version()) {
+                return Some(jobs);
+            }
+        }
     }
 
     /// Polls a table until it is cached up to `version`; false if that takes until `deadline`, local
--- a/src/control/mirror/mod.rs
+++ b/src/control/mirror/mod.rs
@@ -272,18 +272,17 @@
         st.forget(Table::Registry);
     }
 
-    /// All cached jobs with their progress, for a new leader.
+    /// All cached jobs with their progress.
     pub fn snapshot(&self) -> Vec<StoredJob> {
+        self.state.lock().unwrap().stored_jobs()
+    }
+
+    /// All cached jobs with their progress, for a new leader; none if one of the tables is not cached
+    /// up to `version`. It may have been discarded since it was read.
+    pub fn snapshot_at(&self, version: u64) -> Option<Vec<StoredJob>> {
         let st = self.state.lock().unwrap();
-        let stored_job = |(id, job): (&JobId, &JobEntry)| {
-            let row = job.row.clone()?;
-            let progress = st.progress.get(id).and_then(|p| {
-                let row = rows::decode(p.value.as_ref()?).ok()?;
-                Some((p.version, row))
-            });
-            Some(StoredJob { id: *id, row, progress, cancelled: job.cancelled })
-        };
-        st.jobs.iter().filter_map(stored_job).collect()
+        let is_cached = |table| st.cached_version(table) >= Some(version);
+        (is_cached(Table::Jobs) && is_cached(Table::Progress)).then(|| st.stored_jobs())
     }
 
     /// Adds a job that this instance has stored or read.
--- a/src/control/mirror/state.rs
+++ b/src/control/mirror/state.rs
@@ -1,7 +1,7 @@
 //! Contents of the cache: decodes rows, and keeps the newer of two versions of a row.
 
 use super::reading::{Reading, SliceSizer};
-use super::{Table, Update};
+use super::{StoredJob, Table, Update};
 use crate::control::model::{Catalogue, JobId, JobState};
 use crate::control::ports::{Key, Page, Row};
 use crate::control::rows::{self, JobKey, JobRow, ProgressRow};
@@ -126,6 +126,19 @@
         })
     }
 
+    /// All jobs with their progress.
+    pub fn stored_jobs(&self) -> Vec<StoredJob> {
+        let stored_job = |(id, job): (&JobId, &JobEntry)| {
+            let row = job.row.clone()?;
+            let progress = self.progress.get(id).and_then(|p| {
+                let row = rows::decode(p.value.as_ref()?).ok()?;
+                Some((p.version, row))
+            });
+            Some(StoredJob { id: *id, row, progress, cancelled: job.cancelled })
+        };
+        self.jobs.iter().filter_map(stored_job).collect()
+    }
+
     /// The next slice of a table that is being read: partitions, each with the key to read from,
     /// and the number of rows to request from each.
     pub fn slice(&self, table: Table) -> Option<(Vec<(String, String)>, usize)> {
--- a/tests/control_leader.rs
+++ b/tests/control_leader.rs
@@ -24,6 +24,7 @@
 use currantgw::control::store_health::StoreHealth;
 use currantgw::kernel::clock::Clock;
 use currantgw::kernel::stop;
+use currantgw::platform::runners;
 use futures::task;
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -253,6 +254,8 @@
     Behind,
     /// The answers never have the rows.
     Skips,
+    /// With all changes. The registry is read late, and jobs are not cached for a moment meanwhile.
+    Dropped,
 }
 
 /// A store with a fault of the progress feed.
@@ -285,7 +288,8 @@
         to: Option<&str>,
         limit: usize,
     ) -> Result<Page, ReadError> {
-        if self.polls.load(Ordering::Relaxed) > 0 {
+        let slow = self.feed != Feed::Dropped || table == runners::REGISTRY_TABLE;
+        if slow && self.polls.load(Ordering::Relaxed) > 0 {
             pause(100).await;
         }
         self.inner.page(table, partition, from, to, limit).await
@@ -356,6 +360,10 @@
         let own = async {
             if feed == Feed::Expires {
                 let _ = leader.mirror.poll(Table::Progress, 0).await;
+            } else if feed == Feed::Dropped {
+                pause(50).await;
+                leader.mirror.set_cache_jobs(false);
+                leader.mirror.set_cache_jobs(true);
             }
         };
         let serve = futures::future::join(own, leader.serve(term, &stop));
@@ -385,6 +393,13 @@
     assert_eq!(jobs_written_by_a_new_leader(Feed::Behind, false), Vec::<String>::new());
 }
 
+/// Guards against a term that begins without jobs that another thread has dropped from the cache while
+/// the last table was read.
+#[test]
+fn a_term_begins_on_complete_tables_if_jobs_are_dropped_meanwhile() {
+    assert_eq!(jobs_written_by_a_new_leader(Feed::Dropped, false), Vec::<String>::new());
+}
+
 /// Guards against a job that is started a second time after a change of leader: it was stored after
 /// the election, and started by the old leader before its partition was fenced.
 #[test]
