Test runners that stand still, beside answers that overtake each other

In memory, a runner could be cut off, but its process never paused. It now can: what it is sent is carried out afterwards without an answer, it lists nothing meanwhile, and its clock goes on. It stands still at most until shortly before its lease ends.

--- a/tests/common/control/calls.rs
+++ b/tests/common/control/calls.rs
@@ -134,6 +134,15 @@
             }
             return;
         }
+        let still_ms = r.still_until.saturating_sub(self.now);
+        if still_ms > 0 {
+            if answered {
+                self.schedule_timeout(&act);
+            }
+            let term = self.term;
+            let late = Event::Arrive { term, act, answered: false, delivery };
+            return self.schedule(still_ms, late);
+        }
         let other = r.replaced.then_some(Refusal::OtherRunner);
         let e = match act {
             Action::Start { runner: k, start, .. } => {
--- a/tests/common/control/work.rs
+++ b/tests/common/control/work.rs
@@ -39,7 +39,7 @@
         let now = self.now;
         let gangs = self.gangs();
         let mut broken: BTreeSet<(StepId, Attempt)> = BTreeSet::new();
-        for r in self.runners.iter_mut().filter(|r| r.exists) {
+        for r in self.runners.iter_mut().filter(|r| r.exists && r.still_until <= now) {
             let expired = r.clock(now) > r.lease;
             if expired {
                 r.expire_lease();
--- a/tests/common/runner.rs
+++ b/tests/common/runner.rs
@@ -63,6 +63,9 @@
     pub exists: bool,
     /// Time until which the runner is unreachable, ms.
     pub unreachable_until: u64,
+    /// Time until which the runner stands still, ms: its clock goes on, and what it is sent meanwhile
+    /// is carried out afterwards, without an answer.
+    pub still_until: u64,
     /// Whether its tasks make no progress.
     pub stalled: bool,
     /// Whether all its tasks fail.
@@ -121,6 +124,7 @@
             capacity,
             exists: true,
             unreachable_until: 0,
+            still_until: 0,
             stalled: false,
             failing: false,
             replaced: false,
@@ -166,6 +170,14 @@
         };
     }
 
+    /// Stands still for `ms` from time `now` on, and at most until shortly before its lease expires.
+    pub fn stand_still(&mut self, now: u64, ms: u64) {
+        let lease_ms = self.lease.saturating_sub(self.clock(now)) * 1_000 / self.clock_rate;
+        let still_ms = ms.min(lease_ms.saturating_sub(100));
+        self.still_until = now + still_ms;
+        self.ending.iter_mut().for_each(|(at, ..)| *at += still_ms);
+    }
+
     /// Returns a ticket that is valid for this incarnation.
     pub fn ticket(&self) -> String {
         format!("{:?}", self.born)
--- a/tests/control_answers.rs
+++ b/tests/control_answers.rs
@@ -33,7 +33,7 @@
 const LAG_MS: u64 = 50;
 
 /// Guards against runs that are lost or started twice because answers on different connections
-/// overtake each other and the clocks of runners run at different rates.
+/// overtake each other, runners stand still, or their clocks run at different rates.
 #[test]
 fn answers_that_overtake_each_other_violate_no_invariant() {
     for seed in 0..SEEDS {
@@ -65,6 +65,10 @@
                 0 => cell.change_leader(),
                 1 | 2 => cell.runners[i].unreachable_until = cell.now + rng.gen_range(500..12_000),
                 3 => cell.starve(rng.gen_range(100..9_900)),
+                4 => {
+                    let now = cell.now;
+                    cell.runners[i].stand_still(now, rng.gen_range(100..6_000));
+                }
                 _ => {}
             }
         }
