Soak: answers of runners that overtake each other

The stand-in answered each call as soon as it was carried out. `SOAK_ANSWER_MS` is a range of times by which each answer is held back, by itself.

--- a/tests/common/soak/mod.rs
+++ b/tests/common/soak/mod.rs
@@ -53,12 +53,20 @@
     pub stamp_ms: (u64, u64),
     /// Most completions in an answer.
     pub page: usize,
+    /// From the time an answer is computed until it is sent; answers overtake each other.
+    pub answer_ms: (u64, u64),
 }
 
 impl Gaps {
     /// A runner that moves runs between its lists in one instant.
-    pub const NONE: Self =
-        Self { list_ms: (0, 0), end_ms: (0, 0), early_number: false, stamp_ms: (0, 0), page: 500 };
+    pub const NONE: Self = Self {
+        list_ms: (0, 0),
+        end_ms: (0, 0),
+        early_number: false,
+        stamp_ms: (0, 0),
+        page: 500,
+        answer_ms: (0, 0),
+    };
 }
 
 /// What a run is like.
--- a/tests/common/soak/runner.rs
+++ b/tests/common/soak/runner.rs
@@ -560,15 +560,16 @@
     if !matches!(fate, Fate::Served) {
         return no_answer().await;
     }
-    let stamp = {
+    let (stamp, delay) = {
         let mut world = fleet.world.lock().unwrap();
-        let range = world.gaps.stamp_ms;
-        world.between(range)
+        let gaps = world.gaps;
+        (world.between(gaps.stamp_ms), world.between(gaps.answer_ms))
     };
     if path == "hold" && !stamp.is_zero() && status == 200 {
         task::sleep(stamp).await;
         let world = fleet.world.lock().unwrap();
         res["clock_ms"] = json!(world.runners[n].clock(Instant::now()));
     }
+    task::sleep(delay).await;
     Ok(users::text(status, &res))
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -118,6 +118,7 @@
                 early_number: setting("EARLY_NUMBER", false),
                 stamp_ms: range("STAMP_MS", (0, 0)),
                 page: setting("PAGE", 500),
+                answer_ms: range("ANSWER_MS", (0, 0)),
             },
             gangs: setting("GANGS", true),
             faults: faults(&setting("FAULTS", "all".to_string())),
