--- a/tests/common/control/calls.rs
+++ b/tests/common/control/calls.rs
@@ -134,6 +134,15 @@
             }
             return;
         }
+        let still_ms = r.still_until.saturating_sub(self.now);
+        if still_ms > 0 {
+            if answered {
+                self.schedule_timeout(&act);
+            }
+            let term = self.term;
+            let late = Event::Arrive { term, act, answered: false, delivery };
+            return self.schedule(still_ms, late);
+        }
         let other = r.replaced.then_some(Refusal::OtherRunner);
         let e = match act {
             Action::Start { runner: k, start, .. } => {
@@ -153,7 +162,11 @@
         if answered {
             let idle = matches!(e, Event::Polled(_, Ok(ref r)) if r.ends.is_empty());
             let wait = if idle { IDLE_POLL_MS } else { 0 };
-            self.schedule(ONE_WAY_MS + wait, e);
+            let delay = match self.faults.answer_ms {
+                0 => 0,
+                longest => self.rng.gen_range(0..=longest),
+            };
+            self.schedule(ONE_WAY_MS + wait + delay, e);
         }
     }
 }
