Engine: a run that moves to the next incarnation of its runner starts without confirmations

Callers would see a cancelled job whose task works on to its end, a task that is stopped for want of progress while it works, and a task that waits for a run that is gone until the clock of the new incarnation has passed that of the last one.

Cause: move_run changed only the runner of a run. The confirmation, the acknowledged stop and unlisted_since kept times of the last incarnation's clock, listed and the progress what that incarnation had reported. A stop that the last incarnation acknowledged was never sent to the next one; with a clock that starts behind, no absence was judged before it reached the old times; a run that began anew was compared with the rate and percentage of the run before.

Ruled out: a start of the moved run that takes effect a second time. A call is carried out once at most, and repeated starts keep outcome_unknown.

Change: Run::move_to resets what the last incarnation confirmed; an acknowledged stop counts as not answered and is repeated at the next tick.

Tests, each failed before: a_run_that_the_next_incarnation_began_anew_is_not_stalled, a_run_that_the_last_incarnation_stopped_is_stopped_on_the_next_one, a_run_on_the_next_incarnation_is_judged_by_its_clock.

--- a/src/control/engine/incarnations.rs
+++ b/src/control/engine/incarnations.rs
@@ -98,12 +98,18 @@
         next
     }
 
-    /// Moves a run, and the capacity allocated to it, to another incarnation of its runner.
+    /// Moves a run, and the capacity allocated to it, to another incarnation of its runner. What the
+    /// last incarnation confirmed of the run does not hold for this one. A stop that it acknowledged
+    /// is sent again.
     fn move_run(&mut self, id: TaskId, to: RunnerKey) {
         let Some(task) = self.task_mut(id) else { return };
         let (attempt, losses) = (task.attempt, task.losses);
         let Some(run) = task.run.as_mut() else { return };
-        let from = std::mem::replace(&mut run.runner, to);
+        let from = run.runner;
+        run.move_to(to);
+        if run.stage == (Stage::Stopping { answered: None }) {
+            self.stopping.insert(id);
+        }
         if let Some(allocation) = self.deallocate(from, id, attempt) {
             self.put_allocation(to, id, attempt, allocation, losses);
         }
@@ -112,10 +118,6 @@
     /// Stops a run that has not begun on the new incarnation of its runner, so that no order on its
     /// way starts it there. Its task may start elsewhere once the stop is acknowledged.
     fn stop_undecided(&mut self, id: TaskId, now: Now) {
-        if let Some(run) = self.task_mut(id).and_then(|t| t.run.as_mut()) {
-            // A stop that was acknowledged was the last incarnation's.
-            run.stage = Stage::Sent;
-        }
         self.order_stop(id, StopReason::Restarted, now);
     }
 }
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -161,6 +161,23 @@
         }
     }
 
+    /// Moves it to another incarnation of its runner, which has confirmed nothing of it and whose
+    /// clock is another one.
+    pub(super) fn move_to(&mut self, to: RunnerKey) {
+        self.runner = to;
+        self.listed = false;
+        self.unlisted_since = None;
+        self.progress = Progress::default();
+        match &mut self.stage {
+            Stage::Storing { .. } | Stage::Sent | Stage::Inherited { .. } => {}
+            running @ Stage::Running { .. } => *running = Stage::Sent,
+            Stage::Stopping { answered } => {
+                *answered = None;
+                self.stop_at = 0;
+            }
+        }
+    }
+
     /// Whether no order is on its way that could start it a second time: its runner has listed it,
     /// and all its starts were answered. It is then over if that incarnation of the runner is.
     pub fn settled(&self) -> bool {
--- a/tests/control_restarts.rs
+++ b/tests/control_restarts.rs
@@ -7,6 +7,7 @@
 }
 
 use common::control::{step, Cell, Faults, STEP_MS};
+use common::runner::Running;
 use currantgw::control::model::{JobId, JobState, Step, StepId, TaskId};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -23,6 +24,9 @@
 /// Clock of a runner whose clock starts anew far ahead of that of its last incarnation, ms.
 const LATER_CLOCK: u64 = 10_000_000;
 
+/// Longer than the scheduler waits for a run that is not listed, ms.
+const NEVER_MS: u64 = 120_000;
+
 /// Time between two polls of an idle runner, ms.
 const POLL_CYCLE_MS: u64 = 60;
 
@@ -223,6 +227,65 @@
     assert_eq!(cell.stored(job), JobState::Completed);
 }
 
+/// Crashes runner 0 and starts it again, unnoticed, with the run that it had: a start that was on its
+/// way has taken effect on the next incarnation.
+fn start_again_with_run(cell: &mut Cell, id: TaskId, clock: u64) {
+    let run = cell.runners[0].running[&id].clone();
+    cell.crash(0);
+    cell.runners[0].start_again(cell.now, clock);
+    cell.runners[0].lease = clock + 5_000;
+    let run = Running { started: cell.now, work_done: 0, stopping: None, ..run };
+    cell.runners[0].running.insert(id, run);
+}
+
+/// Guards against a run that is stopped for want of progress, since it began anew on the next
+/// incarnation and is compared with its progress on the last one.
+#[test]
+fn a_run_that_the_next_incarnation_began_anew_is_not_stalled() {
+    let mut cell = Cell::new(1, 13);
+    cell.run(300);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 4_000)]);
+    cell.run(3_500);
+    start_again_with_run(&mut cell, task(job, 0), EARLIER_CLOCK);
+    cell.run(6_000);
+    cell.check();
+    assert_eq!((cell.stored(job), cell.starts[&task(job, 0)]), (JobState::Completed, 1));
+}
+
+/// Guards against a run of a cancelled job that goes on: its stop was acknowledged by the last
+/// incarnation.
+#[test]
+fn a_run_that_the_last_incarnation_stopped_is_stopped_on_the_next_one() {
+    for clock in [EARLIER_CLOCK, LATER_CLOCK] {
+        let mut cell = Cell::new(1, 14);
+        let job = cell.submit(1, "patient", vec![step(1, 1_000, 10_000)]);
+        cell.run(300);
+        cell.cancel(job);
+        cell.run(50);
+        start_again_with_run(&mut cell, task(job, 0), clock);
+        cell.run(1_000);
+        assert_eq!(cell.running(), 0, "clock {clock}");
+        cell.check();
+    }
+}
+
+/// Guards against a task that never runs again: the next incarnation of its runner lists no end of
+/// its run, and has not reached the time of the last one's clock.
+#[test]
+fn a_run_on_the_next_incarnation_is_judged_by_its_clock() {
+    let mut cell = Cell::new(2, 15);
+    cell.register(1, false);
+    cell.run(40_000);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 500)]);
+    cell.run(300);
+    start_again_with_run(&mut cell, task(job, 0), EARLIER_CLOCK);
+    cell.runners[0].end_lag = NEVER_MS;
+    cell.register(0, true);
+    cell.register(1, true);
+    cell.run(15_000);
+    assert_eq!(cell.stored(job), JobState::Completed);
+}
+
 /// Guards against a task that runs twice: its runner cannot be reached after the first answer of an
 /// incarnation, whose lease was extended by orders that were meant for the last one.
 #[test]
