Engine: a loss that follows from one answer is uncertain until the run is over

Callers would see a job as failed, for a task that crashes its runners, while that task works: of a run that moved to another incarnation of its runner one answer that does not list it counted as a loss, and the next end of another task of the job evaluated it. A run could also count twice: as lost with the last incarnation, and once more as the lease of its runner expired.

Cause: stop_unlisted and replace count the loss before anything shows that the run is over (so that crash loops are noticed soon), and only the completion withdrew it.

Change: the loss of an attempt that still has a run is no evidence for a crash loop; it is evaluated when the run is released. It is withdrawn as soon as an answer lists the run, and stored so. An attempt is lost once.

Ruled out: counting the loss at the write-off only. The existing tests of restarts and of leader changes demand it at once, and companions would be placed with the suspect in between.

Tests, each failed before: a_run_that_is_not_listed_yet_fails_no_job_as_crash_loop, the_loss_of_a_run_that_a_later_answer_lists_is_withdrawn, a_run_is_lost_once.

--- a/src/control/crashes.rs
+++ b/src/control/crashes.rs
@@ -103,8 +103,11 @@
     }
 
     /// Records the loss of an attempt on a runner incarnation; `chance` is the probability that
-    /// it had another cause.
+    /// it had another cause. An attempt is lost once.
     pub fn record_loss(&mut self, attempt: Attempt, incarnation: RunnerKey, chance: f64) {
+        if self.lost(attempt) {
+            return;
+        }
         self.count += 1;
         self.chance *= chance;
         self.last = attempt;
@@ -119,11 +122,19 @@
         }
     }
 
-    /// Reverts the loss of an attempt whose completion was reported later.
-    pub fn withdraw(&mut self, attempt: Attempt) {
-        if self.count > 0 && self.last == attempt {
+    /// Whether the latest loss is that of an attempt.
+    pub fn lost(&self, attempt: Attempt) -> bool {
+        self.count > 0 && self.last == attempt
+    }
+
+    /// Reverts the loss of an attempt that its runner reported later. Returns whether it was the
+    /// latest one.
+    pub fn withdraw(&mut self, attempt: Attempt) -> bool {
+        let lost = self.lost(attempt);
+        if lost {
             *self = Self::with_count(self.count - 1);
         }
+        lost
     }
 
     /// Whether the task is suspected of crashing its runners.
--- a/src/control/engine/lifecycle.rs
+++ b/src/control/engine/lifecycle.rs
@@ -162,7 +162,7 @@
             if failed_too_often {
                 log::info!(job:% = id, limit = max_fails; "job failed: a task failed too often");
                 self.finish(id, JobState::Failed, now);
-            } else if let Some((task, t)) = ids.find(|(_, t)| !t.done && t.losses.crash_loop()) {
+            } else if let Some((task, t)) = ids.find(|(_, t)| t.crash_loop()) {
                 let Losses { count, chance, .. } = t.losses;
                 log::warn!(job:% = id, task:% = task, lost = count, chance;
                     "job failed: a task crashes its runners");
--- a/src/control/engine/losses.rs
+++ b/src/control/engine/losses.rs
@@ -160,6 +160,12 @@
 }
 
 impl Task {
+    /// Whether it crashes its runners. The loss of a run that its runner may yet list is no evidence.
+    pub(super) fn crash_loop(&self) -> bool {
+        let uncertain = self.run.is_some() && self.losses.lost(self.attempt);
+        !self.done && !uncertain && self.losses.crash_loop()
+    }
+
     /// Whether its run may have begun.
     fn was_sent(&self) -> bool {
         self.run.as_ref().is_some_and(|r| !matches!(r.stage, Stage::Storing { .. }))
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -118,6 +118,7 @@
             task.saved.clone_from(&a.saved);
         }
         let Some(run) = task.run.as_mut().filter(|r| r.runner == k) else { return };
+        let was_lost = task.losses.withdraw(a.attempt);
         run.listed = true;
         run.unlisted_since = None;
         run.progress.record(a.percent, now.mono);
@@ -132,6 +133,9 @@
             }
             _ => {}
         }
+        if was_lost {
+            self.mark_changed(id.step.job);
+        }
         self.clear_if_stable(id, now);
         if job_ended {
             self.order_stop(id, StopReason::JobEnded, now);
--- a/src/control/engine/unlisted.rs
+++ b/src/control/engine/unlisted.rs
@@ -91,7 +91,7 @@
     }
 
     /// Stops a run that may be over. One that was placed on an earlier incarnation of its runner
-    /// was lost with it.
+    /// was lost with it, unless a later answer lists it.
     fn stop_unlisted(&mut self, k: RunnerKey, id: TaskId, stage: Stage, now: Now) {
         match stage {
             Stage::Inherited { born } if born.is_some() && born != self.runners.get(k).born => {
--- a/tests/common/control/store.rs
+++ b/tests/common/control/store.rs
@@ -92,9 +92,13 @@
         self.store.insert(id, (self.version, value));
     }
 
+    /// Progress of a job in the store.
+    pub fn progress(&self, id: JobId) -> Option<ProgressRow> {
+        self.store.get(&id).map(|(_, v)| rows::decode(v).unwrap())
+    }
+
     /// State of a job in the store.
     pub fn stored(&self, id: JobId) -> JobState {
-        let row = self.store.get(&id).map(|(_, v)| rows::decode::<ProgressRow>(v).unwrap());
-        row.map_or(JobState::Queued, |r| r.state)
+        self.progress(id).map_or(JobState::Queued, |r| r.state)
     }
 }
--- a/tests/control_restarts.rs
+++ b/tests/control_restarts.rs
@@ -9,6 +9,7 @@
 use common::control::{step, Cell, Faults, STEP_MS};
 use common::runner::Running;
 use currantgw::control::model::{JobId, JobState, Step, StepId, TaskId};
+use currantgw::control::rows;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -286,6 +287,73 @@
     assert_eq!(cell.stored(job), JobState::Completed);
 }
 
+/// A cell in which a task's runner has started again with its run, which its first answer to a new
+/// leader does not list. The task has been lost `losses` times before; other tasks of its job end on
+/// another runner all the time.
+fn cell_with_run_not_listed_yet(losses: u32) -> (Cell, JobId) {
+    let mut cell = Cell::new(2, 16);
+    cell.register(1, false);
+    let after_first = |n: u64| Step { after: vec![1], ..step(1, 100, 1_000 + n * 20) };
+    let mut steps = vec![step(1, 1_000, 10_000), step(1, 1_000, 300)];
+    steps.extend((0..40).map(after_first));
+    let job = cell.submit(1, "patient", steps);
+    cell.run(200);
+    cell.register(0, false);
+    cell.register(1, true);
+    cell.run(1_400);
+    let mut row = cell.progress(job).unwrap();
+    row.steps[0].2[0].5 = losses;
+    cell.put_progress(job, rows::encode(&row));
+    start_again_with_run(&mut cell, task(job, 0), EARLIER_CLOCK);
+    cell.runners[0].start_lag = 1_000;
+    cell.change_leader();
+    (cell, job)
+}
+
+/// Guards against a job that fails as one whose task crashes its runners, by a loss that follows from
+/// one answer only: the run is at work, and is done soon.
+#[test]
+fn a_run_that_is_not_listed_yet_fails_no_job_as_crash_loop() {
+    let (mut cell, job) = cell_with_run_not_listed_yet(4);
+    let run = cell.runners[0].running.get_mut(&task(job, 0)).unwrap();
+    run.work_done = run.total_work - 130;
+    // The stop of the run is held up.
+    cell.faults.late = 1.0;
+    cell.run(200);
+    cell.faults.late = 0.0;
+    cell.run(10_000);
+    cell.check();
+    assert_eq!(cell.stored(job), JobState::Completed);
+}
+
+/// Guards against a loss that stays although the run is at work.
+#[test]
+fn the_loss_of_a_run_that_a_later_answer_lists_is_withdrawn() {
+    let (mut cell, job) = cell_with_run_not_listed_yet(0);
+    cell.faults.late = 1.0;
+    cell.run(1_500);
+    assert_eq!(cell.runners_of(task(job, 0)), vec![0]);
+    assert_eq!(cell.engine.job(job).unwrap().steps[0].tasks[0].losses.count, 0);
+    cell.run(100);
+    assert_eq!(cell.progress(job).unwrap().steps[0].2[0].5, 0);
+}
+
+/// Guards against a run that counts as lost twice: with the last incarnation of its runner, and as
+/// that one's lease expires.
+#[test]
+fn a_run_is_lost_once() {
+    let (mut cell, job) = cell_with_run_not_listed_yet(0);
+    let lost = |cell: &Cell| cell.engine.job(job).unwrap().steps[0].tasks[0].losses.count;
+    while lost(&cell) == 0 {
+        cell.run(STEP_MS);
+    }
+    cell.runners[0].unreachable_until = cell.now + 10_000;
+    cell.runners[1].refuses_until = NEVER_MS;
+    cell.run(9_500);
+    assert!(cell.engine.counts.written_off > 0);
+    assert_eq!(lost(&cell), 1);
+}
+
 /// Guards against a task that runs twice: its runner cannot be reached after the first answer of an
 /// incarnation, whose lease was extended by orders that were meant for the last one.
 #[test]
