Tests: ends around the end of a lease, across leaders and rates of clocks

The postmortem lists a failure that does not count since only the leader that wrote the run off by its lease remembers that, and a later one is listed the end within the lease. Within the platform's bounds this does not happen: a leader writes a run off by its lease when the runner's clock, even at its slowest, has passed the latest lease that was sent to it, so that the end is void before anyone can acknowledge it. A later leader that extended the lease in time has fenced the store before, and the write-off is not stored. A member of a gang that is taken for ended (GangBroken) is kept as unreported in the row, and counts for any leader. A run that was lost with another incarnation cannot be listed later, since its runner is gone.

The test lets the last run that a task may have end on a runner that cannot be reached, and varies when it can be reached again, when the leader changes and the rate of the clocks.

--- a/tests/common/runner.rs
+++ b/tests/common/runner.rs
@@ -105,7 +105,9 @@
     pub void: u64,
     /// When this incarnation started, Unix ms.
     pub born: Born,
-    /// Difference of its clock from the time of the test, ms.
+    /// Rate of its clock, per mille of the time of the test.
+    pub clock_permille: u64,
+    /// Difference of its clock from the time of the test at that rate, ms.
     offset: i64,
     /// Number of the last completion.
     last: u64,
@@ -138,6 +140,7 @@
             acked: 0,
             void: 0,
             born: Born(i as u64 + 1),
+            clock_permille: 1_000,
             offset: 77 * (i as i64 + 1),
             last: 0,
         }
@@ -145,7 +148,7 @@
 
     /// Returns the runner's own time at time `now`, ms.
     pub fn clock(&self, now: u64) -> u64 {
-        now.saturating_add_signed(self.offset)
+        (now * self.clock_permille / 1_000).saturating_add_signed(self.offset)
     }
 
     /// Starts again under its id at time `now`: another incarnation, which knows nothing of before
@@ -154,7 +157,8 @@
         *self = Self {
             id: std::mem::take(&mut self.id),
             born: Born(self.born.0 + now),
-            offset: clock as i64 - now as i64,
+            clock_permille: self.clock_permille,
+            offset: clock as i64 - (now * self.clock_permille / 1_000) as i64,
             start_lag: self.start_lag,
             end_lag: self.end_lag,
             out_of_order: self.out_of_order,
--- a/tests/control_written_off.rs
+++ b/tests/control_written_off.rs
@@ -6,7 +6,7 @@
     pub mod runner;
 }
 
-use common::control::{queue, step, Cell, Faults, RULES};
+use common::control::{queue, step, Cell, Faults, RULES, STEP_MS};
 use currantgw::control::engine::{Action, Now, Outcome, RunnerKey};
 use currantgw::control::model::{Attempt, EndKind, JobId, JobState, Step, StepId, TaskId};
 use currantgw::control::partitions::PartitionScope;
@@ -198,3 +198,65 @@
     cell.engine.polled(k, Ok(report(born, clock + 20, vec![failed(unlisted)])), later);
     assert_eq!(cell.engine.job(job).map(|j| j.steps[0].gang_fails), Some(1));
 }
+
+/// What happens while a run ends unseen.
+#[derive(Clone, Copy, Debug)]
+struct CutOff {
+    /// Rate of the runners' clocks, per mille.
+    rate: u64,
+    /// When the runner can be reached again, ms.
+    reconnect: u64,
+    /// When another leader is elected, ms.
+    change: u64,
+    fails: bool,
+    gang: bool,
+}
+
+/// Guards against ends that do not count because another leader than the one that wrote the run off is
+/// listed them: around the end of a lease, with the slowest and the fastest clocks of runners.
+#[test]
+fn ends_around_the_end_of_a_lease_count_across_leaders() {
+    let mut restarts = 0;
+    for rate in [980, 1_000, 1_020] {
+        for (reconnect, change) in moments_around_lease_end() {
+            for (fails, gang) in [(false, false), (true, false), (true, true)] {
+                restarts += end_while_cut_off(CutOff { rate, reconnect, change, fails, gang });
+            }
+        }
+    }
+    assert!(restarts > 0);
+}
+
+fn moments_around_lease_end() -> impl Iterator<Item = (u64, u64)> {
+    let around = |step_ms| (RULES.lease_ms - 1_000..RULES.lease_ms + 1_400).step_by(step_ms);
+    around(400).flat_map(move |reconnect| around(450).map(move |change| (reconnect, change)))
+}
+
+/// Lets the last run that a task may have end while its runner cannot be reached. Returns the number of
+/// starts after that.
+fn end_while_cut_off(cut: CutOff) -> u32 {
+    let mut cell = Cell::new(3, 5);
+    cell.runners.iter_mut().for_each(|r| r.clock_permille = cut.rate);
+    cell.register(2, false);
+    cell.run(300);
+    let count = if cut.gang { 2 } else { 1 };
+    let job = cell.submit(1, "urgent", vec![Step { gang: cut.gang, ..step(count, 9_000, 400) }]);
+    if cut.fails {
+        cell.poison(job);
+    }
+    let id = TaskId { step: StepId { job, occurrence: 0, step: 0 }, index: 0 };
+    let runs = if cut.fails { 2 } else { 1 };
+    while cell.starts.get(&id).is_none_or(|n| *n < runs) {
+        cell.run(STEP_MS);
+    }
+    cell.run(100);
+    let i = cell.runners_of(id)[0];
+    cell.runners[i].unreachable_until = cell.now + cut.reconnect;
+    cell.register(2, true);
+    cell.run(cut.change);
+    cell.change_leader();
+    cell.run(25_000);
+    cell.check();
+    assert!(cell.stored(job).ended(), "{cut:?}");
+    cell.starts[&id] - runs
+}
