Engine: from the third loss on, every end of a task's run counts again

Callers would see a task that has crashed three runners start without limit, if its runs end otherwise than done from then on: 34 starts in 10 s in the test, where the platform allows two.

Cause: since the completion of a run withdraws a loss of its attempt. It did so after the end itself had been counted under the same attempt, and took that back each time. The test of the counter alone calls both with different attempts.

Change: the loss is withdrawn before the end is counted, and the end is not kept as the loss of an attempt, so that a completion that is listed once more does not take it back either.

In after_three_losses_every_end_counts_... only the argument that record_end does not take any more is gone; what it checks is the same.

--- a/src/control/crashes.rs
+++ b/src/control/crashes.rs
@@ -114,11 +114,11 @@
         self.incarnation = Some(incarnation);
     }
 
-    /// Records an attempt that ended without completing its work.
-    pub fn record_end(&mut self, attempt: Attempt) {
+    /// Records a run that ended without completing its work.
+    pub fn record_end(&mut self) {
         if self.count >= COUNT_ALL_FROM {
             self.count += 1;
-            self.last = attempt;
+            self.last = Attempt::default();
         }
     }
 
--- a/src/control/engine/losses.rs
+++ b/src/control/engine/losses.rs
@@ -124,7 +124,7 @@
         let Some(task) = self.task_mut(id) else { return };
         let ran = observed_run_ms(task, now.mono);
         if !done {
-            task.losses.record_end(task.attempt);
+            task.losses.record_end();
         }
         self.loss_rate.record_end(ran.unwrap_or(0), now.mono);
     }
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -177,7 +177,6 @@
             number = end.number; "task ended");
         metrics::counter!("control_ends", "how" => end.kind.name()).increment(1);
         self.mark_running(id.step.job, id.step.occurrence, now);
-        self.record_ended(id, end.kind == EndKind::Done, now);
         let Some(job) = self.jobs.get(&id.step.job) else { return };
         let (gang, lasts) = (job.spec(id.step).gang, job.spec(id.step).lasts);
         if let Some(task) = self.task_mut(id) {
@@ -186,6 +185,7 @@
                 task.saved.clone_from(&end.saved);
             }
         }
+        self.record_ended(id, end.kind == EndKind::Done, now);
         match end.kind {
             EndKind::Done => {
                 self.runners.get_mut(k).health.done();
--- a/tests/control_crashes.rs
+++ b/tests/control_crashes.rs
@@ -9,6 +9,7 @@
 use currantgw::control::crashes::{LossRate, Losses};
 use currantgw::control::engine::{RunnerKey, Stage};
 use currantgw::control::model::{Attempt, JobId, JobState, Step, StepId, TaskId};
+use currantgw::control::rows;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -98,16 +99,16 @@
 #[test]
 fn after_three_losses_every_end_counts_and_a_late_end_withdraws_its_loss() {
     let mut task = losses(1_000, &[4_000; 2]);
-    task.record_end(Attempt(3));
+    task.record_end();
     assert_eq!(task.count, 2);
     task.withdraw(Attempt(1));
     assert_eq!(task.count, 2);
     task.withdraw(Attempt(2));
     assert_eq!(task.count, 1);
     let mut task = losses(1_000, &[4_000; 3]);
-    task.record_end(Attempt(4));
+    task.record_end();
     assert!(!task.crash_loop());
-    task.record_end(Attempt(5));
+    task.record_end();
     assert!(task.crash_loop());
 }
 
@@ -143,6 +144,24 @@
     assert_eq!(load.cell.stored(job), JobState::Failed);
 }
 
+/// Guards against a task that is restarted without limit since the ends of its runs, after three
+/// losses, do not count.
+#[test]
+fn after_three_losses_a_task_gets_two_more_runs() {
+    let mut cell = Cell::new(1, 17);
+    cell.runners[0].refuses_until = u64::MAX;
+    let job = cell.submit(1, "patient", vec![Step { lasts: true, ..step(1, 1_000, 200) }]);
+    cell.run(500);
+    let mut row = cell.progress(job).unwrap();
+    row.steps[0].2[0].5 = 3;
+    cell.put_progress(job, rows::encode(&row));
+    cell.change_leader();
+    (cell.runners[0].failing, cell.runners[0].refuses_until) = (true, 0);
+    cell.run(10_000);
+    cell.check();
+    assert_eq!((cell.stored(job), cell.starts[&first(job)]), (JobState::Failed, 2));
+}
+
 /// Guards against crash counts that are lost at a leader change.
 #[test]
 fn crashes_count_across_leader_changes() {
