Engine: a loss that a late completion withdraws is withdrawn in the store

A new leader would count a loss again whose runner had only been cut off, and had reported the end of the run to the leader before. Five such losses fail a job as one that crashes its runners.

Cause: late_completion stored the job only if the end itself changed its progress; a lapsed or stopped run does not.

Test: a_loss_that_is_withdrawn_is_withdrawn_in_the_store failed before (1 in the store, not 0).

--- a/src/control/engine/late_completions.rs
+++ b/src/control/engine/late_completions.rs
@@ -60,9 +60,7 @@
         self.log_late(k, end, lost, now);
         // A runner whose lease has expired ends its runs, and failures before that do not count.
         let within_lease = lost.is_some_and(|l| l.why == Loss::LeaseOver && clock <= l.lease_until);
-        if let Some(task) = self.task_mut(end.task) {
-            task.losses.withdraw(end.attempt);
-        }
+        let was_lost = self.task_mut(end.task).is_some_and(|t| t.losses.withdraw(end.attempt));
         let expected = self.take_expected(end);
         let Some(job) = self.jobs.get(&end.task.step.job).filter(|j| !j.state.ended()) else {
             return;
@@ -74,7 +72,7 @@
             EndKind::Failed if expected || within_lease => self.fail_late(k, end, gang),
             _ => false,
         };
-        if changed || expected {
+        if changed || expected || was_lost {
             self.mark_changed(end.task.step.job);
             self.update_state(end.task.step.job, now);
         }
--- a/tests/control_written_off.rs
+++ b/tests/control_written_off.rs
@@ -199,6 +199,27 @@
     assert_eq!(cell.engine.job(job).map(|j| j.steps[0].gang_fails), Some(1));
 }
 
+/// Guards against a loss that counts again after a leader change although the completion of its run was
+/// reported.
+#[test]
+fn a_loss_that_is_withdrawn_is_withdrawn_in_the_store() {
+    let mut cell = Cell::new(1, 6);
+    cell.run(300);
+    let job = cell.submit(1, "patient", vec![step(1, 9_000, 60_000)]);
+    cell.run(300);
+    let lost = |cell: &Cell| cell.progress(job).unwrap().steps[0].2[0].5;
+    cell.runners[0].unreachable_until = cell.now + 9_500;
+    cell.run(9_000);
+    assert_eq!(lost(&cell), 1);
+    // No room for another run.
+    cell.runners[0].capacity.cpu = 1_000;
+    cell.register(0, true);
+    cell.run(3_000);
+    assert!(cell.runners[0].acked > 0);
+    assert_eq!(lost(&cell), 0);
+    cell.check();
+}
+
 /// What happens while a run ends unseen.
 #[derive(Clone, Copy, Debug)]
 struct CutOff {
