Engine: an attempt of a gang counts as one failure, also after the end of a lease

A job would fail after fewer failed attempts of its gang than the queue allows, if several members failed at once on a runner that is written off by its lease before the leader handles the answer that lists them (a leader without processor time).

Cause: a failure that is listed within the lease counts whether or not it is expected, without a look at the attempt of the last failure that counted.

Test: failures_of_a_gang_in_one_answer_from_before_the_end_of_the_lease_count_once failed before (2 failures, not 1); passes after, with an_attempt_of_a_gang_counts_as_one_failure.

--- a/src/control/engine/late_completions.rs
+++ b/src/control/engine/late_completions.rs
@@ -69,7 +69,7 @@
         let (gang, lasts) = (spec.gang, spec.lasts);
         let changed = match end.kind {
             EndKind::Done if !lasts => self.complete_late(end.task, gang, now),
-            EndKind::Failed if expected || within_lease => self.fail_late(k, end, gang),
+            EndKind::Failed if expected || within_lease => self.fail_late(k, end, gang, expected),
             _ => false,
         };
         if changed || expected || was_lost {
@@ -116,8 +116,9 @@
     }
 
     /// Counts a failure of an earlier run than the task's current one. Returns whether it counts: not
-    /// for a task that is done, and once for each attempt of a gang.
-    fn fail_late(&mut self, k: RunnerKey, end: &End, gang: bool) -> bool {
+    /// for a task that is done, and once for each attempt of a gang; one that is expected has not
+    /// been counted.
+    fn fail_late(&mut self, k: RunnerKey, end: &End, gang: bool, expected: bool) -> bool {
         let Some(step) = self.step_mut(end.task.step) else { return false };
         let Some(task) = step.tasks.get_mut(end.task.index as usize) else { return false };
         if task.done {
@@ -125,6 +126,9 @@
         }
         task.avoid.insert(k);
         if gang {
+            if !expected && step.failed_attempt >= end.attempt {
+                return false;
+            }
             step.gang_fails += 1;
             step.failed_attempt = step.failed_attempt.max(end.attempt);
         } else {
--- a/tests/control_written_off.rs
+++ b/tests/control_written_off.rs
@@ -199,6 +199,34 @@
     assert_eq!(cell.engine.job(job).map(|j| j.steps[0].gang_fails), Some(1));
 }
 
+/// The same for members whose runner is written off as its lease expires, before a leader without
+/// processor time handles the answer that lists their failures.
+#[test]
+fn failures_of_a_gang_in_one_answer_from_before_the_end_of_the_lease_count_once() {
+    let mut cell = Cell::new(1, 7);
+    cell.run(300);
+    let job = cell.submit(1, "patient", vec![Step { gang: true, ..step(2, 1_000, 60_000) }]);
+    cell.run(500);
+    let now = Now { mono: cell.now, wall: cell.now };
+    let lapsed = now.mono + 2 * RULES.lease_ms;
+    let later = Now { mono: lapsed, wall: lapsed };
+    let (k, _) = cell.engine.runners().next().unwrap();
+    let r = &cell.runners[0];
+    let ends = (0..2).map(|index| End {
+        number: u64::from(index) + 1,
+        task: TaskId { step: StepId { job, occurrence: 0, step: 0 }, index },
+        attempt: Attempt(1),
+        kind: EndKind::Failed,
+        saved: String::new(),
+    });
+    let (born, clock) = (Some(r.born), r.clock(now.mono));
+    let report = Report { born, clock, ends: ends.collect(), ..Report::default() };
+    cell.engine.tick(later);
+    assert_eq!(cell.engine.counts.written_off, 2);
+    cell.engine.polled(k, Ok(report), later);
+    assert_eq!(cell.engine.job(job).map(|j| j.steps[0].gang_fails), Some(1));
+}
+
 /// Guards against a loss that counts again after a leader change although the completion of its run was
 /// reported.
 #[test]
