Engine: a late answer from the former address of a runner does not exclude its next incarnation

A runner that has started again at another address under its id was never used again, nor polled, and its runs were lost at once (a repeated start may have reached the new address by then; that a task runs twice by it is read, not run). It happens if a call to the former address is answered by another runner (421) after the registry has shown the new address.

Cause: runner_replaced takes each such answer as that of the newest address. The registry entry does not change again, so that nothing creates the next incarnation.

Change: while the registry shows another incarnation that no poll has reached, such an answer proves nothing; the poll of the new address tells, or the lease ends the runs.

Test: a_late_answer_from_the_former_address_of_a_runner_does_not_exclude_it failed before (Queued after 3 s).

--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -366,8 +366,13 @@
         self.acts.append(&mut acts);
     }
 
-    /// Another runner answers at the runner's address: all its runs are lost.
+    /// Another runner answers at the runner's address: all its runs are lost. If the registry has shown
+    /// another incarnation since, the answer may have come from the former address, and the answer to
+    /// a poll of the new one tells.
     pub(super) fn runner_replaced(&mut self, k: RunnerKey, now: Now) {
+        if self.runners.get(k).announced.is_some() {
+            return;
+        }
         if !self.runners.get(k).replaced {
             log::info!(runner = self.runners.get(k).id, tasks = self.runners.get(k).tasks.len();
                 "runner replaced by another life");
--- a/tests/control_restarts.rs
+++ b/tests/control_restarts.rs
@@ -8,7 +8,9 @@
 
 use common::control::{step, Cell, Faults, STEP_MS};
 use common::runner::Running;
+use currantgw::control::engine::Now;
 use currantgw::control::model::{JobId, JobState, Step, StepId, TaskId};
+use currantgw::control::ports::Refusal;
 use currantgw::control::rows;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -432,6 +434,24 @@
     assert_eq!(cell.stored(job), JobState::Completed);
 }
 
+/// Guards against a runner that is never used again, and whose runs are taken for lost: a call to its
+/// former address is answered by another runner after the registry has shown the new one.
+#[test]
+fn a_late_answer_from_the_former_address_of_a_runner_does_not_exclude_it() {
+    let mut cell = Cell::new(1, 18);
+    cell.run(300);
+    cell.crash(0);
+    cell.run(100);
+    cell.start_again(0, EARLIER_CLOCK);
+    let (k, _) = cell.engine.runners().next().unwrap();
+    let now = Now { mono: cell.now, wall: cell.now };
+    cell.engine.polled(k, Err(Refusal::OtherRunner), now);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 500)]);
+    cell.run(3_000);
+    cell.check();
+    assert_eq!(cell.stored(job), JobState::Completed);
+}
+
 /// Guards against a crash loop that is not noticed since the runners start again under their ids.
 #[test]
 fn a_task_that_crashes_runners_of_lasting_ids_fails_its_job() {
