Engine: a new leader does not take long runs for stalled

Every change of leader stopped the runs that need more than 1.2 s for a percent, and their gangs: 9 starts of each task in 8 changes of leader in the test, instead of 1, and the work since the last checkpoint is done again.

Cause: a new leader first sees a run at some percentage, and took it for progress of that moment: no time for all these percent, so that the limit was its minimum of 1.2 s. The percentage is whole, and a task of 300 s stays at each for 3 s.

Change: the rate of a run that another leader has started is measured from the first increase that this leader sees; before, the limit is the one for runs whose rate is not known (an eighth of the estimate).

Test: a_long_run_is_not_stalled_after_a_leader_change failed before (9 starts, not 1); passes after, with a_stalled_task_is_moved and a_stalled_member_moves_its_gang.

--- a/src/control/engine/progress.rs
+++ b/src/control/engine/progress.rs
@@ -13,12 +13,12 @@
 /// takes 600 ms.
 const MIN_STALL_MS: u64 = 1_200;
 
-/// A run that has made no progress yet is stalled only after this fraction of its estimated run
-/// time, one part in this many: many times the estimated time of 1 %.
+/// A run whose rate is not known yet is stalled only after this fraction of its estimated run time,
+/// one part in this many: many times the estimated time of 1 %.
 const STALL_ESTIMATE_DIVISOR: u64 = 8;
 
-/// A run that has made progress is stalled only after this many times the average time of a percent
-/// so far: a runner may become slower during the run.
+/// A run whose rate is known is stalled only after this many times the average time of a percent so
+/// far: a runner may become slower during the run.
 const STALL_RATE_FACTOR: f64 = 12.0;
 
 /// Progress of a run that has done all its work, per cent.
@@ -33,21 +33,25 @@
     pub began: u64,
     /// When its progress last increased.
     pub moved: u64,
+    /// Percentage and time from which its rate is measured: those of its start or, if another leader
+    /// has started it, of the first increase.
+    since: Option<(f64, u64)>,
 }
 
 impl Progress {
     /// Records that the run has started.
     pub fn begin(&mut self, now: u64) {
-        *self = Self { percent: 0.0, began: now, moved: now };
+        *self = Self { percent: 0.0, began: now, moved: now, since: Some((0.0, now)) };
     }
 
     /// Records a report that shows the run at `percent`.
     pub fn record(&mut self, percent: f64, now: u64) {
         if self.began == 0 {
-            self.begin(now);
+            *self = Self { percent, began: now, moved: now, since: None };
         }
         if percent > self.percent {
             self.percent = percent;
+            self.since.get_or_insert((percent, now));
             self.moved = now;
         }
     }
@@ -59,10 +63,12 @@
 
     /// Time without progress after which the run is stalled, ms.
     fn stall_limit(&self, estimate: u64) -> u64 {
-        let took = self.moved.saturating_sub(self.began) as f64;
-        let limit = match self.percent > 0.0 {
-            true => (took / self.percent * STALL_RATE_FACTOR) as u64,
-            false => estimate / STALL_ESTIMATE_DIVISOR,
+        let limit = match self.since {
+            Some((from, at)) if self.percent > from => {
+                let took = self.moved.saturating_sub(at) as f64;
+                (took / (self.percent - from) * STALL_RATE_FACTOR) as u64
+            }
+            _ => estimate / STALL_ESTIMATE_DIVISOR,
         };
         limit.max(MIN_STALL_MS)
     }
--- a/tests/control_engine.rs
+++ b/tests/control_engine.rs
@@ -288,6 +288,23 @@
     cell.check();
 }
 
+/// Guards against long runs that a new leader stops as stalled, since it takes the progress that they
+/// had when it first saw them for progress of that moment.
+#[test]
+fn a_long_run_is_not_stalled_after_a_leader_change() {
+    for gang in [false, true] {
+        let mut cell = Cell::new(2, 31);
+        cell.submit(1, "patient", vec![Step { gang, ..step(2, 9_000, 300_000) }]);
+        for _ in 0..8 {
+            cell.run(10_700);
+            cell.change_leader();
+        }
+        cell.run(10_000);
+        cell.check();
+        assert!(cell.starts.values().all(|n| *n == 1), "gang {gang}: {:?}", cell.starts);
+    }
+}
+
 /// Guards against a gang that is stopped as stalled while it waits for a member. The start of one
 /// member has no answer and is repeated; the others run and cannot work yet. Their time without
 /// progress must count from when all members run, not from their own start.
