Engine: a gang does not wait after a leader change for failures of long ago

A gang that had lost members with crashed runners was held back after a change of leader, for up to 18 s, once as many of its attempts had been lost as the queue allows failures: 16.4 s in the test instead of less than 5 s, with room for it all the while.

Cause: an attempt whose member's end was not reported stays in the row for good. The leader that wrote it off waits until the lease of that runner has ended; the next one reads only the attempt, and waits until all leases of earlier leaders have.

Change: before a gang is placed, attempts are forgotten whose runner's lease ended a lease ago or longer; the row that stores the placement does not hold them any more. Attempts that were written off because they were not listed stay, since their runners answer.

Test: crashes_of_long_ago_do_not_hold_a_gang_back_after_a_leader_change failed before (16,380 ms).

--- a/src/control/engine/gangs.rs
+++ b/src/control/engine/gangs.rs
@@ -98,6 +98,17 @@
         (same_runner && over && self.runners.get(k).poll_failed).then_some(k)
     }
 
+    /// Forgets the attempts of a gang whose unreported member was on a runner whose lease has expired
+    /// at least a lease ago: its failure was listed by then, or does not count any more. Of attempts
+    /// from before this term, it is not known when their leases ended.
+    pub(super) fn forget_lapsed(&mut self, step: StepId, now: Now) {
+        let (from_before, lease_ms) = (self.predecessor_leases_end(), self.rules.lease_ms);
+        if let Some(s) = self.step_mut(step) {
+            let lapsed = |end: u64| end > 0 && end != from_before && end + lease_ms <= now.mono;
+            s.unreported.retain(|_, end| !lapsed(*end));
+        }
+    }
+
     /// Whether a gang may be started again. Each completion that was not received may be a failure,
     /// which counts if its runner comes back and reports it before its lease expires. The gang
     /// waits while these could add up to the failures that the queue allows.
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -335,7 +335,11 @@
     ) {
         let count = self.step(v.id).map_or(0, |s| s.tasks.len());
         // A gang is restarted as a whole, once no run of its last attempt is left.
-        if v.waiting < count || !self.may_retry(v.id, now) {
+        if v.waiting < count {
+            return;
+        }
+        self.forget_lapsed(v.id, now);
+        if !self.may_retry(v.id, now) {
             return;
         }
         if self.provisional.contains_key(&v.id) {
--- a/tests/control_written_off.rs
+++ b/tests/control_written_off.rs
@@ -227,6 +227,42 @@
     assert_eq!(cell.engine.job(job).map(|j| j.steps[0].gang_fails), Some(1));
 }
 
+/// Crashes a runner of the gang's first member for good, and returns how long the gang takes to run
+/// again, ms.
+fn crash_member(cell: &mut Cell, job: JobId) -> u64 {
+    let id = TaskId { step: StepId { job, occurrence: 0, step: 0 }, index: 0 };
+    let i = cell.runners_of(id)[0];
+    cell.crash(i);
+    cell.register(i, false);
+    cell.add_runner();
+    let began = cell.now;
+    while cell.running() < 2 && cell.now < began + 30_000 {
+        cell.run(STEP_MS);
+    }
+    cell.now - began
+}
+
+/// Guards against a gang that a new leader holds back, since it waits for failures on runners that have
+/// been gone for longer than their leases.
+#[test]
+fn crashes_of_long_ago_do_not_hold_a_gang_back_after_a_leader_change() {
+    let mut cell = Cell::new(3, 8);
+    cell.run(300);
+    let job = cell.submit(1, "patient", vec![Step { gang: true, ..step(2, 9_000, 200_000) }]);
+    cell.run(300);
+    for _ in 0..3 {
+        let took = crash_member(&mut cell, job);
+        assert!(took < 5_000, "{took} ms");
+        cell.run(3 * RULES.lease_ms);
+    }
+    cell.change_leader();
+    cell.run(2_000);
+    let took = crash_member(&mut cell, job);
+    assert!(took < 5_000, "{took} ms");
+    cell.run(1_000);
+    cell.check();
+}
+
 /// Guards against a loss that counts again after a leader change although the completion of its run was
 /// reported.
 #[test]
