Engine: run times of runs that an earlier leader has started are not known

After a change of leader the forecasts of a queue were too low (a task of 4 s was forecast at 549 ms in the test), so that its jobs were ranked by wrong slack; and a job was shown as failed, as one whose task crashes its runners soon after each start, although the task had run for 12 s before the first of two crashes.

Cause: a new leader counts the time of a run from its first answer that lists it.

Change: a run that an earlier leader has started gives no run time for the model, and its loss is no evidence for a crash loop beyond its number.

Tests, each failed before: run_times_do_not_count_from_a_leader_change (549, not 4000), a_leader_change_before_a_crash_does_not_make_it_a_crash_loop (Failed, not Running).

--- a/src/control/engine/forecast.rs
+++ b/src/control/engine/forecast.rs
@@ -43,10 +43,14 @@
         job.forecast(&model, advice_ms);
     }
 
-    /// Records the run time of a completed task. Called before its run is released.
+    /// Records the run time of a completed task, unless an earlier leader has started it. Called before
+    /// its run is released.
     pub(super) fn record_run_time(&mut self, id: TaskId, gang: bool, now: Now) {
         let Some(step) = self.step_mut(id.step) else { return };
         let run = step.tasks.get(id.index as usize).and_then(|t| t.run.as_ref());
+        if run.is_some_and(|r| r.inherited) {
+            return;
+        }
         let began = match gang {
             true => progress::all_running_since(step),
             false => run.map(|r| r.progress.began),
--- a/src/control/engine/losses.rs
+++ b/src/control/engine/losses.rs
@@ -85,8 +85,8 @@
     }
 
     /// Counts the loss of runs against their tasks. The probability that a loss is a coincidence is
-    /// estimated only if the runner crashed, for the tasks seen running that have the most earlier
-    /// losses; else it is 1. The other tasks only ran beside them.
+    /// estimated only if the runner crashed, for the tasks seen running that this leader has started
+    /// and that have the most earlier losses; else it is 1. The other tasks only ran beside them.
     fn count_lost(
         &mut self,
         k: RunnerKey,
@@ -101,7 +101,9 @@
         for &id in lost {
             let Some(task) = self.task_mut(id).filter(|t| t.was_sent()) else { continue };
             let ran = observed_run_ms(task, unanswered_since);
-            let conclusive = ran.filter(|_| crashed && task.losses.count == most_losses);
+            let started_here = task.run.as_ref().is_some_and(|r| !r.inherited);
+            let conclusive =
+                ran.filter(|_| crashed && started_here && task.losses.count == most_losses);
             let chance = conclusive.map_or(1.0, |ms| rate.chance(ms));
             task.losses.record_loss(task.attempt, k, chance);
             self.mark_changed(id.step.job);
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -127,6 +127,8 @@
     pub runner: RunnerKey,
     /// Its state.
     pub stage: Stage,
+    /// Whether an earlier leader has started it, at a time that is not known.
+    pub inherited: bool,
     /// Number of starts sent.
     pub tries: u32,
     /// Whether a start was not answered: its outcome is unknown, and it may take effect later.
@@ -148,9 +150,11 @@
     /// A run on `runner` of which no start has been sent by this leader.
     pub fn new(runner: RunnerKey, stage: Stage) -> Self {
         let progress = Progress::default();
+        let inherited = matches!(stage, Stage::Inherited { .. });
         Self {
             runner,
             stage,
+            inherited,
             tries: 0,
             outcome_unknown: false,
             listed: false,
--- a/tests/control_crashes.rs
+++ b/tests/control_crashes.rs
@@ -162,6 +162,29 @@
     assert_eq!((cell.stored(job), cell.starts[&first(job)]), (JobState::Failed, 2));
 }
 
+/// Guards against a job that fails as one whose task crashes its runners soon after each start: the
+/// first run has lasted for long, and the leader has changed shortly before the crash.
+#[test]
+fn a_leader_change_before_a_crash_does_not_make_it_a_crash_loop() {
+    let mut cell = Cell::new(4, 19);
+    cell.run(300);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 60_000)]);
+    cell.run(12_000);
+    cell.change_leader();
+    cell.run(65);
+    for _ in 0..2 {
+        let i = cell.runners_of(first(job))[0];
+        cell.crash(i);
+        cell.register(i, false);
+        cell.runners[i].replaced = true;
+        while cell.runners_of(first(job)).is_empty() && !cell.stored(job).ended() {
+            cell.run(STEP_MS);
+        }
+        cell.run(15);
+    }
+    assert_eq!(cell.stored(job), JobState::Running);
+}
+
 /// Guards against crash counts that are lost at a leader change.
 #[test]
 fn crashes_count_across_leader_changes() {
--- a/tests/control_engine.rs
+++ b/tests/control_engine.rs
@@ -288,6 +288,21 @@
     cell.check();
 }
 
+/// Guards against forecasts by run times that a new leader counts from when it first saw the runs.
+#[test]
+fn run_times_do_not_count_from_a_leader_change() {
+    let mut cell = Cell::new(4, 32);
+    for n in 0..16 {
+        cell.submit(n + 1, "patient", vec![step(1, 1_000, 4_000)]);
+    }
+    cell.run(3_500);
+    cell.change_leader();
+    cell.run(3_000);
+    assert!((0..16).all(|n| cell.stored(JobId(n + 1)) == JobState::Completed));
+    let job = cell.submit(100, "patient", vec![step(1, 1_000, 4_000)]);
+    assert_eq!(cell.engine.job(job).map(|j| j.longest), Some(4_000));
+}
+
 /// Guards against long runs that a new leader stops as stalled, since it takes the progress that they
 /// had when it first saw them for progress of that moment.
 #[test]
