--- a/src/control/engine/late_completions.rs
+++ b/src/control/engine/late_completions.rs
@@ -60,9 +60,7 @@
         self.log_late(k, end, lost, now);
         // A runner whose lease has expired ends its runs, and failures before that do not count.
         let within_lease = lost.is_some_and(|l| l.why == Loss::LeaseOver && clock <= l.lease_until);
-        if let Some(task) = self.task_mut(end.task) {
-            task.losses.withdraw(end.attempt);
-        }
+        let was_lost = self.task_mut(end.task).is_some_and(|t| t.losses.withdraw(end.attempt));
         let expected = self.take_expected(end);
         let Some(job) = self.jobs.get(&end.task.step.job).filter(|j| !j.state.ended()) else {
             return;
@@ -71,10 +69,10 @@
         let (gang, lasts) = (spec.gang, spec.lasts);
         let changed = match end.kind {
             EndKind::Done if !lasts => self.complete_late(end.task, gang, now),
-            EndKind::Failed if expected || within_lease => self.fail_late(k, end, gang),
+            EndKind::Failed if expected || within_lease => self.fail_late(k, end, gang, expected),
             _ => false,
         };
-        if changed || expected {
+        if changed || expected || was_lost {
             self.mark_changed(end.task.step.job);
             self.update_state(end.task.step.job, now);
         }
@@ -118,8 +116,9 @@
     }
 
     /// Counts a failure of an earlier run than the task's current one. Returns whether it counts: not
-    /// for a task that is done, and once for each attempt of a gang.
-    fn fail_late(&mut self, k: RunnerKey, end: &End, gang: bool) -> bool {
+    /// for a task that is done, and once for each attempt of a gang; one that is expected has not
+    /// been counted.
+    fn fail_late(&mut self, k: RunnerKey, end: &End, gang: bool, expected: bool) -> bool {
         let Some(step) = self.step_mut(end.task.step) else { return false };
         let Some(task) = step.tasks.get_mut(end.task.index as usize) else { return false };
         if task.done {
@@ -127,6 +126,9 @@
         }
         task.avoid.insert(k);
         if gang {
+            if !expected && step.failed_attempt >= end.attempt {
+                return false;
+            }
             step.gang_fails += 1;
             step.failed_attempt = step.failed_attempt.max(end.attempt);
         } else {
--- a/src/control/engine/losses.rs
+++ b/src/control/engine/losses.rs
@@ -85,8 +85,8 @@
     }
 
     /// Counts the loss of runs against their tasks. The probability that a loss is a coincidence is
-    /// estimated only if the runner crashed, for the tasks seen running that have the most earlier
-    /// losses; else it is 1. The other tasks only ran beside them.
+    /// estimated only if the runner crashed, for the tasks seen running that this leader has started
+    /// and that have the most earlier losses; else it is 1. The other tasks only ran beside them.
     fn count_lost(
         &mut self,
         k: RunnerKey,
@@ -101,7 +101,9 @@
         for &id in lost {
             let Some(task) = self.task_mut(id).filter(|t| t.was_sent()) else { continue };
             let ran = observed_run_ms(task, unanswered_since);
-            let conclusive = ran.filter(|_| crashed && task.losses.count == most_losses);
+            let started_here = task.run.as_ref().is_some_and(|r| !r.inherited);
+            let conclusive =
+                ran.filter(|_| crashed && started_here && task.losses.count == most_losses);
             let chance = conclusive.map_or(1.0, |ms| rate.chance(ms));
             task.losses.record_loss(task.attempt, k, chance);
             self.mark_changed(id.step.job);
@@ -124,7 +126,7 @@
         let Some(task) = self.task_mut(id) else { return };
         let ran = observed_run_ms(task, now.mono);
         if !done {
-            task.losses.record_end(task.attempt);
+            task.losses.record_end();
         }
         self.loss_rate.record_end(ran.unwrap_or(0), now.mono);
     }
@@ -160,6 +162,12 @@
 }
 
 impl Task {
+    /// Whether it crashes its runners. The loss of a run that its runner may yet list is no evidence.
+    pub(super) fn crash_loop(&self) -> bool {
+        let uncertain = self.run.is_some() && self.losses.lost(self.attempt);
+        !self.done && !uncertain && self.losses.crash_loop()
+    }
+
     /// Whether its run may have begun.
     fn was_sent(&self) -> bool {
         self.run.as_ref().is_some_and(|r| !matches!(r.stage, Stage::Storing { .. }))
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -125,6 +125,7 @@
             task.saved.clone_from(&a.saved);
         }
         let Some(run) = task.run.as_mut().filter(|r| r.runner == k) else { return };
+        let was_lost = task.losses.withdraw(a.attempt);
         run.listed = true;
         run.unlisted_since = None;
         run.ended_since = None;
@@ -140,6 +141,9 @@
             }
             _ => {}
         }
+        if was_lost {
+            self.mark_changed(id.step.job);
+        }
         self.clear_if_stable(id, now);
         if job_ended {
             self.order_stop(id, StopReason::JobEnded, now);
@@ -181,7 +185,6 @@
             number = end.number; "task ended");
         metrics::counter!("control_ends", "how" => end.kind.name()).increment(1);
         self.mark_running(id.step.job, id.step.occurrence, now);
-        self.record_ended(id, end.kind == EndKind::Done, now);
         let Some(job) = self.jobs.get(&id.step.job) else { return };
         let (gang, lasts) = (job.spec(id.step).gang, job.spec(id.step).lasts);
         if let Some(task) = self.task_mut(id) {
@@ -190,6 +193,7 @@
                 task.saved.clone_from(&end.saved);
             }
         }
+        self.record_ended(id, end.kind == EndKind::Done, now);
         match end.kind {
             EndKind::Done => {
                 self.runners.get_mut(k).health.done();
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -127,6 +127,8 @@
     pub runner: RunnerKey,
     /// Its state.
     pub stage: Stage,
+    /// Whether an earlier leader has started it, at a time that is not known.
+    pub inherited: bool,
     /// Number of starts sent.
     pub tries: u32,
     /// Whether a start was not answered: its outcome is unknown, and it may take effect later.
@@ -151,9 +153,11 @@
     /// A run on `runner` of which no start has been sent by this leader.
     pub fn new(runner: RunnerKey, stage: Stage) -> Self {
         let progress = Progress::default();
+        let inherited = matches!(stage, Stage::Inherited { .. });
         Self {
             runner,
             stage,
+            inherited,
             tries: 0,
             outcome_unknown: false,
             listed: false,
@@ -165,6 +169,24 @@
         }
     }
 
+    /// Moves it to another incarnation of its runner, which has confirmed nothing of it and whose
+    /// clock is another one.
+    pub(super) fn move_to(&mut self, to: RunnerKey) {
+        self.runner = to;
+        self.listed = false;
+        self.unlisted_since = None;
+        self.ended_since = None;
+        self.progress = Progress::default();
+        match &mut self.stage {
+            Stage::Storing { .. } | Stage::Sent | Stage::Inherited { .. } => {}
+            running @ Stage::Running { .. } => *running = Stage::Sent,
+            Stage::Stopping { answered } => {
+                *answered = None;
+                self.stop_at = 0;
+            }
+        }
+    }
+
     /// Whether no order is on its way that could start it a second time: its runner has listed it,
     /// and all its starts were answered. It is then over if that incarnation of the runner is.
     pub fn settled(&self) -> bool {
--- a/tests/common/runner.rs
+++ b/tests/common/runner.rs
@@ -114,7 +114,7 @@
     /// When this incarnation started, Unix ms.
     pub born: Born,
     /// Rate of its clock, per mille of the time of the test.
-    pub clock_rate: u64,
+    pub clock_permille: u64,
     /// Difference of its clock from the time of the test at its own rate, ms.
     offset: i64,
     /// Number of the last completion.
@@ -150,7 +150,7 @@
             acked: 0,
             void: 0,
             born: Born(i as u64 + 1),
-            clock_rate: 1_000,
+            clock_permille: 1_000,
             offset: 77 * (i as i64 + 1),
             last: 0,
         }
@@ -158,7 +158,7 @@
 
     /// Returns the runner's own time at time `now`, ms.
     pub fn clock(&self, now: u64) -> u64 {
-        (now * self.clock_rate / 1_000).saturating_add_signed(self.offset)
+        (now * self.clock_permille / 1_000).saturating_add_signed(self.offset)
     }
 
     /// Starts again under its id at time `now`: another incarnation, which knows nothing of before
@@ -167,8 +167,8 @@
         *self = Self {
             id: std::mem::take(&mut self.id),
             born: Born(self.born.0 + now),
-            clock_rate: self.clock_rate,
-            offset: clock as i64 - (now * self.clock_rate / 1_000) as i64,
+            clock_permille: self.clock_permille,
+            offset: clock as i64 - (now * self.clock_permille / 1_000) as i64,
             start_lag: self.start_lag,
             end_lag: self.end_lag,
             out_of_order: self.out_of_order,
@@ -179,7 +179,7 @@
 
     /// Stands still for `ms` from time `now` on, and at most until shortly before its lease expires.
     pub fn stand_still(&mut self, now: u64, ms: u64) {
-        let lease_ms = self.lease.saturating_sub(self.clock(now)) * 1_000 / self.clock_rate;
+        let lease_ms = self.lease.saturating_sub(self.clock(now)) * 1_000 / self.clock_permille;
         let still_ms = ms.min(lease_ms.saturating_sub(100));
         self.still_until = now + still_ms;
         self.ending.iter_mut().for_each(|(at, ..)| *at += still_ms);
--- a/tests/control_answers.rs
+++ b/tests/control_answers.rs
@@ -40,7 +40,7 @@
         let mut cell = Cell::new(6, seed);
         let mut rng = StdRng::seed_from_u64(seed ^ 0x0e47);
         for r in &mut cell.runners {
-            r.clock_rate = rng.gen_range(980..=1_020);
+            r.clock_permille = rng.gen_range(980..=1_020);
             (r.start_lag, r.end_lag) = (rng.gen_range(0..100), rng.gen_range(0..150));
         }
         let mut jobs = Vec::new();
--- a/tests/control_restarts.rs
+++ b/tests/control_restarts.rs
@@ -7,7 +7,11 @@
 }
 
 use common::control::{step, Cell, Faults, STEP_MS};
+use common::runner::Running;
+use currantgw::control::engine::Now;
 use currantgw::control::model::{JobId, JobState, Step, StepId, TaskId};
+use currantgw::control::ports::Refusal;
+use currantgw::control::rows;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -23,6 +27,9 @@
 /// Clock of a runner whose clock starts anew far ahead of that of its last incarnation, ms.
 const LATER_CLOCK: u64 = 10_000_000;
 
+/// Longer than the scheduler waits for a run that is not listed, ms.
+const NEVER_MS: u64 = 120_000;
+
 /// Time between two polls of an idle runner, ms.
 const POLL_CYCLE_MS: u64 = 60;
 
@@ -223,6 +230,132 @@
     assert_eq!(cell.stored(job), JobState::Completed);
 }
 
+/// Crashes runner 0 and starts it again, unnoticed, with the run that it had: a start that was on its
+/// way has taken effect on the next incarnation.
+fn start_again_with_run(cell: &mut Cell, id: TaskId, clock: u64) {
+    let run = cell.runners[0].running[&id].clone();
+    cell.crash(0);
+    cell.runners[0].start_again(cell.now, clock);
+    cell.runners[0].lease = clock + 5_000;
+    let run = Running { started: cell.now, work_done: 0, stopping: None, ..run };
+    cell.runners[0].running.insert(id, run);
+}
+
+/// Guards against a run that is stopped for want of progress, since it began anew on the next
+/// incarnation and is compared with its progress on the last one.
+#[test]
+fn a_run_that_the_next_incarnation_began_anew_is_not_stalled() {
+    let mut cell = Cell::new(1, 13);
+    cell.run(300);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 4_000)]);
+    cell.run(3_500);
+    start_again_with_run(&mut cell, task(job, 0), EARLIER_CLOCK);
+    cell.run(6_000);
+    cell.check();
+    assert_eq!((cell.stored(job), cell.starts[&task(job, 0)]), (JobState::Completed, 1));
+}
+
+/// Guards against a run of a cancelled job that goes on: its stop was acknowledged by the last
+/// incarnation.
+#[test]
+fn a_run_that_the_last_incarnation_stopped_is_stopped_on_the_next_one() {
+    for clock in [EARLIER_CLOCK, LATER_CLOCK] {
+        let mut cell = Cell::new(1, 14);
+        let job = cell.submit(1, "patient", vec![step(1, 1_000, 10_000)]);
+        cell.run(300);
+        cell.cancel(job);
+        cell.run(50);
+        start_again_with_run(&mut cell, task(job, 0), clock);
+        cell.run(1_000);
+        assert_eq!(cell.running(), 0, "clock {clock}");
+        cell.check();
+    }
+}
+
+/// Guards against a task that never runs again: the next incarnation of its runner lists no end of
+/// its run, and has not reached the time of the last one's clock.
+#[test]
+fn a_run_on_the_next_incarnation_is_judged_by_its_clock() {
+    let mut cell = Cell::new(2, 15);
+    cell.register(1, false);
+    cell.run(40_000);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 500)]);
+    cell.run(300);
+    start_again_with_run(&mut cell, task(job, 0), EARLIER_CLOCK);
+    cell.runners[0].end_lag = NEVER_MS;
+    cell.register(0, true);
+    cell.register(1, true);
+    cell.run(15_000);
+    assert_eq!(cell.stored(job), JobState::Completed);
+}
+
+/// A cell in which a task's runner has started again with its run, which its first answer to a new
+/// leader does not list. The task has been lost `losses` times before; other tasks of its job end on
+/// another runner all the time.
+fn cell_with_run_not_listed_yet(losses: u32) -> (Cell, JobId) {
+    let mut cell = Cell::new(2, 16);
+    cell.register(1, false);
+    let after_first = |n: u64| Step { after: vec![1], ..step(1, 100, 1_000 + n * 20) };
+    let mut steps = vec![step(1, 1_000, 10_000), step(1, 1_000, 300)];
+    steps.extend((0..40).map(after_first));
+    let job = cell.submit(1, "patient", steps);
+    cell.run(200);
+    cell.register(0, false);
+    cell.register(1, true);
+    cell.run(1_400);
+    let mut row = cell.progress(job).unwrap();
+    row.steps[0].2[0].5 = losses;
+    cell.put_progress(job, rows::encode(&row));
+    start_again_with_run(&mut cell, task(job, 0), EARLIER_CLOCK);
+    cell.runners[0].start_lag = 1_000;
+    cell.change_leader();
+    (cell, job)
+}
+
+/// Guards against a job that fails as one whose task crashes its runners, by a loss that follows from
+/// one answer only: the run is at work, and is done soon.
+#[test]
+fn a_run_that_is_not_listed_yet_fails_no_job_as_crash_loop() {
+    let (mut cell, job) = cell_with_run_not_listed_yet(4);
+    let run = cell.runners[0].running.get_mut(&task(job, 0)).unwrap();
+    run.work_done = run.total_work - 130;
+    // The stop of the run is held up.
+    cell.faults.late = 1.0;
+    cell.run(200);
+    cell.faults.late = 0.0;
+    cell.run(10_000);
+    cell.check();
+    assert_eq!(cell.stored(job), JobState::Completed);
+}
+
+/// Guards against a loss that stays although the run is at work.
+#[test]
+fn the_loss_of_a_run_that_a_later_answer_lists_is_withdrawn() {
+    let (mut cell, job) = cell_with_run_not_listed_yet(0);
+    cell.faults.late = 1.0;
+    cell.run(1_500);
+    assert_eq!(cell.runners_of(task(job, 0)), vec![0]);
+    assert_eq!(cell.engine.job(job).unwrap().steps[0].tasks[0].losses.count, 0);
+    cell.run(100);
+    assert_eq!(cell.progress(job).unwrap().steps[0].2[0].5, 0);
+}
+
+/// Guards against a run that counts as lost twice: with the last incarnation of its runner, and as
+/// that one's lease expires.
+#[test]
+fn a_run_is_lost_once() {
+    let (mut cell, job) = cell_with_run_not_listed_yet(0);
+    let lost = |cell: &Cell| cell.engine.job(job).unwrap().steps[0].tasks[0].losses.count;
+    while lost(&cell) == 0 {
+        cell.run(STEP_MS);
+    }
+    cell.runners[0].unreachable_until = cell.now + 10_000;
+    cell.runners[1].refuses_until = NEVER_MS;
+    cell.run(9_500);
+    assert!(cell.engine.counts.written_off > 0);
+    assert_eq!(lost(&cell), 1);
+}
+
 /// Guards against a task that runs twice: its runner cannot be reached after the first answer of an
 /// incarnation, whose lease was extended by orders that were meant for the last one.
 #[test]
@@ -301,6 +434,24 @@
     assert_eq!(cell.stored(job), JobState::Completed);
 }
 
+/// Guards against a runner that is never used again, and whose runs are taken for lost: a call to its
+/// former address is answered by another runner after the registry has shown the new one.
+#[test]
+fn a_late_answer_from_the_former_address_of_a_runner_does_not_exclude_it() {
+    let mut cell = Cell::new(1, 18);
+    cell.run(300);
+    cell.crash(0);
+    cell.run(100);
+    cell.start_again(0, EARLIER_CLOCK);
+    let (k, _) = cell.engine.runners().next().unwrap();
+    let now = Now { mono: cell.now, wall: cell.now };
+    cell.engine.polled(k, Err(Refusal::OtherRunner), now);
+    let job = cell.submit(1, "patient", vec![step(1, 1_000, 500)]);
+    cell.run(3_000);
+    cell.check();
+    assert_eq!(cell.stored(job), JobState::Completed);
+}
+
 /// Guards against a crash loop that is not noticed since the runners start again under their ids.
 #[test]
 fn a_task_that_crashes_runners_of_lasting_ids_fails_its_job() {
--- a/tests/control_written_off.rs
+++ b/tests/control_written_off.rs
@@ -6,7 +6,7 @@
     pub mod runner;
 }
 
-use common::control::{queue, step, Cell, Faults, RULES};
+use common::control::{queue, step, Cell, Faults, RULES, STEP_MS};
 use currantgw::control::engine::{Action, Now, Outcome, RunnerKey};
 use currantgw::control::model::{Attempt, EndKind, JobId, JobState, Step, StepId, TaskId};
 use currantgw::control::partitions::PartitionScope;
@@ -231,3 +231,150 @@
     cell.engine.polled(k, Ok(report(born, clock + 320, vec![failed(unlisted)])), later);
     assert_eq!(cell.engine.job(job).map(|j| j.steps[0].gang_fails), Some(1));
 }
+
+/// The same for members whose runner is written off as its lease expires, before a leader without
+/// processor time handles the answer that lists their failures.
+#[test]
+fn failures_of_a_gang_in_one_answer_from_before_the_end_of_the_lease_count_once() {
+    let mut cell = Cell::new(1, 7);
+    cell.run(300);
+    let job = cell.submit(1, "patient", vec![Step { gang: true, ..step(2, 1_000, 60_000) }]);
+    cell.run(500);
+    let now = Now { mono: cell.now, wall: cell.now };
+    let lapsed = now.mono + 2 * RULES.lease_ms;
+    let later = Now { mono: lapsed, wall: lapsed };
+    let (k, _) = cell.engine.runners().next().unwrap();
+    let r = &cell.runners[0];
+    let ends = (0..2).map(|index| End {
+        number: u64::from(index) + 1,
+        task: TaskId { step: StepId { job, occurrence: 0, step: 0 }, index },
+        attempt: Attempt(1),
+        kind: EndKind::Failed,
+        saved: String::new(),
+    });
+    let (born, clock) = (Some(r.born), r.clock(now.mono));
+    let report = Report { born, clock, ends: ends.collect(), ..Report::default() };
+    cell.engine.tick(later);
+    assert_eq!(cell.engine.counts.written_off, 2);
+    cell.engine.polled(k, Ok(report), later);
+    assert_eq!(cell.engine.job(job).map(|j| j.steps[0].gang_fails), Some(1));
+}
+
+/// Crashes a runner of the gang's first member for good, and returns how long the gang takes to run
+/// again, ms.
+fn crash_member(cell: &mut Cell, job: JobId) -> u64 {
+    let id = TaskId { step: StepId { job, occurrence: 0, step: 0 }, index: 0 };
+    let i = cell.runners_of(id)[0];
+    cell.crash(i);
+    cell.register(i, false);
+    cell.add_runner();
+    let began = cell.now;
+    while cell.running() < 2 && cell.now < began + 30_000 {
+        cell.run(STEP_MS);
+    }
+    cell.now - began
+}
+
+/// Guards against a gang that a new leader holds back, since it waits for failures on runners that have
+/// been gone for longer than their leases.
+#[test]
+fn crashes_of_long_ago_do_not_hold_a_gang_back_after_a_leader_change() {
+    let mut cell = Cell::new(3, 8);
+    cell.run(300);
+    let job = cell.submit(1, "patient", vec![Step { gang: true, ..step(2, 9_000, 200_000) }]);
+    cell.run(300);
+    for _ in 0..3 {
+        let took = crash_member(&mut cell, job);
+        assert!(took < 5_000, "{took} ms");
+        cell.run(3 * RULES.lease_ms);
+    }
+    cell.change_leader();
+    cell.run(2_000);
+    let took = crash_member(&mut cell, job);
+    assert!(took < 5_000, "{took} ms");
+    cell.run(1_000);
+    cell.check();
+}
+
+/// Guards against a loss that counts again after a leader change although the completion of its run was
+/// reported.
+#[test]
+fn a_loss_that_is_withdrawn_is_withdrawn_in_the_store() {
+    let mut cell = Cell::new(1, 6);
+    cell.run(300);
+    let job = cell.submit(1, "patient", vec![step(1, 9_000, 60_000)]);
+    cell.run(300);
+    let lost = |cell: &Cell| cell.progress(job).unwrap().steps[0].2[0].5;
+    cell.runners[0].unreachable_until = cell.now + 9_500;
+    cell.run(9_000);
+    assert_eq!(lost(&cell), 1);
+    // No room for another run.
+    cell.runners[0].capacity.cpu = 1_000;
+    cell.register(0, true);
+    cell.run(3_000);
+    assert!(cell.runners[0].acked > 0);
+    assert_eq!(lost(&cell), 0);
+    cell.check();
+}
+
+/// What happens while a run ends unseen.
+#[derive(Clone, Copy, Debug)]
+struct CutOff {
+    /// Rate of the runners' clocks, per mille.
+    rate: u64,
+    /// When the runner can be reached again, ms.
+    reconnect: u64,
+    /// When another leader is elected, ms.
+    change: u64,
+    fails: bool,
+    gang: bool,
+}
+
+/// Guards against ends that do not count because another leader than the one that wrote the run off is
+/// listed them: around the end of a lease, with the slowest and the fastest clocks of runners.
+#[test]
+fn ends_around_the_end_of_a_lease_count_across_leaders() {
+    let mut restarts = 0;
+    for rate in [980, 1_000, 1_020] {
+        for (reconnect, change) in moments_around_lease_end() {
+            for (fails, gang) in [(false, false), (true, false), (true, true)] {
+                restarts += end_while_cut_off(CutOff { rate, reconnect, change, fails, gang });
+            }
+        }
+    }
+    assert!(restarts > 0);
+}
+
+fn moments_around_lease_end() -> impl Iterator<Item = (u64, u64)> {
+    let around = |step_ms| (RULES.lease_ms - 1_000..RULES.lease_ms + 1_400).step_by(step_ms);
+    around(400).flat_map(move |reconnect| around(450).map(move |change| (reconnect, change)))
+}
+
+/// Lets the last run that a task may have end while its runner cannot be reached. Returns the number of
+/// starts after that.
+fn end_while_cut_off(cut: CutOff) -> u32 {
+    let mut cell = Cell::new(3, 5);
+    cell.runners.iter_mut().for_each(|r| r.clock_permille = cut.rate);
+    cell.register(2, false);
+    cell.run(300);
+    let count = if cut.gang { 2 } else { 1 };
+    let job = cell.submit(1, "urgent", vec![Step { gang: cut.gang, ..step(count, 9_000, 400) }]);
+    if cut.fails {
+        cell.poison(job);
+    }
+    let id = TaskId { step: StepId { job, occurrence: 0, step: 0 }, index: 0 };
+    let runs = if cut.fails { 2 } else { 1 };
+    while cell.starts.get(&id).is_none_or(|n| *n < runs) {
+        cell.run(STEP_MS);
+    }
+    cell.run(100);
+    let i = cell.runners_of(id)[0];
+    cell.runners[i].unreachable_until = cell.now + cut.reconnect;
+    cell.register(2, true);
+    cell.run(cut.change);
+    cell.change_leader();
+    cell.run(25_000);
+    cell.check();
+    assert!(cell.stored(job).ended(), "{cut:?}");
+    cell.starts[&id] - runs
+}
