Progress rows are readable for the landed version

What callers would see: during a rolling update, a leader of the landed version cannot read the progress that this version has stored. It takes these jobs for not begun and starts all their tasks again.

Cause: StepRow is encoded as a list and got a fifth element. The landed decoder reads four and fails on what follows, also where the new element is empty.

Ruled out: other rows.

Change: attempts of single tasks that may yet be reported are a further key of ProgressRow, a map whose unknown keys the landed decoder ignores, and the key is left out where there are none.

Test: unreadable_rows::progress_is_readable_for_the_landed_version_and_the_other_way_round, with a copy of the landed types; its last assertion failed before, with an empty fifth element. A row with the new key is now decoded by the landed types, too.

Conclusion: rows can be read in both directions. A landed leader drops the new key when it stores a row, so that a failure reported after that for an attempt that was written off before does not count, as in the landed version.

--- a/src/control/engine/progress_row.rs
+++ b/src/control/engine/progress_row.rs
@@ -5,6 +5,7 @@
 use super::{Job, Runner, RunnerKey, StepRun, Task};
 use crate::control::crashes::Losses;
 use crate::control::rows::{ProgressRow, StepRow, TaskRow};
+use std::collections::BTreeMap;
 
 impl Job {
     /// Applies a stored row. The leases that predecessors sent have expired at `leases_end`, local
@@ -21,15 +22,10 @@
             self.steps.clear();
         }
         for (step, row) in self.steps.iter_mut().zip(&p.steps) {
-            let StepRow(fails, attempt, tasks, unreported, of_tasks) = row;
+            let StepRow(fails, attempt, tasks, unreported) = row;
             step.unreported = unreported.iter().map(|a| (*a, leases_end)).collect();
             step.gang_fails = *fails;
             step.failed_attempt = *attempt;
-            for (index, attempts) in of_tasks {
-                if let Some(task) = step.tasks.get_mut(*index as usize) {
-                    task.unreported.clone_from(attempts);
-                }
-            }
             for (task, row) in step.tasks.iter_mut().zip(tasks) {
                 let TaskRow(attempt, fails, done, id, saved, lost, born) = row;
                 task.attempt = *attempt;
@@ -41,6 +37,14 @@
                     .then(|| Run::new(runner(id), Stage::Inherited { born: *born }));
             }
         }
+        for (step, tasks) in &p.unreported {
+            let Some(step) = self.steps.get_mut(*step as usize) else { continue };
+            for (task, attempts) in tasks {
+                if let Some(task) = step.tasks.get_mut(*task as usize) {
+                    task.unreported.clone_from(attempts);
+                }
+            }
+        }
     }
 
     /// The row to store.
@@ -53,11 +57,18 @@
         let step = |s: &StepRun| {
             let tasks = s.tasks.iter().map(task).collect();
             let unreported = s.unreported.keys().copied().collect();
-            let with_unreported = s.tasks.iter().zip(0..).filter(|(t, _)| !t.unreported.is_empty());
-            let of_tasks = with_unreported.map(|(t, index)| (index, t.unreported.clone()));
-            StepRow(s.gang_fails, s.failed_attempt, tasks, unreported, of_tasks.collect())
+            StepRow(s.gang_fails, s.failed_attempt, tasks, unreported)
         };
-        let steps = self.steps.iter().map(step).collect();
-        ProgressRow { state: self.state, ended: self.ended, steps }
+        let of_tasks = |s: &StepRun| {
+            let tasks = s.tasks.iter().zip(0..).filter(|(t, _)| !t.unreported.is_empty());
+            tasks.map(|(t, index)| (index, t.unreported.clone())).collect::<BTreeMap<_, _>>()
+        };
+        let unreported = self.steps.iter().map(of_tasks).zip(0..).filter(|(t, _)| !t.is_empty());
+        ProgressRow {
+            state: self.state,
+            ended: self.ended,
+            steps: self.steps.iter().map(step).collect(),
+            unreported: unreported.map(|(tasks, index)| (index, tasks)).collect(),
+        }
     }
 }
--- a/src/control/rows.rs
+++ b/src/control/rows.rs
@@ -174,18 +174,17 @@
     #[serde(default)] pub Option<Born>,
 );
 
-/// Progress of a step: failures of the gang and the attempt of the last one, its tasks, attempts of
-/// the gang whose completion was not reported, and the same of single tasks by their index.
+/// Progress of a step: failures of the gang and the attempt of the last one, its tasks, and
+/// attempts of the gang whose completion was not reported. Decoders of older versions accept no
+/// further field here; [`ProgressRow`] may have further keys.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StepRow(
-    pub u32,
-    pub Attempt,
-    pub Vec<TaskRow>,
-    #[serde(default)] pub BTreeSet<Attempt>,
-    #[serde(default)] pub BTreeMap<u32, BTreeSet<Attempt>>,
-);
+pub struct StepRow(pub u32, pub Attempt, pub Vec<TaskRow>, #[serde(default)] pub BTreeSet<Attempt>);
 
-/// Progress of a job.
+/// Attempts of single tasks whose completion was not reported, by the index of the step and that of
+/// the task.
+pub type UnreportedAttempts = BTreeMap<u32, BTreeMap<u32, BTreeSet<Attempt>>>;
+
+/// Progress of a job. Older versions ignore keys that they do not know.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "WireProgress")]
 pub struct ProgressRow {
@@ -195,6 +194,9 @@
     pub ended: u64,
     /// Progress of each step of each occurrence; empty once no task of the job can run again.
     pub steps: Vec<StepRow>,
+    /// Attempts that were written off and may yet be reported.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub unreported: UnreportedAttempts,
 }
 
 #[derive(Deserialize)]
@@ -202,17 +204,21 @@
     state: JobState,
     ended: u64,
     steps: Vec<StepRow>,
+    /// Missing in rows of older versions.
+    #[serde(default)]
+    unreported: UnreportedAttempts,
 }
 
 impl TryFrom<WireProgress> for ProgressRow {
     type Error = InvalidValue;
 
     fn try_from(w: WireProgress) -> Result<Self, InvalidValue> {
-        for StepRow(gang, _, tasks, ..) in &w.steps {
+        for StepRow(gang, _, tasks, _) in &w.steps {
             check_failures(*gang)?;
             tasks.iter().try_for_each(|t| check_failures(t.1.max(t.5)))?;
         }
-        Ok(Self { state: w.state, ended: check_time(w.ended)?, steps: w.steps })
+        let ended = check_time(w.ended)?;
+        Ok(Self { state: w.state, ended, steps: w.steps, unreported: w.unreported })
     }
 }
 
--- a/tests/control_leader.rs
+++ b/tests/control_leader.rs
@@ -346,8 +346,11 @@
         if stored_late {
             put_job();
         }
-        let ended =
-            ProgressRow { state: JobState::Completed, ended: clock.wall(), steps: Vec::new() };
+        let ended = ProgressRow {
+            state: JobState::Completed,
+            ended: clock.wall(),
+            ..ProgressRow::default()
+        };
         store.inner.put(rows::progress_key(id), rows::encode(&ended));
         let fences: Vec<u64> =
             Partition::all().map(|p| store.inner.put(rows::fence_key(p), Vec::new())).collect();
@@ -409,7 +412,7 @@
     let id = JobId(5);
     let spec = JobSpec { steps: vec![Step { count: 1, ..Step::default() }], ..JobSpec::default() };
     let row = JobRow { queue: "q".into(), team: None, at: 1, spec };
-    let ended = ProgressRow { state: JobState::Completed, ended: 1, steps: Vec::new() };
+    let ended = ProgressRow { state: JobState::Completed, ended: 1, ..ProgressRow::default() };
     let get = || async {
         match leader.mirror.job_state(id) {
             Some(state) => Some(state),
@@ -470,8 +473,11 @@
         for table in [Table::Config, Table::Jobs, Table::Progress] {
             leader.mirror.poll(table, 0).await.unwrap();
         }
-        let ended =
-            ProgressRow { state: JobState::Completed, ended: clock.wall(), steps: Vec::new() };
+        let ended = ProgressRow {
+            state: JobState::Completed,
+            ended: clock.wall(),
+            ..ProgressRow::default()
+        };
         store.inner.put(rows::progress_key(id), rows::encode(&ended));
         leader.serve(term(), &stop).await;
         assert_eq!(store.written.lock().unwrap().len(), 1);
--- a/tests/control_mirror.rs
+++ b/tests/control_mirror.rs
@@ -217,7 +217,7 @@
 
 /// Rows of progress of jobs that have ended, by partition.
 fn ended_jobs(ids: impl Iterator<Item = JobId>) -> BTreeMap<String, Vec<Row>> {
-    let progress = ProgressRow { state: JobState::Completed, ended: 1, steps: Vec::new() };
+    let progress = ProgressRow { state: JobState::Completed, ended: 1, ..ProgressRow::default() };
     let value = rows::encode(&progress);
     let mut out: BTreeMap<String, Vec<Row>> = BTreeMap::new();
     for id in ids {
@@ -262,7 +262,7 @@
 async fn a_full_read_removes_the_jobs_that_were_deleted() {
     let ids = &one_per_partition()[..2];
     let mut inner = Slow::with_jobs(ids);
-    let running = ProgressRow { state: JobState::Running, ended: 0, steps: Vec::new() };
+    let running = ProgressRow { state: JobState::Running, ended: 0, ..ProgressRow::default() };
     for &id in ids {
         let row = Row { key: rows::progress_key(id), value: rows::encode(&running), version: 6 };
         inner.partitions.entry(row.key.part.clone()).or_default().push(row);
--- a/tests/control_policy.rs
+++ b/tests/control_policy.rs
@@ -372,13 +372,8 @@
     let row = ProgressRow {
         state: JobState::Running,
         ended: 0,
-        steps: vec![StepRow(
-            1,
-            Default::default(),
-            vec![TaskRow::default(); 3],
-            BTreeSet::new(),
-            BTreeMap::from([(2, BTreeSet::from([Attempt(4)]))]),
-        )],
+        steps: vec![StepRow(1, Default::default(), vec![TaskRow::default(); 3], BTreeSet::new())],
+        unreported: BTreeMap::from([(0, BTreeMap::from([(2, BTreeSet::from([Attempt(4)]))]))]),
     };
     assert_eq!(rows::decode::<ProgressRow>(&rows::encode(&row)).unwrap(), row);
     assert!(rows::decode::<ProgressRow>(b"junk").is_err());
--- a/tests/control_store_backlog.rs
+++ b/tests/control_store_backlog.rs
@@ -248,7 +248,7 @@
 /// tasks again that have completed.
 #[test]
 fn progress_of_another_scheduler_ends_the_term_and_is_kept() {
-    let row = ProgressRow { state: JobState::Completed, ended: 1, steps: Vec::new() };
+    let row = ProgressRow { state: JobState::Completed, ended: 1, ..ProgressRow::default() };
     let (cell, job) = job_with_progress_of_another(rows::encode(&row));
     assert!(cell.engine.stale);
     assert_eq!(cell.stored(job), JobState::Completed);
--- a/tests/unreadable_rows.rs
+++ b/tests/unreadable_rows.rs
@@ -67,10 +67,15 @@
     let task = TaskRow(Attempt(2), 1, false, "runner".into(), "c".into(), 1, Some(Born(7)));
     let done = TaskRow(Attempt(1), 0, true, String::new(), String::new(), 0, None);
     let unreported = BTreeSet::from([Attempt(1)]);
-    let of_tasks = BTreeMap::from([(0, unreported.clone())]);
-    let first = StepRow(0, Attempt(0), vec![task, done.clone()], unreported, of_tasks);
-    let second = StepRow(0, Attempt(0), vec![done], BTreeSet::new(), BTreeMap::new());
-    ProgressRow { state: JobState::Running, ended: 0, steps: vec![first, second] }
+    let of_tasks = BTreeMap::from([(0, BTreeMap::from([(0, unreported.clone())]))]);
+    let first = StepRow(0, Attempt(0), vec![task, done.clone()], unreported);
+    let second = StepRow(0, Attempt(0), vec![done], BTreeSet::new());
+    ProgressRow {
+        state: JobState::Running,
+        ended: 0,
+        steps: vec![first, second],
+        unreported: of_tasks,
+    }
 }
 
 fn leader() -> LeaderRow {
@@ -226,6 +231,10 @@
     refused::<ProgressRow>(&changed(|r| r.steps[0].2[0].0 = Attempt(u32::MAX)), "attempt");
     refused::<ProgressRow>(&changed(|r| r.steps[0].1 = Attempt(u32::MAX)), "attempt");
     refused::<ProgressRow>(&changed(|r| r.steps[0].3.extend([Attempt(u32::MAX)])), "attempt");
+    let late = |r: &mut ProgressRow| {
+        r.unreported.get_mut(&0).unwrap().get_mut(&0).unwrap().insert(Attempt(u32::MAX));
+    };
+    refused::<ProgressRow>(&changed(late), "attempt");
     refused::<ProgressRow>(&changed(|r| r.steps[0].2[0].1 = u32::MAX), "failures");
     refused::<ProgressRow>(&changed(|r| r.steps[0].0 = u32::MAX), "failures");
     refused::<ProgressRow>(&changed(|r| r.ended = u64::MAX), "moment");
@@ -275,7 +284,9 @@
     // Older versions knew no teams.
     let team = [text("team"), ("team", None), ("team", Some(Value::Null))];
     check_fields(&job(), &[&[text("queue")], &team[..]].concat());
-    check_fields(&progress(), &[]);
+    // Older versions wrote no attempts of single tasks whose completion was not reported.
+    let unreported = [("unreported", None), ("unreported", Some(Value::Map(Vec::new())))];
+    check_fields(&progress(), &unreported);
     let links = [("links", None), ("links", Some(Value::Null))];
     let next = [text("next"), ("next", None)];
     let others = [text("node"), links[0].clone(), links[1].clone(), ("size", None)];
@@ -283,7 +294,7 @@
     // Older versions wrote a step without the attempts whose completion was not reported.
     let older = (0u32, 0u32, Vec::<TaskRow>::new());
     let step = rows::decode::<StepRow>(&rows::encode(&older)).unwrap();
-    assert_eq!((step.3, step.4), (BTreeSet::new(), BTreeMap::new()));
+    assert_eq!(step.3, BTreeSet::new());
 }
 
 #[test]
@@ -300,11 +311,9 @@
 fn within_bounds(p: &ProgressRow) -> bool {
     let attempt = |a: &Attempt| a.0 <= Attempt::LAST;
     let task = |t: &TaskRow| attempt(&t.0) && t.1 <= Attempt::LAST;
-    let step = |s: &StepRow| {
-        let mut unreported = s.3.iter().chain(s.4.values().flatten());
-        attempt(&s.1) && s.2.iter().all(task) && unreported.all(attempt)
-    };
-    p.ended <= model::MAX_MOMENT && p.steps.iter().all(step)
+    let step = |s: &StepRow| attempt(&s.1) && s.2.iter().all(task) && s.3.iter().all(attempt);
+    let mut unreported = p.unreported.values().flat_map(|tasks| tasks.values().flatten());
+    p.ended <= model::MAX_MOMENT && p.steps.iter().all(step) && unreported.all(attempt)
 }
 
 /// `whole` with one byte changed, or truncated at that byte.
@@ -377,3 +386,46 @@
     let read: TaskRow = rows::decode(&rows::encode(&earlier)).unwrap();
     assert_eq!(read, TaskRow(Attempt(2), 1, false, "runner".into(), "c".into(), 3, None));
 }
+
+/// Rows of progress as version 091395e reads and writes them.
+mod landed {
+    use currantgw::control::model::{Attempt, JobState};
+    use currantgw::control::rows::TaskRow;
+    use serde::{Deserialize, Serialize};
+    use std::collections::BTreeSet;
+
+    #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+    pub struct StepRow(
+        pub u32,
+        pub Attempt,
+        pub Vec<TaskRow>,
+        #[serde(default)] pub BTreeSet<Attempt>,
+    );
+
+    #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+    pub struct ProgressRow {
+        pub state: JobState,
+        pub ended: u64,
+        pub steps: Vec<StepRow>,
+    }
+}
+
+fn landed_progress() -> landed::ProgressRow {
+    let ProgressRow { state, ended, steps, .. } = progress();
+    let step = |StepRow(fails, attempt, tasks, unreported)| {
+        landed::StepRow(fails, attempt, tasks, unreported)
+    };
+    landed::ProgressRow { state, ended, steps: steps.into_iter().map(step).collect() }
+}
+
+/// Guards against a rolling update in which a leader of the landed version cannot read the progress
+/// that this version has stored, and starts all tasks of the job again.
+#[test]
+fn progress_is_readable_for_the_landed_version_and_the_other_way_round() {
+    let landed = landed_progress();
+    let mut read: ProgressRow = rows::decode(&rows::encode(&landed)).unwrap();
+    assert_eq!(rows::encode(&read), rows::encode(&landed));
+    read.unreported = progress().unreported;
+    assert_eq!(read, progress());
+    assert_eq!(rows::decode(&rows::encode(&read)), Ok(landed));
+}
