A completion with an unknown outcome ends its run

What callers would see: a task whose runner reports an end with a word that we do not know waits for a lease, a stop and its settling time, more than 8 s, before it starts again. The completion has no effect, and is acknowledged with the next higher number.

Cause: the decoder left out a completion if any of its fields was invalid, also where number, task and attempt were valid.

Ruled out: to count it as done (the task might never have run to its end) or as failed (a job could fail for a word of the platform); to withhold the acknowledgement of a completion without a valid number or task for good: the list of a runner would fill with 500 such entries and show no other end any more. The scheduler already waits for a missing number for stop_ms and 200 ms. In that time a later answer that lists the completion in full has its effect, which a test now shows; after it the later ones are acknowledged, and the run is stopped as one that is in neither list.

It frees the run and its capacity, counts neither as done nor as failed, and the runner is avoided as after a written-off run, so that the task is not started there again and again.

Conclusion: an end with an unknown outcome has its effect before it is acknowledged. If it was in fact done, its task runs again.

--- a/src/control/engine/late_completions.rs
+++ b/src/control/engine/late_completions.rs
@@ -91,7 +91,11 @@
         }
         match end.kind {
             EndKind::Done | EndKind::Failed => step.unreported.remove(&end.attempt).is_some(),
-            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
+            EndKind::Stopped
+            | EndKind::Lapsed
+            | EndKind::Broken
+            | EndKind::Alone
+            | EndKind::Unknown => {
                 step.unreported.entry(end.attempt).and_modify(|lease_end| *lease_end = 0);
                 false
             }
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -194,6 +194,13 @@
             }
             EndKind::Failed => self.mark_failed(k, id, gang, now),
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
+            // Other runners are preferred, so that the task doesn't start there again and again.
+            EndKind::Unknown => {
+                self.runners.get_mut(k).health.strike(now.mono);
+                if let Some(task) = self.task_mut(id) {
+                    task.avoid.insert(k);
+                }
+            }
         }
         self.release(id, now);
         if gang && end.kind == EndKind::Broken {
--- a/src/control/model/job.rs
+++ b/src/control/model/job.rs
@@ -31,6 +31,8 @@
     Broken,
     /// Not all other members of its gang started in time.
     Alone,
+    /// It ended in a way that cannot be decoded: neither known to be done nor to have failed.
+    Unknown,
 }
 
 impl EndKind {
@@ -43,6 +45,7 @@
             Self::Lapsed => "lapsed",
             Self::Broken => "broken",
             Self::Alone => "alone",
+            Self::Unknown => "unknown",
         }
     }
 }
--- /dev/null
+++ b/tests/control_bad_completions.rs
@@ -0,0 +1,131 @@
+//! Answers of runners whose lists cannot be decoded in full: what follows for runs, and which
+//! completions are acknowledged.
+
+mod common {
+    pub mod control;
+    pub mod runner;
+}
+
+use common::control::{step, Cell, RULES};
+use currantgw::control::engine::{Action, Now, Outcome, RunnerKey};
+use currantgw::control::model::{Attempt, JobId, JobState, TaskId};
+use currantgw::control::partitions::PartitionScope;
+use currantgw::control::ports::Report;
+use currantgw::platform::reports;
+use serde_json::{json, Value};
+
+/// A cell of one runner with a job of one task, whose start is confirmed.
+struct OneRun {
+    cell: Cell,
+    job: JobId,
+    runner: RunnerKey,
+    task: TaskId,
+    attempt: Attempt,
+    now: Now,
+    clock: u64,
+}
+
+impl OneRun {
+    fn new() -> Self {
+        let mut cell = Cell::new(1, 2);
+        cell.run(300);
+        let now = Now { mono: cell.now, wall: cell.now };
+        let clock = cell.runners[0].clock(cell.now);
+        let job = cell.submit(1, "patient", vec![step(1, 1_000, 10)]);
+        cell.engine.tick(now);
+        let (runner, task, attempt) = start(&mut cell, now, 7).expect("a start");
+        cell.engine.started(runner, task, attempt, Ok(clock), now);
+        Self { cell, job, runner, task, attempt, now, clock }
+    }
+
+    /// Passes an answer with these completions to the scheduler `ms` after the last one.
+    fn answer(&mut self, ms: u64, finished: Value) {
+        self.clock += ms;
+        let body = json!({"clock_ms": self.clock, "active": [], "finished": finished});
+        let read = reports::report(body.to_string().as_bytes()).unwrap().report;
+        self.receive(ms, read);
+    }
+
+    fn receive(&mut self, ms: u64, read: Report) {
+        self.now = Now { mono: self.now.mono + ms, wall: self.now.wall + ms };
+        let report = Report { born: Some(self.cell.runners[0].born), ..read };
+        self.cell.engine.polled(self.runner, Ok(report), self.now);
+    }
+
+    /// The number that the next poll acknowledges.
+    fn acknowledged(&mut self) -> u64 {
+        let batch = self.cell.engine.take_batch(PartitionScope::All, 46, self.now);
+        self.cell.engine.committed(&batch, &Outcome::Done(8), self.now);
+        self.cell.engine.take_actions();
+        self.now = Now { mono: self.now.mono + 250, wall: self.now.wall + 250 };
+        self.clock += 250;
+        self.cell.engine.tick(self.now);
+        let mut acts = self.cell.engine.take_actions().into_iter();
+        acts.find_map(|a| match a {
+            Action::Poll { poll, .. } => Some(poll.acked),
+            _ => None,
+        })
+        .expect("a poll")
+    }
+
+    fn state(&self) -> JobState {
+        self.cell.engine.job(self.job).unwrap().state
+    }
+}
+
+/// Plans and stores placements, and returns the start that is ordered.
+fn start(cell: &mut Cell, now: Now, version: u64) -> Option<(RunnerKey, TaskId, Attempt)> {
+    cell.engine.plan(now);
+    let batch = cell.engine.take_batch(PartitionScope::All, 46, now);
+    cell.engine.committed(&batch, &Outcome::Done(version), now);
+    cell.engine.take_actions().into_iter().find_map(|act| match act {
+        Action::Start { runner, start, .. } => Some((runner, start.task, start.attempt)),
+        _ => None,
+    })
+}
+
+/// Guards against a completion that is acknowledged without an effect, so that its task waits for a
+/// lease and a stop: its outcome is a word that the scheduler does not know.
+#[test]
+fn a_run_with_an_unknown_outcome_is_over_and_counts_neither_as_done_nor_as_failed() {
+    let mut run = OneRun::new();
+    let (task, attempt) = (run.task.to_string(), run.attempt.0);
+    run.answer(20, json!([[1, task, attempt, "expired", "c"]]));
+    let job = run.cell.engine.job(run.job).unwrap();
+    let stored = &job.steps[0].tasks[0];
+    assert!(stored.run.is_none(), "the run has ended: {:?}", stored.run);
+    assert_eq!((stored.done, stored.fails, stored.saved.as_str()), (false, 0, "c"));
+    assert_eq!(run.state(), JobState::Running);
+    assert_eq!(run.acknowledged(), 1);
+}
+
+/// A completion of which the task cannot be decoded has its effect if a later answer lists it in
+/// full; until then, those with higher numbers are not acknowledged.
+#[test]
+fn a_completion_that_cannot_be_decoded_holds_back_later_ones_for_a_while() {
+    let mut run = OneRun::new();
+    let (task, attempt) = (run.task.to_string(), run.attempt.0);
+    let other = run.task.to_string().replace(".0.0.0", ".0.0.9");
+    let bad = json!([[1, null, attempt, "done", ""], [2, other, 1, "stopped", ""]]);
+    run.answer(20, bad.clone());
+    assert_eq!(run.acknowledged(), 0);
+    run.answer(20, json!([[1, task, attempt, "done", ""], [2, other, 1, "stopped", ""]]));
+    assert_eq!(run.state(), JobState::Completed);
+    assert_eq!(run.acknowledged(), 2);
+}
+
+/// A completion that stays unreadable must not keep the runner from listing later ones.
+#[test]
+fn a_completion_that_stays_unreadable_does_not_block_the_list() {
+    let mut run = OneRun::new();
+    let other = run.task.to_string().replace(".0.0.0", ".0.0.9");
+    let bad = json!([[1, null, 1, "done", ""], [2, other, 1, "stopped", ""]]);
+    run.answer(20, bad.clone());
+    assert_eq!(run.acknowledged(), 0);
+    run.answer(RULES.stop_ms + 1_000, bad.clone());
+    run.acknowledged();
+    run.answer(20, bad);
+    assert_eq!(run.acknowledged(), 2);
+    assert_eq!(run.state(), JobState::Running);
+    assert!(run.cell.engine.job(run.job).unwrap().steps[0].tasks[0].run.is_some());
+}
