Hold jobs of which a row cannot be decoded

What callers would see: after a change of leader, tasks that run or have run are started again, and their progress is lost: the new leader cannot decode the job's progress row, for example one of a later version during a rollback. If it cannot decode the submission, it stops the job's runs, over and over, and acknowledges their completions without an effect.

Cause: the cache left out a row that it could not decode, so that a job without progress was a job that has not begun. Its first commit found the unreadable row and replaced it. Of an unreadable submission nothing was known, so that its runs were strays.

Ruled out: to end the term (one row would stop the cell); to use an older progress row that is cached (it lacks completions that were acknowledged); to store ends of held jobs in rows of their own (a new kind of row, which older versions do not know). To withhold their acknowledgement for good is not feasible: a runner lists 500 completions, and none beyond them until these are acknowledged.

Change: the cache remembers jobs with a row that cannot be decoded until one that can be replaces it, logs each once and shows their number (control_unreadable_jobs). A leader holds them: no task starts, no row is written, listed runs take their capacity (all that is free where the demand is not known) and are left alone unless the job is cancelled, and their completions are not acknowledged before more than 250 completions of that runner wait (control_held_acked). A commit that finds an unreadable row ends the term as other progress that is not its own; the next term holds the job.

The state shown to callers is still that of the older row; a leader holds the job until a row as new as the unreadable one is read.

Conclusion: nothing that may have run of such a job runs twice as long as it is held. Completions that had to be acknowledged meanwhile have no effect: their tasks run again once the row can be read.

--- a/src/control/engine/commit.rs
+++ b/src/control/engine/commit.rs
@@ -213,7 +213,7 @@
 
     /// Handles a batch of which nothing was stored because some rows have other versions than
     /// expected. Of an earlier write without an answer only the version is copied, since this
-    /// scheduler's own state is newer. An unreadable row, which cannot be loaded, is replaced.
+    /// scheduler's own state is newer. An unreadable row is not its own.
     fn conflict(&mut self, batch: &Batch, found: &[Row]) {
         let (mut changed, mut foreign) = (Vec::new(), Vec::new());
         for w in &batch.writes {
@@ -226,7 +226,7 @@
             }
             let entry = format!("{}: expected {}, found {version}", w.job, w.version);
             let readable = row.is_none_or(|r| rows::decode::<ProgressRow>(&r.value).is_ok());
-            if readable && !job.unanswered {
+            if !readable || !job.unanswered {
                 foreign.push(entry);
                 continue;
             }
--- a/src/control/engine/completions.rs
+++ b/src/control/engine/completions.rs
@@ -14,6 +14,21 @@
 /// them an earlier one has received.
 const MAX_MISSING_BEFORE: u64 = 64;
 
+/// Most received completions that wait for acknowledgement because one of them is of a held job: a
+/// runner lists 500 at a time, and none beyond them until these are acknowledged.
+const MAX_HELD_BACK: usize = 250;
+
+/// Whether the effect of a completion is stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It is stored, or there is none.
+    Stored,
+    /// It is to be stored.
+    Pending,
+    /// It is not known, since a row of the job cannot be decoded.
+    Held,
+}
+
 /// Received completions of one incarnation of a runner.
 #[derive(Clone, Debug, Default)]
 pub struct Completions {
@@ -67,14 +82,24 @@
         self.unacked.is_empty()
     }
 
-    /// Number up to which completions may be acknowledged. `stored` is whether a revision of a job is
-    /// stored. A missing number is awaited until an answer does not list it after `wait_ms`.
-    pub fn acknowledge(&mut self, stored: impl Fn(JobId, u64) -> bool, wait_ms: u64) -> u64 {
+    /// Number up to which completions may be acknowledged. `effect` is that of a revision of a job. A
+    /// missing number is awaited until an answer does not list it after `wait_ms`. Completions of held
+    /// jobs are acknowledged once too many wait with them.
+    pub fn acknowledge(&mut self, effect: impl Fn(JobId, u64) -> Effect, wait_ms: u64) -> u64 {
         while let Some((&number, &(job, rev))) = self.unacked.first_key_value() {
             let awaited = self.missing.range(..number).any(|(_, at)| at + wait_ms >= self.answered);
-            if awaited || !stored(job, rev) {
+            if awaited {
                 break;
             }
+            match effect(job, rev) {
+                Effect::Stored => {}
+                Effect::Held if self.unacked.len() > MAX_HELD_BACK => {
+                    metrics::counter!("control_held_acked").increment(1);
+                    log::warn!(job:% = job, number;
+                        "completion of a held job acknowledged: too many wait with it");
+                }
+                Effect::Pending | Effect::Held => break,
+            }
             self.unacked.pop_first();
             self.acked = self.acked.max(number);
         }
--- a/src/control/engine/lifecycle.rs
+++ b/src/control/engine/lifecycle.rs
@@ -9,7 +9,7 @@
 
 impl Engine {
     /// Adds a job, with the progress that is stored for it and the version of that row. A known job
-    /// is left unchanged. Jobs are added in the order of their submission, by which the shares of
+    /// and one that is held are left unchanged. Jobs are added in the order of their submission, by which the shares of
     /// teams are counted.
     pub fn add_job(
         &mut self,
@@ -18,7 +18,7 @@
         progress: Option<(u64, ProgressRow)>,
         now: Now,
     ) {
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.held.contains_key(&id) {
             return;
         }
         let mut job = Job::new(id, row);
@@ -73,6 +73,7 @@
 
     /// Cancels a job, unless it has ended.
     pub fn cancel(&mut self, id: JobId, now: Now) {
+        self.cancel_held(id);
         let Some(job) = self.jobs.get(&id) else { return };
         if !job.state.ended() {
             log::info!(job:% = id, state = job.state.name(); "job cancelled");
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -12,6 +12,7 @@
 mod forecast;
 mod gang_reservations;
 mod gangs;
+mod held;
 mod incarnations;
 mod jobs;
 mod late_completions;
@@ -177,6 +178,8 @@
     /// The newest known incarnation of each runner.
     by_id: BTreeMap<String, RunnerKey>,
     jobs: BTreeMap<JobId, Job>,
+    /// Jobs of which a row cannot be decoded.
+    held: BTreeMap<JobId, held::HeldJob>,
     /// Steps with tasks to place.
     open: BTreeSet<StepId>,
     /// The current planning pass over the open steps.
@@ -234,6 +237,7 @@
             runners: Arena::default(),
             by_id: BTreeMap::new(),
             jobs: BTreeMap::new(),
+            held: BTreeMap::new(),
             open: BTreeSet::new(),
             pass: round::PlanningPass::default(),
             updated: BTreeSet::new(),
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -68,8 +68,11 @@
         self.runners.get_mut(k).completions.record_answer(report.clock);
         for end in report.ends {
             if self.runners.get_mut(k).completions.receive(end.number) {
-                self.process_completion(k, &end, report.clock, now);
                 let job = end.task.step.job;
+                match self.held.contains_key(&job) {
+                    true => self.held_run_ended(k, &end),
+                    false => self.process_completion(k, &end, report.clock, now),
+                }
                 let rev = self.jobs.get(&job).map_or(0, |j| j.rev);
                 self.runners.get_mut(k).completions.record_processed(end.number, job, rev);
             }
@@ -86,7 +89,9 @@
             }
         }
         for (task, attempt) in active.into_keys() {
-            if self.run_mut(k, task, attempt).is_none() {
+            if self.held.contains_key(&task.step.job) {
+                self.held_run_listed(k, task, attempt, report.clock);
+            } else if self.run_mut(k, task, attempt).is_none() {
                 self.stop_orphan(k, task, attempt, report.clock);
             }
         }
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -1,7 +1,7 @@
 //! Incarnations of runners: their address, the capacity allocated on them, and when their lease
 //! expires.
 
-use super::completions::Completions;
+use super::completions::{Completions, Effect};
 use super::late_completions::LostRun;
 use super::losses::Loss;
 use super::teams::TeamKey;
@@ -328,8 +328,12 @@
     pub(super) fn poll_runners(&mut self, now: Now) {
         let (fence, lease_ms, settle_ms) =
             (self.fence, self.rules.lease_ms, self.rules.settle_ms());
-        let jobs = &self.jobs;
-        let stored = |id: JobId, rev: u64| jobs.get(&id).is_none_or(|j| j.stored >= rev);
+        let (jobs, held) = (&self.jobs, &self.held);
+        let effect = |id: JobId, rev: u64| match jobs.get(&id) {
+            _ if held.contains_key(&id) => Effect::Held,
+            Some(job) if job.stored < rev => Effect::Pending,
+            _ => Effect::Stored,
+        };
         let mut acts = Vec::new();
         for (k, r) in self.runners.iter_mut() {
             let needed = r.listed || r.announced.is_some() || !r.tasks.is_empty();
@@ -337,7 +341,7 @@
                 continue;
             }
             let Some(to) = r.call() else { continue };
-            let acked = r.completions.acknowledge(stored, settle_ms);
+            let acked = r.completions.acknowledge(effect, settle_ms);
             // The first poll only reads the runner's clock. A poll after a failed one does not
             // extend the lease either: it may take effect at a runner that receives calls and whose
             // answers are lost, and leases that are sent repeatedly to an unreachable runner would
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -62,6 +62,9 @@
 /// Most teams in the state dump and in the metrics: those with most running.
 const MAX_TEAMS_SHOWN: usize = 32;
 
+/// Most held jobs that are logged at the begin of a term.
+const MAX_LOGGED_JOBS: usize = 5;
+
 /// Most ended jobs that one garbage collection deletes from the store.
 const GC_JOBS: usize = 20;
 
@@ -140,6 +143,18 @@
         }
         let mut engine = Engine::new(self.rules, term.fence, self.now());
         engine.set_catalogue(self.mirror.catalogue());
+        let unreadable = self.mirror.unreadable_jobs();
+        if !unreadable.is_empty() {
+            let first = unreadable.iter().take(MAX_LOGGED_JOBS).map(|job| job.id.to_string());
+            log::error!(held = unreadable.len(), jobs:? = first.collect::<Vec<_>>();
+                "jobs held: their rows are unreadable");
+        }
+        for job in unreadable {
+            engine.hold_job(job.id, job.row);
+            if job.cancelled {
+                engine.cancel(job.id, self.now());
+            }
+        }
         // Shares of teams are counted in the order of submission.
         let mut jobs = self.mirror.snapshot();
         jobs.sort_by_key(|job| job.row.at);
@@ -152,7 +167,7 @@
         let ms = self.clock.mono() - began;
         let nth = self.election.terms();
         log::info!(fence = term.fence, nth, version = term.version(), jobs = engine.job_count(),
-            load_ms = ms; "term begins");
+            held = engine.held_count(), load_ms = ms; "term begins");
         let why = self.run(&mut engine, term, &updates, stop).await;
         self.mirror.subscribe(None);
         log::info!(fence = term.fence, nth, why = why; "term ends");
@@ -384,7 +399,7 @@
             teams.iter().for_each(|t| set_gauges(&t.name, t.used_cpu, t.used_mem, t.waiting));
             teams.truncate(MAX_TEAMS_SHOWN);
             *self.view.lock().unwrap() = serde_json::json!({
-                "fence": engine.fence, "jobs": engine.job_count(), "tasks": tasks,
+                "fence": engine.fence, "jobs": engine.job_count(), "held": engine.held_count(), "tasks": tasks,
                 "open_steps": engine.open_steps(), "usable_runners": usable,
                 "room": resources, "counts": engine.counts, "teams": teams,
                 "advice_lines": self.server.advice_connections(),
--- a/src/control/mirror/mod.rs
+++ b/src/control/mirror/mod.rs
@@ -74,6 +74,17 @@
     pub cancelled: bool,
 }
 
+/// A job of which a row cannot be decoded, as a new leader finds it.
+#[derive(Clone, Debug)]
+pub struct UnreadableJob {
+    /// Id of the job.
+    pub id: JobId,
+    /// The job as submitted; none if that cannot be decoded.
+    pub row: Option<Arc<JobRow>>,
+    /// Whether a caller has cancelled it.
+    pub cancelled: bool,
+}
+
 /// Tables that are cached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Table {
@@ -272,7 +283,14 @@
         st.forget(Table::Registry);
     }
 
-    /// All cached jobs with their progress, for a new leader.
+    /// Jobs of which a row cannot be decoded.
+    pub fn unreadable_jobs(&self) -> Vec<UnreadableJob> {
+        let st = self.state.lock().unwrap();
+        let job = |(id, row, cancelled)| UnreadableJob { id, row, cancelled };
+        st.unreadable().map(job).collect()
+    }
+
+    /// All cached jobs with their progress, for a new leader, but for [`Self::unreadable_jobs`].
     pub fn snapshot(&self) -> Vec<StoredJob> {
         let st = self.state.lock().unwrap();
         let stored_job = |(id, job): (&JobId, &JobEntry)| {
@@ -283,7 +301,8 @@
             });
             Some(StoredJob { id: *id, row, progress, cancelled: job.cancelled })
         };
-        st.jobs.iter().filter_map(stored_job).collect()
+        let readable = st.jobs.iter().filter(|(id, _)| !st.has_unreadable_progress(**id));
+        readable.filter_map(stored_job).collect()
     }
 
     /// Adds a job that this instance has stored or read.
@@ -330,6 +349,8 @@
     pub async fn poll(&self, table: Table, wait_ms: u64) -> Result<usize, ReadError> {
         let res = self.update(table, wait_ms).await;
         self.reads.record(&res);
+        let unreadable = self.state.lock().unwrap().unreadable().count();
+        metrics::gauge!("control_unreadable_jobs").set(unreadable as f64);
         res
     }
 
@@ -524,7 +545,7 @@
         let (job, progress) = (job?, progress?);
         // If the cache holds no jobs, it ignores these rows, and the state is derived from them
         // alone.
-        let mut found = State::default();
+        let mut found = State::quiet();
         let mut st = self.state.lock().unwrap();
         for (table, row) in progress
             .rows
--- a/src/control/mirror/state.rs
+++ b/src/control/mirror/state.rs
@@ -4,7 +4,7 @@
 use super::{Table, Update};
 use crate::control::model::{Catalogue, JobId, JobState};
 use crate::control::ports::{Key, Page, Row};
-use crate::control::rows::{self, JobKey, JobRow, ProgressRow};
+use crate::control::rows::{self, BadRow, JobKey, JobRow, ProgressRow};
 use crate::control::teams::RemovedKeys;
 use crate::platform::{catalogue, runners};
 use async_std::channel::Sender;
@@ -15,6 +15,9 @@
 /// the set of logged entries.
 const MAX_LOGGED_ENTRIES: usize = 1_000;
 
+/// Most jobs with unreadable rows that are logged, once for each table.
+const MAX_LOGGED_JOBS: usize = 1_000;
+
 /// Time for which deleted jobs are remembered, ms: longer than any read lasts.
 const DELETED_MS: u64 = 30_000;
 
@@ -46,6 +49,14 @@
     pub removed_keys: RemovedKeys,
     pub jobs: BTreeMap<JobId, JobEntry>,
     pub progress: BTreeMap<JobId, Progress>,
+    /// Jobs of which the row cannot be decoded.
+    unreadable_jobs: BTreeSet<JobId>,
+    /// Jobs of which the newest progress row cannot be decoded, and the version of that row.
+    unreadable_progress: BTreeMap<JobId, u64>,
+    /// Jobs that were logged as unreadable.
+    logged_jobs: BTreeSet<(Table, JobId)>,
+    /// Unreadable rows are not logged.
+    quiet: bool,
     /// Jobs that this instance has deleted: the version of the deletion, and when, local ms. A read
     /// that was in flight meanwhile may still bring their rows.
     deleted: BTreeMap<JobId, (u64, u64)>,
@@ -68,6 +79,11 @@
 }
 
 impl State {
+    /// An empty state that logs no unreadable rows.
+    pub fn quiet() -> Self {
+        Self { quiet: true, ..Self::default() }
+    }
+
     /// Version up to which a table is cached; none until a full read has completed.
     pub fn cached_version(&self, table: Table) -> Option<u64> {
         let complete = !self.readings.contains_key(&table);
@@ -89,6 +105,8 @@
         self.without_jobs = true;
         self.jobs.clear();
         self.progress.clear();
+        self.unreadable_jobs.clear();
+        self.unreadable_progress.clear();
         for table in [Table::Jobs, Table::Progress] {
             self.forget(table);
             self.polled.remove(&table);
@@ -107,6 +125,8 @@
     pub fn delete_job(&mut self, id: JobId, version: u64, now: u64) {
         self.jobs.remove(&id);
         self.progress.remove(&id);
+        self.unreadable_jobs.remove(&id);
+        self.unreadable_progress.remove(&id);
         self.deleted.retain(|_, (_, at)| *at + DELETED_MS > now);
         self.deleted.insert(id, (version, now));
     }
@@ -179,8 +199,12 @@
     pub fn remove_unread(&mut self, table: Table, read: &BTreeSet<JobId>) -> usize {
         let before = self.jobs.len();
         match table {
-            Table::Jobs => self.jobs.retain(|id, _| read.contains(id)),
+            Table::Jobs => {
+                self.jobs.retain(|id, _| read.contains(id));
+                self.unreadable_jobs.retain(|id| read.contains(id));
+            }
             Table::Progress => {
+                self.unreadable_progress.retain(|id, _| read.contains(id));
                 let gone = |id: &JobId| !read.contains(id);
                 for id in self.progress.keys().copied().filter(gone).collect::<Vec<JobId>>() {
                     self.progress.remove(&id);
@@ -213,10 +237,7 @@
                 Some(JobKey::Job(id) | JobKey::Cancel(id)) if self.is_deleted(id, &row) => {}
                 Some(JobKey::Job(id)) => match rows::decode::<JobRow>(&row.value) {
                     Ok(job) => self.put_job(id, Arc::new(job)),
-                    Err(e) => {
-                        self.mark_read(table, id);
-                        log::error!(job:% = id, why:% = e; "job row unreadable")
-                    }
+                    Err(e) => self.put_unreadable(table, id, row.version, &e),
                 },
                 Some(JobKey::Cancel(id)) => self.put_cancel(id),
                 None => log::error!(key = row.key.key; "unknown key in the jobs table"),
@@ -227,16 +248,56 @@
                     let (version, value) = (row.version, Some(row.value));
                     self.put_progress(id, Progress { version, state, value });
                 }
-                (id, _) => {
-                    if let Ok(id) = id {
-                        self.mark_read(table, id);
-                    }
-                    log::error!(key = row.key.key; "progress row unreadable")
+                (Ok(id), Err(e)) => self.put_unreadable(table, id, row.version, &e),
+                (Err(_), _) => {
+                    log::error!(key = row.key.key; "unknown key in the progress table")
                 }
             },
         }
     }
 
+    /// Records a row of a job that cannot be decoded. What is known from an earlier row is kept.
+    fn put_unreadable(&mut self, table: Table, id: JobId, version: u64, why: &BadRow) {
+        if self.without_jobs {
+            return;
+        }
+        self.mark_read(table, id);
+        if table == Table::Jobs {
+            if self.jobs.get(&id).is_some_and(|j| j.row.is_some()) {
+                return;
+            }
+            self.unreadable_jobs.insert(id);
+        } else {
+            let known = self.progress.get(&id).filter(|p| p.value.is_some());
+            if known.is_some_and(|p| p.version >= version) {
+                return;
+            }
+            let newest = self.unreadable_progress.entry(id).or_default();
+            *newest = version.max(*newest);
+        }
+        let logged = self.quiet || self.logged_jobs.len() >= MAX_LOGGED_JOBS;
+        if !logged && self.logged_jobs.insert((table, id)) {
+            log::error!(job:% = id, table = table.name(), version, why:% = why; "row unreadable");
+        }
+    }
+
+    /// Jobs of which a row cannot be decoded: their submission, if that can be, and whether they are
+    /// cancelled. Of a job without any row only the progress may be left, which is not such a job.
+    pub fn unreadable(&self) -> impl Iterator<Item = (JobId, Option<Arc<JobRow>>, bool)> + '_ {
+        let jobs = self.unreadable_jobs.iter().map(|id| (*id, None));
+        let progress = self.unreadable_progress.keys().filter_map(|id| {
+            let row = self.jobs.get(id)?.row.clone()?;
+            Some((*id, Some(row)))
+        });
+        jobs.chain(progress)
+            .map(|(id, row)| (id, row, self.jobs.get(&id).is_some_and(|j| j.cancelled)))
+    }
+
+    /// Whether the newest progress row of a job cannot be decoded.
+    pub fn has_unreadable_progress(&self, id: JobId) -> bool {
+        self.unreadable_progress.contains_key(&id)
+    }
+
     /// Sends a registry entry to the scheduler. One that is unreadable, or was written by another
     /// program, counts as removed.
     fn put_runner(&mut self, row: Row) {
@@ -264,12 +325,16 @@
                 }
                 self.notify(Update::Runner(key.key.clone(), None));
             }
-            (Table::Jobs, Some(JobKey::Job(id))) => drop(self.jobs.remove(&id)),
+            (Table::Jobs, Some(JobKey::Job(id))) => {
+                self.jobs.remove(&id);
+                self.unreadable_jobs.remove(&id);
+            }
             // A job's own row is deleted before its progress. If this instance missed the first
             // deletion, the job would stay in the cache without progress and appear queued.
             (Table::Progress, Some(JobKey::Job(id))) => {
                 self.progress.remove(&id);
                 self.jobs.remove(&id);
+                self.unreadable_progress.remove(&id);
             }
             _ => {}
         }
@@ -309,6 +374,7 @@
             return;
         }
         self.mark_read(Table::Jobs, id);
+        self.unreadable_jobs.remove(&id);
         let entry = self.entry(id);
         if entry.row.is_none() {
             entry.row = Some(row.clone());
@@ -337,6 +403,9 @@
             return;
         }
         self.mark_read(Table::Progress, id);
+        if p.value.is_some() && self.unreadable_progress.get(&id).is_some_and(|v| *v <= p.version) {
+            self.unreadable_progress.remove(&id);
+        }
         match self.progress.get(&id) {
             Some(old) if old.version > p.version => {}
             Some(old) if old.version == p.version && old.value.is_some() => {}
--- a/tests/common/control/store.rs
+++ b/tests/common/control/store.rs
@@ -92,6 +92,11 @@
         self.store.insert(id, (self.version, value));
     }
 
+    /// Encoded progress row of a job in the store.
+    pub fn progress_row(&self, id: JobId) -> Option<&[u8]> {
+        self.store.get(&id).map(|(_, value)| value.as_slice())
+    }
+
     /// State of a job in the store.
     pub fn stored(&self, id: JobId) -> JobState {
         let row = self.store.get(&id).map(|(_, v)| rows::decode::<ProgressRow>(v).unwrap());
--- a/tests/control_bad_completions.rs
+++ b/tests/control_bad_completions.rs
@@ -129,3 +129,25 @@
     assert_eq!(run.state(), JobState::Running);
     assert!(run.cell.engine.job(run.job).unwrap().steps[0].tasks[0].run.is_some());
 }
+
+/// The completion of a held job waits for a leader that can read the job's rows, but not until the
+/// runner lists no others any more.
+#[test]
+fn a_completion_of_a_held_job_waits_until_too_many_wait_with_it() {
+    let mut run = OneRun::new();
+    let held = JobId(77);
+    run.cell.engine.hold_job(held, None);
+    let of_held = run.task.to_string().replace(&run.job.to_string(), &held.to_string());
+    let other = run.task.to_string().replace(".0.0.0", ".0.0.9");
+    let ends = |n: u64| {
+        let others = (2..=n).map(|i| json!([i, other, 1, "stopped", ""]));
+        Value::Array([json!([1, of_held, 1, "done", ""])].into_iter().chain(others).collect())
+    };
+    // The first revision of the job that runs is to be stored first.
+    for _ in 0..6 {
+        run.answer(250, ends(250));
+        assert_eq!(run.acknowledged(), 0);
+    }
+    run.answer(20, ends(251));
+    assert_eq!(run.acknowledged(), 251);
+}
