--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -399,8 +399,8 @@
             teams.iter().for_each(|t| set_gauges(&t.name, t.used_cpu, t.used_mem, t.waiting));
             teams.truncate(MAX_TEAMS_SHOWN);
             *self.view.lock().unwrap() = serde_json::json!({
-                "fence": engine.fence, "jobs": engine.job_count(), "held": engine.held_count(), "tasks": tasks,
-                "open_steps": engine.open_steps(), "usable_runners": usable,
+                "fence": engine.fence, "jobs": engine.job_count(), "held": engine.held_count(),
+                "tasks": tasks, "open_steps": engine.open_steps(), "usable_runners": usable,
                 "room": resources, "counts": engine.counts, "teams": teams,
                 "advice_lines": self.server.advice_connections(),
             });
--- a/tests/control_held.rs
+++ b/tests/control_held.rs
@@ -224,3 +224,40 @@
     assert_eq!(progress, Some(b"junk".to_vec()));
     assert!(runner.stops.lock().unwrap().contains(&task(HELD, 0)));
 }
+
+/// Guards against terms that end one after the other: one ends since another program has replaced the
+/// progress of a job by a row that cannot be decoded, and the next one holds the job.
+#[test]
+fn a_term_after_one_that_found_an_unreadable_row_goes_on() {
+    let clock = Clock::real();
+    let (_trigger, stop) = stop::pair();
+    let (store, runner) = (Arc::new(MemoryStore::default()), Arc::new(OneRunner::default()));
+    let leader = leader(&clock, store.clone(), runner.clone());
+    let step = Step { count: 1, estimate: 60_000, ..Step::default() };
+    let spec = JobSpec { steps: vec![step], ..JobSpec::default() };
+    let row = JobRow { queue: "q".into(), team: None, at: clock.wall(), spec };
+    let term = || {
+        let fence = store.put(rows::leader_key(), Vec::new());
+        let fences: Vec<u64> =
+            Partition::all().map(|p| store.put(rows::fence_key(p), Vec::new())).collect();
+        Term { fence, fence_versions: fences.try_into().unwrap() }
+    };
+    async_std::task::block_on(async {
+        store.put(config().0, config().1);
+        store.put(rows::job_key(HELD), rows::encode(&row));
+        for table in [Table::Config, Table::Jobs, Table::Progress] {
+            leader.mirror.poll(table, 0).await.unwrap();
+        }
+        let replace = async {
+            async_std::task::sleep(Duration::from_millis(300)).await;
+            store.put(rows::progress_key(HELD), b"junk".to_vec());
+            store.put(rows::cancel_key(HELD), rows::encode(&clock.wall()));
+        };
+        futures::join!(leader.serve(term(), &stop), replace);
+        let end = Box::pin(async_std::task::sleep(TERM));
+        let first = futures::future::select(Box::pin(leader.serve(term(), &stop)), end).await;
+        assert!(matches!(first, Either::Right(_)), "the term goes on");
+    });
+    let progress = store.row(&rows::progress_key(HELD)).map(|r| r.value);
+    assert_eq!(progress, Some(b"junk".to_vec()));
+}
