--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -21,7 +21,8 @@
 const POLL_RETRY_MS: u64 = 150;
 
 impl Engine {
-    /// Handles the result of a poll.
+    /// Handles the result of a poll. From an answer without lists nothing follows, unless the last one
+    /// had none either.
     pub fn polled(&mut self, k: RunnerKey, res: Result<Report, Refusal>, now: Now) {
         let runner = self.runners.get_mut(k);
         runner.polling = false;
@@ -66,6 +67,11 @@
     }
 
     fn process_report(&mut self, k: RunnerKey, report: Report, now: Now) {
+        let runner = self.runners.get_mut(k);
+        let repeated = std::mem::replace(&mut runner.without_lists, report.without_lists);
+        if report.without_lists && !repeated {
+            return;
+        }
         let ended: BTreeSet<(TaskId, Attempt)> =
             report.ends.iter().map(|e| (e.task, e.attempt)).collect();
         let listed = report.ends.len() + report.unreadable;
@@ -73,8 +79,11 @@
         let complete = completions.record_answer(report.clock, listed);
         for end in report.ends {
             if self.runners.get_mut(k).completions.receive(end.number) {
-                self.process_completion(k, &end, report.clock, now);
                 let job = end.task.step.job;
+                match self.held.contains_key(&job) {
+                    true => self.held_run_ended(k, &end),
+                    false => self.process_completion(k, &end, report.clock, now),
+                }
                 let rev = self.jobs.get(&job).map_or(0, |j| j.rev);
                 self.runners.get_mut(k).completions.record_processed(end.number, job, rev);
             }
@@ -93,7 +102,9 @@
         // A runner may list the active runs before the completions: a run that ends in between is in
         // both lists.
         for (task, attempt) in active.into_keys().filter(|run| !ended.contains(run)) {
-            if self.run_mut(k, task, attempt).is_none() {
+            if self.held.contains_key(&task.step.job) {
+                self.held_run_listed(k, task, attempt, report.clock);
+            } else if self.run_mut(k, task, attempt).is_none() {
                 self.stop_orphan(k, task, attempt, report.clock);
             }
         }
@@ -206,6 +217,13 @@
             }
             EndKind::Failed => self.mark_failed(k, id, gang, now),
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
+            // Other runners are preferred, so that the task doesn't start there again and again.
+            EndKind::Unknown => {
+                self.runners.get_mut(k).health.strike(now.mono);
+                if let Some(task) = self.task_mut(id) {
+                    task.avoid.insert(k);
+                }
+            }
         }
         self.release(id, now);
         if gang && end.kind == EndKind::Broken {
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -1,7 +1,8 @@
 //! Incarnations of runners: their address, the capacity allocated on them, and when their lease
 //! expires.
 
-use super::completions::Completions;
+use super::completions::{Completions, Effect};
+use super::held::HeldJob;
 use super::late_completions::LostRun;
 use super::losses::Loss;
 use super::teams::TeamKey;
@@ -140,6 +141,8 @@
     pub poll_failed: bool,
     /// When calls began to go unanswered, local ms; `None` while they are answered.
     pub unanswered_since: Option<u64>,
+    /// Whether its last answer had no list.
+    pub without_lists: bool,
     /// Whether its last answer listed completions.
     pub lists_completions: bool,
     /// Time of the last answer to a poll, local ms.
@@ -179,6 +182,7 @@
             unanswered: false,
             poll_failed: false,
             unanswered_since: None,
+            without_lists: false,
             lists_completions: false,
             polled_at: 0,
             completions: Completions::default(),
@@ -323,25 +327,34 @@
     }
 }
 
-/// Whether a revision of a job's progress is stored, or the job is not known any more.
-fn is_stored(jobs: &BTreeMap<JobId, Job>, id: JobId, rev: u64) -> bool {
-    jobs.get(&id).is_none_or(|j| j.stored >= rev)
+/// Whether the effect of a completion is stored with revision `rev` of its job.
+fn effect(
+    jobs: &BTreeMap<JobId, Job>,
+    held: &BTreeMap<JobId, HeldJob>,
+    id: JobId,
+    rev: u64,
+) -> Effect {
+    match jobs.get(&id) {
+        _ if held.contains_key(&id) => Effect::Held,
+        Some(job) if job.stored < rev => Effect::Pending,
+        _ => Effect::Stored,
+    }
 }
 
 impl Engine {
     /// Number up to which completions of a runner may be acknowledged.
     pub(super) fn acknowledgeable(&mut self, k: RunnerKey) -> u64 {
-        let (jobs, settle_ms) = (&self.jobs, self.rules.settle_ms());
-        let stored = |id: JobId, rev: u64| is_stored(jobs, id, rev);
-        self.runners.get_mut(k).completions.acknowledge(stored, settle_ms)
+        let (jobs, held, settle_ms) = (&self.jobs, &self.held, self.rules.settle_ms());
+        let effect = |id: JobId, rev: u64| effect(jobs, held, id, rev);
+        self.runners.get_mut(k).completions.acknowledge(effect, settle_ms)
     }
 
     /// Polls every runner whose next poll is due.
     pub(super) fn poll_runners(&mut self, now: Now) {
         let (fence, lease_ms, settle_ms) =
             (self.fence, self.rules.lease_ms, self.rules.settle_ms());
-        let jobs = &self.jobs;
-        let stored = |id: JobId, rev: u64| is_stored(jobs, id, rev);
+        let (jobs, held) = (&self.jobs, &self.held);
+        let effect = |id: JobId, rev: u64| effect(jobs, held, id, rev);
         let mut acts = Vec::new();
         for (k, r) in self.runners.iter_mut() {
             let needed = r.listed || r.announced.is_some() || !r.tasks.is_empty();
@@ -349,7 +362,7 @@
                 continue;
             }
             let Some(to) = r.call() else { continue };
-            let acked = r.completions.acknowledge(stored, settle_ms);
+            let acked = r.completions.acknowledge(effect, settle_ms);
             // The first poll only reads the runner's clock. A poll after a failed one does not
             // extend the lease either: it may take effect at a runner that receives calls and whose
             // answers are lost, and leases that are sent repeatedly to an unreachable runner would
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -12,7 +12,7 @@
 use super::engine::{Batch, Engine, Now, Outcome, Rules, RunnerKey};
 use super::health::Dependency;
 use super::links::server::LinkServer;
-use super::mirror::{Mirror, StoredJob, Table, Update};
+use super::mirror::{Mirror, Snapshot, Table, Update};
 use super::model::{Attempt, JobId, JobState, StepId, TaskId};
 use super::partitions::{self, PartitionScope};
 use super::ports::{Advice, AdviceError, CommitError, Refusal, Report, Runners, Store};
@@ -62,6 +62,9 @@
 /// Most teams in the state dump and in the metrics: those with most running.
 const MAX_TEAMS_SHOWN: usize = 32;
 
+/// Most held jobs that are logged at the begin of a term.
+const MAX_LOGGED_JOBS: usize = 5;
+
 /// Most ended jobs that one garbage collection deletes from the store.
 const GC_JOBS: usize = 20;
 
@@ -133,13 +136,24 @@
         // Changes from here on arrive through the channel, earlier ones are in the snapshot. A job
         // that is in both is ignored the second time.
         self.mirror.subscribe(Some(tx));
-        let Some(mut jobs) = self.read_tables(term).await else {
+        let Some(Snapshot { mut jobs, unreadable }) = self.read_tables(term).await else {
             self.mirror.subscribe(None);
             self.step_down(term).await;
             return;
         };
         let mut engine = Engine::new(self.rules, term.fence, self.now());
         engine.set_catalogue(self.mirror.catalogue());
+        if !unreadable.is_empty() {
+            let first = unreadable.iter().take(MAX_LOGGED_JOBS).map(|job| job.id.to_string());
+            log::error!(held = unreadable.len(), jobs:? = first.collect::<Vec<_>>();
+                "jobs held: their rows are unreadable");
+        }
+        for job in unreadable {
+            engine.hold_job(job.id, job.row);
+            if job.cancelled {
+                engine.cancel(job.id, self.now());
+            }
+        }
         // Shares of teams are counted in the order of submission.
         jobs.sort_by_key(|job| job.row.at);
         for job in jobs {
@@ -151,7 +165,7 @@
         let ms = self.clock.mono() - began;
         let nth = self.election.terms();
         log::info!(fence = term.fence, nth, version = term.version(), jobs = engine.job_count(),
-            load_ms = ms; "term begins");
+            held = engine.held_count(), load_ms = ms; "term begins");
         let why = self.run(&mut engine, term, &updates, stop).await;
         self.mirror.subscribe(None);
         log::info!(fence = term.fence, nth, why = why; "term ends");
@@ -177,7 +191,7 @@
     /// Reads everything that earlier leaders have stored, and the registry. The tables are read
     /// concurrently: one after the other they would add most of a second to a takeover on a slow
     /// store. Returns all jobs, or none if that takes too long.
-    async fn read_tables(&self, term: Term) -> Option<Vec<StoredJob>> {
+    async fn read_tables(&self, term: Term) -> Option<Snapshot> {
         let deadline = self.clock.mono() + STEP_DOWN_MS / 2;
         let read = |table, version| self.read_up_to(table, version, deadline);
         loop {
@@ -192,8 +206,8 @@
                 return None;
             }
             // A table may have been discarded while the others were read.
-            if let Some(jobs) = self.mirror.snapshot_at(term.version()) {
-                return Some(jobs);
+            if let Some(snapshot) = self.mirror.snapshot_at(term.version()) {
+                return Some(snapshot);
             }
         }
     }
@@ -391,8 +405,8 @@
             teams.iter().for_each(|t| set_gauges(&t.name, t.used_cpu, t.used_mem, t.waiting));
             teams.truncate(MAX_TEAMS_SHOWN);
             *self.view.lock().unwrap() = serde_json::json!({
-                "fence": engine.fence, "jobs": engine.job_count(), "tasks": tasks,
-                "open_steps": engine.open_steps(), "usable_runners": usable,
+                "fence": engine.fence, "jobs": engine.job_count(), "held": engine.held_count(),
+                "tasks": tasks, "open_steps": engine.open_steps(), "usable_runners": usable,
                 "room": resources, "counts": engine.counts, "teams": teams,
                 "advice_lines": self.server.advice_connections(),
             });
--- a/src/control/mirror/mod.rs
+++ b/src/control/mirror/mod.rs
@@ -74,6 +74,26 @@
     pub cancelled: bool,
 }
 
+/// A job of which a row cannot be decoded, as a new leader finds it.
+#[derive(Clone, Debug)]
+pub struct UnreadableJob {
+    /// Id of the job.
+    pub id: JobId,
+    /// The job as submitted; none if that cannot be decoded.
+    pub row: Option<Arc<JobRow>>,
+    /// Whether a caller has cancelled it.
+    pub cancelled: bool,
+}
+
+/// All cached jobs at one moment.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    /// Jobs whose rows are readable.
+    pub jobs: Vec<StoredJob>,
+    /// The others.
+    pub unreadable: Vec<UnreadableJob>,
+}
+
 /// Tables that are cached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Table {
@@ -272,17 +292,23 @@
         st.forget(Table::Registry);
     }
 
-    /// All cached jobs with their progress.
+    /// Jobs of which a row cannot be decoded.
+    pub fn unreadable_jobs(&self) -> Vec<UnreadableJob> {
+        self.state.lock().unwrap().unreadable()
+    }
+
+    /// All cached jobs with their progress, for a new leader, but for [`Self::unreadable_jobs`].
     pub fn snapshot(&self) -> Vec<StoredJob> {
         self.state.lock().unwrap().stored_jobs()
     }
 
-    /// All cached jobs with their progress, for a new leader; none if one of the tables is not cached
-    /// up to `version`. It may have been discarded since it was read.
-    pub fn snapshot_at(&self, version: u64) -> Option<Vec<StoredJob>> {
+    /// All jobs for a new leader; none if one of the tables is not cached up to `version`. It may have
+    /// been discarded since it was read.
+    pub fn snapshot_at(&self, version: u64) -> Option<Snapshot> {
         let st = self.state.lock().unwrap();
         let is_cached = |table| st.cached_version(table) >= Some(version);
-        (is_cached(Table::Jobs) && is_cached(Table::Progress)).then(|| st.stored_jobs())
+        let complete = is_cached(Table::Jobs) && is_cached(Table::Progress);
+        complete.then(|| Snapshot { jobs: st.stored_jobs(), unreadable: st.unreadable() })
     }
 
     /// Adds a job that this instance has stored or read.
@@ -329,6 +355,8 @@
     pub async fn poll(&self, table: Table, wait_ms: u64) -> Result<usize, ReadError> {
         let res = self.update(table, wait_ms).await;
         self.reads.record(&res);
+        let unreadable = self.state.lock().unwrap().unreadable().len();
+        metrics::gauge!("control_unreadable_jobs").set(unreadable as f64);
         res
     }
 
@@ -523,7 +551,7 @@
         let (job, progress) = (job?, progress?);
         // If the cache holds no jobs, it ignores these rows, and the state is derived from them
         // alone.
-        let mut found = State::default();
+        let mut found = State::quiet();
         let mut st = self.state.lock().unwrap();
         for (table, row) in progress
             .rows
--- a/tests/common/control/store.rs
+++ b/tests/common/control/store.rs
@@ -97,6 +97,11 @@
         self.store.get(&id).map(|(_, v)| rows::decode(v).unwrap())
     }
 
+    /// Encoded progress row of a job in the store.
+    pub fn progress_row(&self, id: JobId) -> Option<&[u8]> {
+        self.store.get(&id).map(|(_, value)| value.as_slice())
+    }
+
     /// State of a job in the store.
     pub fn stored(&self, id: JobId) -> JobState {
         self.progress(id).map_or(JobState::Queued, |r| r.state)
