Engine: a list that becomes no shorter is complete after a lease

Callers would see a job that never runs again: a test of one runner that keeps listing the completion of a held job leaves the job of an inherited run that never began Queued after 25 s, and one of a single unreadable completion leaves its run neither stopped nor over after three leases.

Completions of held jobs and unreadable ones (counted in the list) are not acknowledged, so that the list begins with them and only grows: none is complete for the whole term. Runs that are not listed were not judged, nor were stray runs' allocations freed.

Ruled out: polls in quick succession while a list is incomplete. The answer has completions then, and the next poll follows after 200 ms.

Change: if answers begin with the same completion for a lease, and it does not wait for the store, a list of fewer than the protocol's 500 is complete. While the store is unavailable nothing changes: such a list is shorter once it is back.

Tests: a_completion_of_a_held_job_does_not_keep_unlisted_runs and a_run_whose_completion_is_unreadable_is_stopped, both failed before.

--- a/src/control/engine/completions.rs
+++ b/src/control/engine/completions.rs
@@ -22,6 +22,9 @@
 /// runner lists 500 at a time, and none beyond them until these are acknowledged.
 const MAX_HELD_BACK: usize = 250;
 
+/// Most completions that a runner lists at a time by the platform's protocol.
+pub const MAX_LISTED: usize = 500;
+
 /// Whether the effect of a completion is stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -42,6 +45,10 @@
     answered: u64,
     /// Most completions that an answer has listed: one that lists fewer was not cut short.
     longest: usize,
+    /// Lowest number that the last answer listed; 0 if none could be decoded.
+    lowest: u64,
+    /// Value of `waited` since when `lowest` is the same and waits for nothing that is to be stored.
+    lowest_since: u64,
     /// Time between answers so far, ms of the runner's clock, without what is beyond [`MAX_GAP_MS`].
     waited: u64,
     /// Lower numbers that were not received, and the value of `waited` when a higher one first was.
@@ -67,6 +74,18 @@
         listed == 0 || listed < self.longest
     }
 
+    /// Records the lowest number that the last answer lists, 0 if none could be decoded. `held` is
+    /// whether a job is held. Returns for how long answers have begun with the same completion although
+    /// nothing is to be stored before it is acknowledged, ms: it is not acknowledged soon.
+    pub fn record_lowest(&mut self, number: u64, held: impl Fn(JobId) -> bool) -> u64 {
+        let first = self.unacked.first_key_value();
+        let awaits_store = first.is_some_and(|(_, (job, _))| !held(*job));
+        if awaits_store || self.lowest != number {
+            (self.lowest, self.lowest_since) = (number, self.waited);
+        }
+        self.waited - self.lowest_since
+    }
+
     /// Records that the last answer lists a completion. Returns whether it is new.
     pub fn receive(&mut self, number: u64) -> bool {
         if number <= self.highest {
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -1,5 +1,6 @@
 //! Handling of a runner's poll results: its active runs and its completions.
 
+use super::completions::MAX_LISTED;
 use super::progress::{self, Progress};
 use super::runs::{Stage, StopReason};
 use super::{Action, Engine, Now, RunnerKey};
@@ -75,8 +76,13 @@
         let ended: BTreeSet<(TaskId, Attempt)> =
             report.ends.iter().map(|e| (e.task, e.attempt)).collect();
         let listed = report.ends.len() + report.unreadable;
+        let lowest = report.ends.iter().map(|e| e.number).min().unwrap_or(0);
         let completions = &mut self.runners.get_mut(k).completions;
-        let complete = completions.record_answer(report.clock, listed);
+        let shorter = completions.record_answer(report.clock, listed);
+        let unchanged_ms = completions.record_lowest(lowest, |job| self.held.contains_key(&job));
+        // A list that begins with a completion that is not acknowledged becomes no shorter.
+        let stuck = unchanged_ms >= self.rules.lease_ms;
+        let complete = shorter || stuck && listed < MAX_LISTED;
         for end in report.ends {
             if self.runners.get_mut(k).completions.receive(end.number) {
                 let job = end.task.step.job;
--- a/src/control/engine/unlisted.rs
+++ b/src/control/engine/unlisted.rs
@@ -4,7 +4,9 @@
 //! completion some time after the run has ended. A run is over once its attempt was stopped, and
 //! answers after the time that a stop takes do not list it for the time that the listing takes. A
 //! runner that stood still meanwhile has listed nothing, so that time counts from the first of them.
-//! The answer that decides must list all completions: a runner lists a limited number at a time.
+//! The answer that decides must list all completions: a runner lists a limited number at a time. A list
+//! is known to be complete if it is empty or shorter than an earlier one. One that becomes no shorter,
+//! since its first completion is not acknowledged, is complete by the protocol's limit.
 
 use super::losses::Loss;
 use super::runs::{Run, Stage, StopReason};
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -245,6 +245,11 @@
     /// Replaces the scheduler by that of a new leader; orders of the previous one may still be in
     /// flight.
     pub fn change_leader(&mut self) {
+        self.change_leader_with_held(&[]);
+    }
+
+    /// Like [`Self::change_leader`], with a leader that cannot decode the progress of these jobs.
+    pub fn change_leader_with_held(&mut self, held: &[JobId]) {
         self.version += 1;
         self.term = self.version;
         let mut next = Engine::new(RULES, self.term, self.clocks());
@@ -252,6 +257,10 @@
         let mut jobs: Vec<_> = self.jobs.iter().collect();
         jobs.sort_by_key(|(_, row)| row.at);
         for (id, row) in jobs {
+            if held.contains(id) {
+                next.hold_job(*id, Some(row.clone()));
+                continue;
+            }
             let p = self.store.get(id).map(|(v, row)| (*v, rows::decode(row).unwrap()));
             next.add_job(*id, row.clone(), p, Now { mono: self.now, wall: self.now });
             if self.cancelled.contains(id) {
--- a/tests/control_bad_completions.rs
+++ b/tests/control_bad_completions.rs
@@ -231,3 +231,15 @@
     run.answer(20, ends(251));
     assert_eq!(run.acknowledged(), 251);
 }
+
+/// Guards against a task that never runs again because its runner keeps listing a completion that
+/// cannot be decoded, so that no list counts as complete.
+#[test]
+fn a_run_whose_completion_is_unreadable_is_stopped() {
+    let mut run = OneRun::new();
+    let bad = json!([[1, run.task.to_string(), "first", "done", ""]]);
+    for _ in 0..3 * RULES.lease_ms / 200 {
+        run.answer(200, bad.clone());
+    }
+    assert!(run.stops().contains(&run.task));
+}
--- a/tests/control_unlisted.rs
+++ b/tests/control_unlisted.rs
@@ -225,6 +225,28 @@
     cell.check();
 }
 
+/// Guards against tasks that never run again because their runner keeps listing the completion of a
+/// held job, so that no list counts as complete.
+#[test]
+fn a_completion_of_a_held_job_does_not_keep_unlisted_runs() {
+    for held in [1, 3] {
+        let mut cell = Cell::new(1, 8);
+        cell.run(300);
+        let other = cell.submit(1, "patient", vec![step(held, 1_000, 60_000)]);
+        cell.faults.late = 1.0;
+        let job = cell.submit(2, "patient", vec![step(2, 1_000, 500)]);
+        cell.run(60);
+        cell.faults.late = 0.0;
+        for index in 0..held {
+            cell.run_stray(0, task(other, index));
+        }
+        cell.change_leader_with_held(&[other]);
+        cell.run(25_000);
+        assert_eq!(cell.runners[0].ends.first().map(|e| e.task.step.job), Some(other));
+        assert_eq!(cell.stored(job), JobState::Completed, "{held} completions");
+    }
+}
+
 /// Lists that lag, beside leader changes, late and unanswered orders, commits without an answer,
 /// unreachable runners, crashes and cancellations.
 #[test]
