Engine: a list of only unreadable completions is polled at the usual pace

Callers see nothing; the runner sees a poll for each round trip, and each call has a price. A runner answers at once while it lists completions, and one that cannot be decoded stays listed until a later one is acknowledged.

Cause: the delay after an answer is chosen by the completions that could be decoded; an answer without any counts as one without completions, after which the next poll follows at once.

Change: after a list of only unreadable completions the next poll follows after 200 ms, as after completions that wait.

Test: a_list_of_unreadable_completions_is_not_polled_again_at_once failed before (a poll within 150 ms).

--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -14,8 +14,8 @@
 /// are acknowledged only soon after an answer.
 const STORE_DELAY_MS: u64 = 25;
 
-/// Delay after a poll that returned only completions that are processed and not stored, ms. The store
-/// is slow or unavailable then, and the runner answers such polls at once.
+/// Delay after a poll that returned only completions that are processed and not stored, or that cannot
+/// be decoded, ms. The runner answers such polls at once.
 const UNSTORED_DELAY_MS: u64 = 200;
 
 /// Delay after a failed poll, ms.
@@ -45,12 +45,13 @@
                 runner.polled_at = now.mono;
                 let has_new = report.ends.iter().any(|e| runner.completions.is_new(e.number));
                 let lowest = report.ends.iter().map(|e| e.number).min();
+                let unreadable = report.unreadable > 0;
                 self.process_report(k, report, now);
                 let acknowledgeable = self.acknowledgeable(k);
                 let delay = match lowest {
-                    None => 0,
+                    None if !unreadable => 0,
                     Some(number) if has_new || number <= acknowledgeable => STORE_DELAY_MS,
-                    Some(_) => UNSTORED_DELAY_MS,
+                    _ => UNSTORED_DELAY_MS,
                 };
                 self.runners.get_mut(k).next_poll = now.mono + delay;
             }
--- a/tests/control_bad_completions.rs
+++ b/tests/control_bad_completions.rs
@@ -243,3 +243,15 @@
     }
     assert!(run.stops().contains(&run.task));
 }
+/// Guards against polls in quick succession: a runner answers at once while it lists completions, and
+/// one that cannot be decoded stays in its list.
+#[test]
+fn a_list_of_unreadable_completions_is_not_polled_again_at_once() {
+    let mut run = OneRun::new();
+    run.answer(10, json!([[1, run.task.to_string(), "first", "done", ""]]));
+    run.cell.engine.take_actions();
+    run.now.mono += 150;
+    run.cell.engine.tick(run.now);
+    let acts = run.cell.engine.take_actions();
+    assert!(!acts.iter().any(|a| matches!(a, Action::Poll { .. })));
+}
