--- a/src/control/crashes.rs
+++ b/src/control/crashes.rs
@@ -16,7 +16,7 @@
 const MAX_LOSSES: u32 = 5;
 
 /// From this number of losses on, each run that does not complete its work counts as a loss, since
-/// it has used up a start, unless another member of its gang has ended it.
+/// it has used up a start.
 const COUNT_ALL_FROM: u32 = 3;
 
 /// Minimum number of losses of a crash loop.
--- a/src/control/engine/losses.rs
+++ b/src/control/engine/losses.rs
@@ -4,7 +4,7 @@
 use super::runs::Stage;
 use super::{Engine, Now, RunnerKey, Task};
 use crate::control::crashes::{Losses, STABLE_MS};
-use crate::control::model::{Attempt, EndKind, TaskId};
+use crate::control::model::{Attempt, TaskId};
 use crate::control::place::Candidate;
 use std::collections::BTreeSet;
 
@@ -121,18 +121,12 @@
             lost_before = task.losses.count; "run lost with its runner");
     }
 
-    /// Records that a run ended with a completion that its runner reported. One that broke was ended by
-    /// another member of its gang.
-    pub(super) fn record_ended(&mut self, id: TaskId, kind: EndKind, now: Now) {
+    /// Records that a run ended with a completion that its runner reported.
+    pub(super) fn record_ended(&mut self, id: TaskId, done: bool, now: Now) {
         let Some(task) = self.task_mut(id) else { return };
         let ran = observed_run_ms(task, now.mono);
-        match kind {
-            EndKind::Done | EndKind::Broken => {}
-            EndKind::Failed
-            | EndKind::Stopped
-            | EndKind::Lapsed
-            | EndKind::Alone
-            | EndKind::Unknown => task.losses.record_end(),
+        if !done {
+            task.losses.record_end();
         }
         self.loss_rate.record_end(ran.unwrap_or(0), now.mono);
     }
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -211,7 +211,7 @@
                 task.saved.clone_from(&end.saved);
             }
         }
-        self.record_ended(id, end.kind, now);
+        self.record_ended(id, end.kind == EndKind::Done, now);
         match end.kind {
             EndKind::Done => {
                 self.runners.get_mut(k).health.done();
