Tests take their ports in blocks that no other test process uses

Seen once: `no_rule_is_broken_with_runners_that_take_time_to_list_runs` stopped with "Address already in use" for the stand-in's address, in one of three runs of the soak beside other test processes; no rule was broken.

Cause, by reading: a free address is found by binding and closing a listener, and bound again later. Within a process no port is given out twice, but each process went through the same 20,000 ports from another start, so that another test process could take the port in between. Ruled out: outgoing connections, whose ports lie above the range. That another process took this port was not seen.

Change: a process takes blocks of 100 ports, each guarded by a listener on its first port for as long as the process lives.

--- a/tests/common/ports.rs
+++ b/tests/common/ports.rs
@@ -2,26 +2,58 @@
 
 #![allow(dead_code)]
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Mutex;
 
 /// First port used. The range lies below the ephemeral ports of the system: otherwise an outgoing
 /// connection could occupy a port before its listener is bound.
 const FIRST_PORT: u16 = 10_000;
 
-/// Number of ports used by a test process; each process starts at a different offset.
-const PORTS: u16 = 20_000;
+/// Number of blocks of ports; each test process starts at a different one.
+const BLOCKS: u16 = 200;
 
-static NEXT_PORT: std::sync::atomic::AtomicU16 = std::sync::atomic::AtomicU16::new(0);
+/// Number of ports in a block.
+const BLOCK_PORTS: u16 = 100;
 
-/// Returns a free loopback address that no other test of this process uses.
+/// A block of ports that no other test process uses while the listener on its first port is open.
+struct Block {
+    _guard: TcpListener,
+    first: u16,
+    used: u16,
+}
+
+/// Blocks of this process; the last one is in use.
+static TAKEN: Mutex<Vec<Block>> = Mutex::new(Vec::new());
+
+fn addr(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// Takes a block that no test process uses.
+fn take_block() -> Block {
+    let start = std::process::id() as u16;
+    for n in 0..BLOCKS {
+        let first = FIRST_PORT + (start.wrapping_add(n) % BLOCKS) * BLOCK_PORTS;
+        if let Ok(guard) = TcpListener::bind(addr(first)) {
+            return Block { _guard: guard, first, used: 1 };
+        }
+    }
+    panic!("no free block of ports");
+}
+
+/// Returns a free loopback address that no other test uses.
 pub fn free_addr() -> SocketAddr {
-    let start = (std::process::id() as u16).wrapping_mul(101) % PORTS;
-    for _ in 0..PORTS {
-        let n = NEXT_PORT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let addr = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + (start + n % PORTS) % PORTS));
-        if std::net::TcpListener::bind(addr).is_ok() {
-            return addr;
+    let mut taken = TAKEN.lock().unwrap_or_else(|e| e.into_inner());
+    loop {
+        if taken.last().is_none_or(|block| block.used == BLOCK_PORTS) {
+            let block = take_block();
+            taken.push(block);
+        }
+        let block = taken.last_mut().expect("a block was taken");
+        let at = addr(block.first + block.used);
+        block.used += 1;
+        if TcpListener::bind(at).is_ok() {
+            return at;
         }
     }
-    panic!("no free port");
 }
