Read-through: a stray run has one name, and a gang's "no wait" too

`stop_orphan` handled what all else calls a stray run. The 0 in `StepRun::unreported` that means that a gang does not wait is `NO_WAIT` now. `take_expected` says that it changes what is expected. No change of behaviour.

--- a/src/control/engine/gangs.rs
+++ b/src/control/engine/gangs.rs
@@ -6,6 +6,7 @@
 //! ended. If every completion received is of this kind, the member without a completion is the one
 //! that ended first.
 
+use super::jobs::NO_WAIT;
 use super::losses::Loss;
 use super::runs::{Stage, StopReason};
 use super::{Engine, Now, RunnerKey};
@@ -104,7 +105,8 @@
     pub(super) fn forget_lapsed(&mut self, step: StepId, now: Now) {
         let (from_before, lease_ms) = (self.predecessor_leases_end(), self.rules.lease_ms);
         if let Some(s) = self.step_mut(step) {
-            let lapsed = |end: u64| end > 0 && end != from_before && end + lease_ms <= now.mono;
+            let lapsed =
+                |end: u64| end != NO_WAIT && end != from_before && end + lease_ms <= now.mono;
             s.unreported.retain(|_, end| !lapsed(*end));
         }
     }
--- a/src/control/engine/jobs.rs
+++ b/src/control/engine/jobs.rs
@@ -57,6 +57,9 @@
     pub retry_at: u64,
 }
 
+/// In [`StepRun::unreported`]: the gang does not wait for the completion, which counts all the same.
+pub const NO_WAIT: u64 = 0;
+
 /// A step of one occurrence of a job.
 #[derive(Clone, Debug)]
 pub struct StepRun {
@@ -72,7 +75,7 @@
     pub broken: Broken,
     /// Attempts of the gang with a member whose completion was not received, each of which may have
     /// been a failure, and until when the gang waits for it, local ms: the end of the lease of that
-    /// member's runner, or 0.
+    /// member's runner, or [`NO_WAIT`].
     pub unreported: BTreeMap<Attempt, u64>,
     /// Results of advice requests.
     pub approvals: Approvals,
--- a/src/control/engine/late_completions.rs
+++ b/src/control/engine/late_completions.rs
@@ -5,6 +5,7 @@
 //! finds in the row of a job which attempts may yet be reported, and a completion of any other
 //! attempt is one that an earlier leader has processed.
 
+use super::jobs::NO_WAIT;
 use super::losses::Loss;
 use super::runs::{Run, Stage, StopReason};
 use super::{Engine, Now, RunnerKey};
@@ -46,7 +47,7 @@
         let Some(step) = self.step_mut(id.step) else { return };
         if gang {
             if confirmed && step.failed_attempt < attempt {
-                step.unreported.entry(attempt).or_insert(0);
+                step.unreported.entry(attempt).or_insert(NO_WAIT);
             }
         } else if let Some(task) = step.tasks.get_mut(id.index as usize).filter(|_| !lasts) {
             task.unreported.insert(attempt);
@@ -78,9 +79,9 @@
         }
     }
 
-    /// Whether the completion of an attempt was expected; it is not any more. Another end than a
-    /// failure of one member leaves the failure of another one of its gang to be expected, but the gang
-    /// does not wait for it.
+    /// Expects the completion of an attempt no longer, and returns whether it was expected. After
+    /// another end than a failure of one member of a gang, the failure of another member is still
+    /// expected, but the gang does not wait for it.
     fn take_expected(&mut self, end: &End) -> bool {
         let Some(step) = self.step_mut(end.task.step) else { return false };
         let task = step.tasks.get_mut(end.task.index as usize);
@@ -94,7 +95,7 @@
             | EndKind::Broken
             | EndKind::Alone
             | EndKind::Unknown => {
-                step.unreported.entry(end.attempt).and_modify(|lease_end| *lease_end = 0);
+                step.unreported.entry(end.attempt).and_modify(|wait| *wait = NO_WAIT);
                 false
             }
         }
--- a/src/control/engine/lifecycle.rs
+++ b/src/control/engine/lifecycle.rs
@@ -9,8 +9,8 @@
 
 impl Engine {
     /// Adds a job, with the progress that is stored for it and the version of that row. A known job
-    /// and one that is held are left unchanged. Jobs are added in the order of their submission, by which the shares of
-    /// teams are counted.
+    /// and one that is held are left unchanged. Jobs are added in the order of their submission, by
+    /// which the shares of teams are counted.
     pub fn add_job(
         &mut self,
         id: JobId,
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -112,14 +112,14 @@
             if self.held.contains_key(&task.step.job) {
                 self.held_run_listed(k, task, attempt, report.clock);
             } else if self.run_mut(k, task, attempt).is_none() {
-                self.stop_orphan(k, task, attempt, report.clock);
+                self.stop_stray(k, task, attempt, report.clock);
             }
         }
     }
 
-    /// Stops an orphaned run: a start that took effect late. It takes capacity until its completion
+    /// Stops a stray run: a start that took effect late. It takes capacity until its completion
     /// is listed, or answers have not listed it for the time that a stop takes.
-    fn stop_orphan(&mut self, k: RunnerKey, task: TaskId, attempt: Attempt, clock: u64) {
+    fn stop_stray(&mut self, k: RunnerKey, task: TaskId, attempt: Attempt, clock: u64) {
         let job = self.jobs.get(&task.step.job);
         if job.is_some_and(|j| (task.step.step as usize) < j.row.spec.steps.len()) {
             self.allocate(k, task, attempt, Losses::default());
