Review case 1: ordinary jobs whose estimates are right

The jobs took 3 s with an estimate of 10 s. They take 9 s now, so that nothing in the case depends on estimates that are far off.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -45,12 +45,12 @@
         if TROUBLE:
             # Each member fits a runner, and there are fewer runners than members.
             cell.record.write("a gang of 64 members of 60 cores, for 48 runners of 64 cores")
-            if not await cell.submit(standin.job_id(), one(64, 60000, 10000, gang=True), 3000):
+            if not await cell.submit(standin.job_id(), one(64, 60000, 10000, gang=True), 10000):
                 return 2
         await asyncio.sleep(1)
         jobs = [standin.job_id() for _ in range(JOBS)]
         for job in jobs:
-            if not await cell.submit(job, one(1, 2000, 10000), 3000):
+            if not await cell.submit(job, one(1, 2000, 10000), 9000):
                 return 2
             await asyncio.sleep(0.1)
         cell.record.write("the traffic ends; %d s until the jobs are asked for" % FINISH_S)
