--- a/review/standin.py
+++ b/review/standin.py
@@ -9,7 +9,9 @@
 import signal
 import socket
 import subprocess
+import sys
 import time
+import traceback
 from urllib.parse import parse_qs, unquote, urlsplit
 
 HOST = "127.0.0.1"
@@ -444,10 +446,7 @@
         await asyncio.gather(*(r.start() for r in self.runners))
         for n in range(instances):
             self.instances.append(Instance(self, n))
-        for instance in self.instances:
-            instance.start()
-        for instance in self.instances:
-            await instance.wait_ready()
+        await asyncio.gather(*(instance.first_start() for instance in self.instances))
 
     async def expire(self, name):
         """Removes the entry of a runner that has been silent for three intervals."""
@@ -556,12 +555,17 @@
 
 
 def free_ports(count):
-    sockets = []
-    for _ in range(count):
-        s = socket.socket()
-        s.bind((HOST, 0))
+    """Free ports outside the range from which the system takes ports of connections."""
+    sockets, ports = [], []
+    while len(ports) < count:
+        s, port = socket.socket(), random.randrange(20000, 30000)
+        try:
+            s.bind((HOST, port))
+        except OSError:
+            s.close()
+            continue
         sockets.append(s)
-    ports = [s.getsockname()[1] for s in sockets]
+        ports.append(port)
     for s in sockets:
         s.close()
     return ports
@@ -571,12 +575,17 @@
     """A process of the system, with the command of the deploy file."""
 
     def __init__(self, cell, n):
-        self.cell, self.name, self.process = cell, "edge-zone-%s-1" % "abc"[n % 3], None
-        self.front, self.ready, self.links, self.metrics = free_ports(4)
+        self.cell, self.zone, self.process = cell, "zone-" + "abc"[n % 3], None
+        self.name = "edge-%s-1" % self.zone
         self.path = os.path.join(os.environ["CASE_TMP"], self.name + ".json")
-        b = BOUNDS
+        self.configure()
+
+    def configure(self):
+        """Writes the settings file, as the template of the deploy file renders it."""
+        self.front, self.ready, self.links, self.metrics = free_ports(4)
+        b, cell = BOUNDS, self.cell
         settings = {
-            "id": self.name, "domain": "zone-" + "abc"[n % 3],
+            "id": self.name, "domain": self.zone,
             "front": "%s:%d" % (HOST, self.front), "ready": "%s:%d" % (HOST, self.ready),
             "links": "%s:%d" % (HOST, self.links), "metrics": "%s:%d" % (HOST, self.metrics),
             "share": 0.25, "link_mbps": 1000.0,
@@ -608,6 +617,20 @@
             self.process.wait()
             self.cell.record.write("instance %s is killed" % self.name)
 
+    async def first_start(self):
+        """Starts the process, with other ports if another program has taken one of them."""
+        for _ in range(5):
+            self.start()
+            try:
+                return await self.wait_ready()
+            except RuntimeError:
+                code = self.process.poll()
+                self.cell.record.write("instance %s is not ready, code %s" % (self.name, code))
+                if code is None or code < 0:
+                    raise
+                self.configure()
+        raise RuntimeError("%s can't be started" % self.name)
+
     async def restart(self):
         """A planned restart: SIGTERM, and a new process once the old one has ended."""
         self.process.send_signal(signal.SIGTERM)
@@ -621,6 +644,8 @@
 
     async def wait_ready(self):
         for _ in range(200):
+            if not self.up():
+                break
             try:
                 reader, writer = await asyncio.open_connection(HOST, self.ready)
                 writer.write(b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -634,5 +659,19 @@
         raise RuntimeError("%s is not ready" % self.name)
 
 
+def run(main):
+    """Runs a case and exits with its code: 1 if the rule was broken, 0 if it held, 2 if the case
+    could not run."""
+    def stop(*_):
+        raise KeyboardInterrupt
+    signal.signal(signal.SIGTERM, stop)
+    try:
+        code = asyncio.run(main())
+    except BaseException:
+        traceback.print_exc()
+        code = 2
+    sys.exit(code)
+
+
 def job_id():
     return "%016x" % random.getrandbits(64)
