--- a/review/standin.py
+++ b/review/standin.py
@@ -18,8 +18,8 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 # Bounds of the small deployment sabgha-cards.
-BOUNDS = dict(hold_max_ms=10000, stop_ms=400, restore_ms=600, checkpoint_s=2, grace_s=6,
-              status_s=120, max_stretch_ms=5000, config_apply_ms=2000)
+BOUNDS = dict(hold_max_ms=10000, stop_ms=400, gang_wait_ms=3000, restore_ms=600, checkpoint_s=2,
+              grace_s=6, status_s=120, max_stretch_ms=5000, config_apply_ms=2000)
 ROW_BYTES, TX_BYTES, TX_ENTRIES, PAGE_ROWS, PAGE_BYTES = 65536, 1000000, 100, 500, 1000000
 HEARTBEAT_S = 1.5
 
@@ -243,15 +243,34 @@
         return self.log[low:]
 
 
+class Gang:
+    """One attempt of a gang: its members work from the moment when all are present. When one ends,
+    so do the others: as done with it, and else as broken."""
+
+    def __init__(self, count):
+        self.count, self.members, self.began, self.over = count, set(), None, None
+
+    def join(self, task):
+        self.members.add(task)
+        if len(self.members) == self.count and self.over is None:
+            self.began = now_ms()
+
+
 class Run:
-    def __init__(self, work_ms, saved_ms, restore_ms, saves, lasts):
+    def __init__(self, work_ms, saved_ms, restore_ms, saves, lasts, gang=None):
         self.began = now_ms()
         self.work, self.base, self.restore = work_ms, saved_ms, restore_ms
-        self.saves, self.lasts, self.stopping = saves, lasts, None
+        self.saves, self.lasts, self.stopping, self.gang = saves, lasts, None, gang
 
     def done_ms(self):
         """Work done so far, ms."""
-        return self.base + max(0.0, now_ms() - self.began - self.restore)
+        began = self.gang.began if self.gang else self.began
+        if began is None:
+            return self.base
+        return self.base + max(0.0, now_ms() - began - self.restore)
+
+    def at_work(self):
+        return self.gang is None or self.gang.began is not None
 
     def checkpoint(self, exact=False):
         if not self.saves:
@@ -301,7 +320,7 @@
         self.up = False
         for task in self.tasks:
             task.cancel()
-        self.runs = {}
+        self.drop()
         self.server.abort()
         asyncio.create_task(self.cell.expire(name))
         await asyncio.sleep(for_s)
@@ -315,9 +334,16 @@
             self.id, self.index, " ".join("%s/%d" % run for run in self.runs) or "nothing"))
         self.up = False
         self.stop()
-        self.runs = {}
+        self.drop()
         asyncio.create_task(self.cell.expire(self.id))
 
+    def drop(self):
+        """All that runs there is over, without an end that is listed."""
+        for run in self.runs.values():
+            if run.gang and run.gang.over is None:
+                run.gang.over = "lost"
+        self.runs = {}
+
     def stop(self):
         for task in self.tasks:
             task.cancel()
@@ -333,11 +359,18 @@
                     self.end(task, attempt, "lapsed")
                 elif run.stopping is not None and now_ms() >= run.stopping:
                     self.end(task, attempt, "stopped")
-                elif not run.lasts and run.done_ms() >= run.work:
+                elif run.gang and run.gang.over not in (None, "done"):
+                    self.end(task, attempt, "broken")
+                elif not run.at_work() and now_ms() - run.began > BOUNDS["gang_wait_ms"]:
+                    self.end(task, attempt, "alone")
+                elif not run.lasts and (run.done_ms() >= run.work
+                                        or run.gang and run.gang.over == "done"):
                     self.end(task, attempt, "done")
 
     def end(self, task, attempt, how):
         run = self.runs.pop((task, attempt))
+        if run.gang and run.gang.over is None:
+            run.gang.over = how
         self.number += 1
         saved = run.checkpoint(exact=how == "stopped") if how != "done" else ""
         self.finished.append([self.number, task, attempt, how, saved])
@@ -414,7 +447,9 @@
                 pass
         active = []
         for (task, attempt), run in self.runs.items():
-            percent = 100 if run.lasts else int(min(99, 100 * run.done_ms() / run.work))
+            percent = int(min(99, 100 * run.done_ms() / run.work))
+            if run.lasts:
+                percent = 100 if run.at_work() else 0
             active.append([task, attempt, run.checkpoint(), percent])
         return 200, {"clock_ms": self.clock(), "active": active, "finished": self.finished[:500]}
 
@@ -428,7 +463,7 @@
         self.service, self.queue, self.prefix, self.host = "huvo11a", "r-3hwrr6x", "/lohu930/", \
             "nony24.example"
         self.max_attempts, self.instances, self.logs = max_attempts, [], []
-        self.ends, self.starts, self.folder = [], [], folder
+        self.ends, self.starts, self.gangs, self.folder = [], [], {}, folder
         self.runners = [Runner(self, n, "r1-%d" % (n % racks), capacity) for n in range(runners)]
 
     async def start(self, instances):
@@ -465,8 +500,13 @@
         if not known or known.get("traced", True):
             self.record.write("runner %s starts %s/%d%s" % (runner.id, task, attempt,
                               " from " + call["checkpoint"] if saved else ""))
+        gang = None
+        if spec.get("gang"):
+            name = (task.rsplit(".", 1)[0], attempt)
+            gang = self.gangs.setdefault(name, Gang(spec["count"]))
+            gang.join(task)
         return Run(work, saved, restore, spec.get("checkpointing", False),
-                   spec.get("long_running", False))
+                   spec.get("long_running", False), gang)
 
     def ended(self, runner, task, attempt, how):
         job = task.split(".")[0]
