--- a/review/platform2.py
+++ b/review/platform2.py
@@ -51,6 +51,8 @@
         self.began = time.monotonic()
 
     def line(self, text):
+        if self.file.closed:
+            return
         self.file.write(f"{time.monotonic() - self.began:9.3f} {text}\n")
 
     def close(self):
@@ -342,8 +344,9 @@
 class Runner:
     """A machine with one runner; `work(task)` is (seconds of work, checkpointing)."""
 
-    def __init__(self, cell, zone, rack, cpu, mem):
-        self.cell, self.zone, self.rack, self.cpu, self.mem = cell, zone, rack, cpu, mem
+    def __init__(self, cell, zone, rack, kind, cpu, mem):
+        self.cell, self.zone, self.rack, self.kind = cell, zone, rack, kind
+        self.cpu, self.mem = cpu, mem
         self.server = Server(self.handle)
         self.life, self.up, self.removals = Life(), False, []
 
@@ -359,7 +362,7 @@
             "service": self.cell.service, "address": self.server.address, "zone": self.zone,
             "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
             "capacity": {"cpu": self.cpu, "mem_mb": self.mem, "gpu": 0},
-            "labels": ["a", self.rack], "clock_ms": self.life.clock(), "sequence": self.life.sequence,
+            "labels": [self.kind, self.rack], "clock_ms": self.life.clock(), "sequence": self.life.sequence,
         })
 
     async def crash(self, down_s):
@@ -490,14 +493,17 @@
 class Cell:
     """Store, runners and instances."""
 
-    def __init__(self, folder, runners, instances, work, cpu=16_000, mem=65_536, racks_of=6):
+    def __init__(self, folder, runners, instances, work, cpu=16_000, mem=65_536, racks_of=6,
+                 kind=lambda rack: "a"):
         self.record = Record(os.path.join(folder, "record.txt"))
         self.temp = tempfile.mkdtemp(prefix="review2-")
         self.work, self.service = work, "tracker"
         self.lives, self.ends, self.starts, self.lost = {}, [], {}, set()
         self.store = Store(self.record)
+        rack = lambda n: f"r-{n // racks_of}"
         self.runners = [
-            Runner(self, f"zone-{'abcd'[n % 4]}", f"r-{n // racks_of}", cpu, mem) for n in range(runners)
+            Runner(self, f"zone-{'abcd'[n % 4]}", rack(n), kind(rack(n)), cpu, mem)
+            for n in range(runners)
         ]
         self.count, self.procs, self.fronts, self.logs, self.loops = instances, [], [], [], []
 
