--- a/review/platform2.py
+++ b/review/platform2.py
@@ -509,8 +509,18 @@
 
     async def start(self, routes):
         await self.store.server.start()
+        self.configure(7, routes)
+        for runner in self.runners:
+            await runner.start()
+        self.loops = [asyncio.create_task(self.beats()), asyncio.create_task(self.ticks())]
+        for n in range(self.count):
+            self.start_instance(n)
+        await self.until_ready()
+
+    def configure(self, version, routes):
+        """The operator writes a configuration."""
         self.store.platform_write("op", "config", {
-            "version": 7, "routes": routes,
+            "version": version, "routes": routes,
             "services": [{
                 "name": self.service, "health_path": "/healthz", "max_conns": 64, "protocol": "h1",
                 "tls": False, "admission_control": False, "standby": False,
@@ -520,12 +530,6 @@
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
             },
         })
-        for runner in self.runners:
-            await runner.start()
-        self.loops = [asyncio.create_task(self.beats()), asyncio.create_task(self.ticks())]
-        for n in range(self.count):
-            self.start_instance(n)
-        await self.until_ready()
 
     def start_instance(self, n):
         # An address for each instance: the port of the metrics is the same on all machines.
