Jobs of a queue that a configuration removes run to their end

What callers saw: a configuration removes a queue, or has another in its place (same host, path and service, other name). Jobs accepted on it were never continued: the steps that ran ended, the next were not placed, failed tasks were not started again.

Cause: a job's row named its queue, and the definition (service, priority, limit of failures, objective, advice) came from the newest catalogue alone. Without it Engine::rank returned nothing, so that the step was in no planning pass; the limit of failures, retries of gangs, preemption, commit order, forecast and demand of urgent queues went wrong as silently. The same for a route that one configuration holds with an invalid value, and for a job accepted under a version that the leader never read.

Ruled out: the cache and the links (the leader had logged "job known to the scheduler" for each job); the runners (idle, and used by the third queue); giving the jobs to the queue that has the path now (its service may be another, which ROUTE forbids).

Change: the row of a job holds the definition of its queue when it was accepted. The engine keeps a removed queue by the newest definition known. One that had changed since is stored with the job's progress at the removal, so that a leader elected later, or after a restart of all, does not order starts from runners that the queue had left; this covers rows of earlier versions, too. All readers of the catalogue in the engine read the one copy.

Why it works: whatever a leader knows, an accepted job has a definition, and the newest by catalogue version wins. A queue that is in the catalogue is always served by the catalogue.

--- a/src/control/engine/deferral.rs
+++ b/src/control/engine/deferral.rs
@@ -262,14 +262,14 @@
     }
 
     /// Opens the deferred steps of queues whose objective or service differs from the `last`
-    /// catalogue. Those still expired are deferred again in the next pass.
-    pub(super) fn open_deferred(&mut self, last: &Catalogue) {
+    /// catalogue, or that are `removed`. Those still expired are deferred again in the next pass.
+    pub(super) fn open_deferred(&mut self, last: &Catalogue, removed: &BTreeSet<String>) {
         let (jobs, cat) = (&self.jobs, &self.cat);
         let changed = |id: &StepId| {
             let Some(job) = jobs.get(&id.job) else { return true };
             let queue = |cat: &'_ Catalogue| cat.queues.get(&job.row.queue).cloned();
             match (queue(last), queue(cat)) {
-                (Some(a), Some(b)) => !a.ranks_like(&b),
+                (Some(a), Some(b)) => !a.ranks_like(&b) || removed.contains(&b.name),
                 _ => true,
             }
         };
--- a/src/control/engine/jobs.rs
+++ b/src/control/engine/jobs.rs
@@ -8,6 +8,7 @@
 use crate::control::model::{Attempt, JobId, JobState, Queue, Step, StepId, TaskId};
 use crate::control::policy::crashes::Losses;
 use crate::control::policy::speeds::Timing;
+use crate::control::queue_row::QueueRow;
 use crate::control::rows::JobRow;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -130,6 +131,10 @@
 pub struct Job {
     /// The job as submitted.
     pub row: Arc<JobRow>,
+    /// Last definition of its queue, see [`ProgressRow::definition`].
+    ///
+    /// [`ProgressRow::definition`]: crate::control::rows::ProgressRow::definition
+    pub(super) last_definition: Option<QueueRow>,
     /// Its team; none if it was submitted without a key.
     pub team: Option<TeamKey>,
     /// Whether it is beyond its team's share.
@@ -171,6 +176,7 @@
         let (state, ended) = (JobState::Queued, 0);
         Self {
             row,
+            last_definition: None,
             team: None,
             excess: false,
             state,
--- a/src/control/engine/lifecycle.rs
+++ b/src/control/engine/lifecycle.rs
@@ -49,6 +49,7 @@
                 "job known to the scheduler");
         }
         self.jobs.insert(id, job);
+        self.keep_queue_of(id);
         for (k, task, attempt, losses) in runs {
             self.allocate(k, task, attempt, losses);
         }
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -29,6 +29,7 @@
 mod progress_row;
 mod provisional;
 mod registry;
+mod removed_queues;
 mod reports;
 mod round;
 mod runners;
@@ -194,7 +195,10 @@
     registry_read: bool,
     /// Time of the current round, local ms.
     round_at: u64,
+    /// The newest catalogue, with the queues of `removed_queues`.
     cat: Arc<Catalogue>,
+    /// Queues that the catalogue no longer has, and the version of the one that had them last.
+    removed_queues: BTreeMap<String, u64>,
     runners: Arena<RunnerKey, Runner>,
     /// The newest known incarnation of each runner.
     by_id: BTreeMap<String, RunnerKey>,
@@ -272,6 +276,7 @@
             registry_read: false,
             round_at: now.mono,
             cat: Arc::default(),
+            removed_queues: BTreeMap::new(),
             runners: Arena::default(),
             by_id: BTreeMap::new(),
             jobs: BTreeMap::new(),
@@ -310,7 +315,8 @@
         if cat.version > self.cat.version {
             self.teams.apply(&cat.teams);
             let last = std::mem::replace(&mut self.cat, cat);
-            self.open_deferred(&last);
+            let removed = self.keep_removed_queues(&last);
+            self.open_deferred(&last, &removed);
         }
     }
 
--- a/src/control/engine/progress_row.rs
+++ b/src/control/engine/progress_row.rs
@@ -18,6 +18,7 @@
     ) {
         self.state = p.state;
         self.ended = p.ended;
+        self.last_definition.clone_from(&p.definition);
         if p.steps.is_empty() && p.state.ended() {
             self.steps.clear();
         }
@@ -78,6 +79,7 @@
             ended: self.ended,
             steps: self.steps.iter().map(step).collect(),
             unreported: unreported.map(|(tasks, index)| (index, tasks)).collect(),
+            definition: self.last_definition.clone(),
         }
     }
 }
--- a/src/control/front/mod.rs
+++ b/src/control/front/mod.rs
@@ -14,6 +14,7 @@
 use super::mirror::{Mirror, Table};
 use super::model::{Catalogue, Invalid, JobId, JobState, Queue};
 use super::ports::ReadError;
+use super::queue_row::QueueRow;
 use super::rows::{self, JobRow};
 use super::store_health::StoreHealth;
 use super::submissions::{SubmissionWriter, WriteOutcome};
@@ -151,7 +152,7 @@
         }
         let Ok(id) = rest.parse::<JobId>() else { return invalid(&Invalid::Id) };
         let res = match method {
-            Method::Post => self.submit(&mut req, id, queue, &caller, cat.version, began).await,
+            Method::Post => self.submit(&mut req, id, queue, &caller, newest.version, began).await,
             Method::Get => self.state(id, &caller).await,
             Method::Delete => self.cancel(id, &caller, self.remaining_ms(&req, began)).await,
             _ => refuse(405, "method not allowed"),
@@ -252,7 +253,8 @@
             return res;
         }
         let (team, at) = (caller.team().map(str::to_string), self.clock.wall());
-        let row = JobRow { queue: queue.name.clone(), team, at, spec };
+        let definition = Some(QueueRow::new(queue, version));
+        let row = JobRow { queue: queue.name.clone(), team, at, spec, definition };
         let out = self.submissions.submit(id, &row, caller, self.remaining_ms(req, began)).await;
         let ms = self.clock.mono() - began;
         log::info!(job:% = id, queue = queue.name, steps = row.spec.steps.len(),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,8 +5,8 @@
 //! - `policy` holds the engine's decisions that need no state of the cell: queue order, shares of
 //!   teams, placement, preemption, crash-loop detection and the run-time model.
 //! - `mirror` is the local cache of the store's tables, `submissions` writes submissions in
-//!   batches, `partitions` spreads progress over the partitions of the store, and `rows` encodes
-//!   the rows.
+//!   batches, `partitions` spreads progress over the partitions of the store, and `rows` (with
+//!   `queue_row` and `speeds_row`) encodes the rows.
 //! - `front` handles callers' requests, `access` and `teams` decide who may make them, `admission`
 //!   holds what the leader has said about the backlog, and `links` connects the other instances to
 //!   the leader.
@@ -29,6 +29,7 @@
 pub mod partitions;
 pub mod policy;
 pub mod ports;
+pub mod queue_row;
 pub mod rows;
 pub mod settings;
 pub mod speeds_row;
--- a/src/control/model/mod.rs
+++ b/src/control/model/mod.rs
@@ -17,6 +17,10 @@
 /// Latest time that is accepted, Unix ms: the year 10889.
 pub const MAX_MOMENT: u64 = 1 << 48;
 
+/// Largest accepted factor between a job's work and its objective. Its product with the longest
+/// chain of work stays within 64 bits.
+pub const MAX_SLACK: f64 = 1_000.0;
+
 /// Maximum of each resource of a task, thousandths of a core and MiB: a thousand times the largest
 /// machines there are. The sum over a million waiting jobs stays within 64 bits; without a bound
 /// one job with an invalid value would corrupt the sum, which the plan for all others depends on.
--- a/src/control/rows.rs
+++ b/src/control/rows.rs
@@ -14,6 +14,7 @@
 use super::model::{Attempt, Born, Invalid, JobId, JobSpec, JobState, MAX_MOMENT};
 use super::partitions::Partition;
 use super::ports::Key;
+use super::queue_row::QueueRow;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -63,6 +64,9 @@
     /// More failures than there are attempt numbers.
     #[error("more than {} failures", Attempt::LAST)]
     Fails,
+    /// A definition of a queue that no catalogue could hold.
+    #[error("not a queue")]
+    Queue,
     /// A size beyond `MAX_SIZE`.
     #[error("size beyond {MAX_SIZE}")]
     Size,
@@ -94,6 +98,9 @@
     pub at: u64,
     /// The job's specification.
     pub spec: JobSpec,
+    /// Definition of the queue when the job was accepted; none in rows of earlier versions.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub definition: Option<QueueRow>,
 }
 
 #[derive(Deserialize)]
@@ -104,6 +111,9 @@
     team: Option<String>,
     at: u64,
     spec: JobSpec,
+    /// Missing in rows of versions that did not store it.
+    #[serde(default)]
+    definition: Option<QueueRow>,
 }
 
 impl TryFrom<WireJob> for JobRow {
@@ -112,7 +122,8 @@
     fn try_from(w: WireJob) -> Result<Self, InvalidValue> {
         w.spec.check()?;
         let at = check_time(w.at)?;
-        Ok(Self { queue: w.queue, team: w.team, at, spec: w.spec })
+        let WireJob { queue, team, spec, definition, .. } = w;
+        Ok(Self { queue, team, at, spec, definition })
     }
 }
 
@@ -191,7 +202,7 @@
 pub type UnreportedAttempts = BTreeMap<u32, BTreeMap<u32, BTreeSet<Attempt>>>;
 
 /// Progress of a job. Older versions ignore keys that they do not know.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(try_from = "WireProgress")]
 pub struct ProgressRow {
     /// State shown to callers.
@@ -203,6 +214,10 @@
     /// Attempts that were written off and may yet be reported.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub unreported: UnreportedAttempts,
+    /// Last definition of the job's queue, if the catalogue no longer has the queue and the job was
+    /// accepted under another one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub definition: Option<QueueRow>,
 }
 
 #[derive(Deserialize)]
@@ -213,6 +228,9 @@
     /// Missing in rows of older versions.
     #[serde(default)]
     unreported: UnreportedAttempts,
+    /// Missing in most rows.
+    #[serde(default)]
+    definition: Option<QueueRow>,
 }
 
 impl TryFrom<WireProgress> for ProgressRow {
@@ -224,7 +242,8 @@
             tasks.iter().try_for_each(|t| check_failures(t.1.max(t.5)))?;
         }
         let ended = check_time(w.ended)?;
-        Ok(Self { state: w.state, ended, steps: w.steps, unreported: w.unreported })
+        let WireProgress { state, steps, unreported, definition, .. } = w;
+        Ok(Self { state, ended, steps, unreported, definition })
     }
 }
 
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -34,6 +34,7 @@
 use currantgw::control::policy::features::Features;
 use currantgw::control::policy::place::Placement;
 use currantgw::control::ports::{Advice, Refusal, Report};
+use currantgw::control::queue_row::QueueRow;
 use currantgw::control::rows::{self, JobRow};
 use currantgw::kernel::res::Resources;
 use rand::rngs::StdRng;
@@ -222,9 +223,17 @@
         self.add(id, row)
     }
 
-    fn new_row(&self, queue: &str, steps: Vec<Step>) -> JobRow {
+    /// Adds a job as another instance has accepted it.
+    pub fn submit_row(&mut self, id: u64, row: JobRow) -> JobId {
+        self.add(id, row)
+    }
+
+    /// The row of a job that is accepted now.
+    pub fn new_row(&self, queue: &str, steps: Vec<Step>) -> JobRow {
         let spec = JobSpec { payload: "p".into(), steps, ..JobSpec::default() };
-        JobRow { queue: queue.into(), team: None, at: self.now, spec }
+        let version = self.cat.version;
+        let definition = self.cat.queues.get(queue).map(|q| QueueRow::new(q, version));
+        JobRow { queue: queue.into(), team: None, at: self.now, spec, definition }
     }
 
     fn add(&mut self, id: u64, row: JobRow) -> JobId {
--- a/tests/common/control/setup.rs
+++ b/tests/common/control/setup.rs
@@ -90,6 +90,14 @@
         cell
     }
 
+    /// Replaces the configuration by one with these queues, which the leader and its successors read.
+    pub fn configure(&mut self, queues: Vec<Queue>) {
+        let queues = queues.into_iter().map(|q| (q.name.clone(), q)).collect();
+        let version = self.cat.version + 1;
+        self.cat = Arc::new(Catalogue { version, queues, ..Catalogue::default() });
+        self.engine.set_catalogue(self.cat.clone());
+    }
+
     /// Adds a runner and registers it.
     pub fn add_runner(&mut self) -> usize {
         let i = self.runners.len();
--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -82,8 +82,13 @@
     pub fn store_jobs(&self, queue: &str, ids: &[JobId], payload: usize) {
         let steps = vec![Step { count: 1, ..Step::default() }];
         let spec = JobSpec { payload: "x".repeat(payload), steps, ..JobSpec::default() };
-        let value =
-            STANDARD.encode(rows::encode(&JobRow { queue: queue.into(), team: None, at: 1, spec }));
+        let value = STANDARD.encode(rows::encode(&JobRow {
+            queue: queue.into(),
+            team: None,
+            at: 1,
+            spec,
+            definition: None,
+        }));
         let mut st = self.store.lock().unwrap();
         for &id in ids {
             st.version += 1;
--- a/tests/control_held.rs
+++ b/tests/control_held.rs
@@ -178,7 +178,13 @@
     };
     let row = |step| {
         let spec = JobSpec { steps: vec![step], ..JobSpec::default() };
-        rows::encode(&JobRow { queue: "q".into(), team: None, at: clock.wall(), spec })
+        rows::encode(&JobRow {
+            queue: "q".into(),
+            team: None,
+            at: clock.wall(),
+            spec,
+            definition: None,
+        })
     };
     async_std::task::block_on(async {
         store.put(config().0, config().1);
@@ -245,7 +251,7 @@
     let leader = leader(&clock, store.clone(), runner.clone());
     let step = Step { count: 1, estimate: 60_000, ..Step::default() };
     let spec = JobSpec { steps: vec![step], ..JobSpec::default() };
-    let row = JobRow { queue: "q".into(), team: None, at: clock.wall(), spec };
+    let row = JobRow { queue: "q".into(), team: None, at: clock.wall(), spec, definition: None };
     let term = || {
         let fence = store.put(rows::leader_key(), Vec::new());
         let fences: Vec<u64> =
--- a/tests/control_keys.rs
+++ b/tests/control_keys.rs
@@ -378,6 +378,7 @@
         team: team.map(str::to_string),
         at: 0,
         spec: Default::default(),
+        definition: None,
     };
     let one = Caller::Team("one".into());
     assert!(one.may_see(&job("q", Some("one"))) && one.may_see(&job("q", None)));
--- a/tests/control_leader.rs
+++ b/tests/control_leader.rs
@@ -62,7 +62,13 @@
     longest_poll(&mut serve, Duration::from_millis(100));
     let steps = vec![Step { count: 1, ..Step::default() }];
     let spec = JobSpec { steps, ..JobSpec::default() };
-    let row = Arc::new(JobRow { queue: "q".into(), team: None, at: clock.wall(), spec });
+    let row = Arc::new(JobRow {
+        queue: "q".into(),
+        team: None,
+        at: clock.wall(),
+        spec,
+        definition: None,
+    });
     let last = JobId(u64::MAX);
     for id in (0..waiting).map(JobId).chain([last]) {
         leader.mirror.put_job(id, row.clone());
--- a/tests/control_leader_store.rs
+++ b/tests/control_leader_store.rs
@@ -63,7 +63,7 @@
         Box::pin(leader.serve(Term { fence: 5, fence_versions: [5; partitions::COUNT] }, &stop));
     longest_poll(&mut serve, Duration::from_millis(700));
     let spec = JobSpec { steps: vec![Step { count: 1, ..Step::default() }], ..JobSpec::default() };
-    let row = JobRow { queue: "q".into(), team: None, at: clock.wall(), spec };
+    let row = JobRow { queue: "q".into(), team: None, at: clock.wall(), spec, definition: None };
     leader.mirror.put_job(JobId(1), Arc::new(row));
     leader.mirror.put_cancel(JobId(1));
     longest_poll(&mut serve, Duration::from_millis(500));
@@ -87,7 +87,7 @@
     let leader = leader(&clock, store.clone());
     let id = JobId(5);
     let spec = JobSpec { steps: vec![Step { count: 1, ..Step::default() }], ..JobSpec::default() };
-    let row = JobRow { queue: "q".into(), team: None, at: 1, spec };
+    let row = JobRow { queue: "q".into(), team: None, at: 1, spec, definition: None };
     let ended = ProgressRow { state: JobState::Completed, ended: 1, ..ProgressRow::default() };
     let get = || async {
         match leader.mirror.job_state(id) {
--- a/tests/control_leader_terms.rs
+++ b/tests/control_leader_terms.rs
@@ -36,7 +36,7 @@
     let leader = leader(&clock, store.clone());
     let id = JobId(5);
     let spec = JobSpec { steps: vec![Step { count: 1, ..Step::default() }], ..JobSpec::default() };
-    let row = JobRow { queue: "q".into(), team: None, at: clock.wall(), spec };
+    let row = JobRow { queue: "q".into(), team: None, at: clock.wall(), spec, definition: None };
     let put_job = || {
         store.inner.put(rows::job_key(id), rows::encode(&row));
         store.inner.put(rows::cancel_key(id), rows::encode(&clock.wall()));
@@ -127,7 +127,7 @@
     let leader = leader(&clock, store.clone());
     let id = JobId(5);
     let spec = JobSpec { steps: vec![Step { count: 1, ..Step::default() }], ..JobSpec::default() };
-    let row = JobRow { queue: "q".into(), team: None, at: clock.wall(), spec };
+    let row = JobRow { queue: "q".into(), team: None, at: clock.wall(), spec, definition: None };
     let term = || {
         let fence = store.inner.put(rows::leader_key(), Vec::new());
         let fences: Vec<u64> =
--- a/tests/control_mirror.rs
+++ b/tests/control_mirror.rs
@@ -31,7 +31,7 @@
         for &id in ids {
             let steps = vec![Step { count: 1, ..Step::default() }];
             let spec = JobSpec { steps, ..JobSpec::default() };
-            let row = JobRow { queue: "q".into(), team: None, at: 1, spec };
+            let row = JobRow { queue: "q".into(), team: None, at: 1, spec, definition: None };
             let row = Row { key: rows::job_key(id), value: rows::encode(&row), version: 5 };
             partitions.entry(row.key.part.clone()).or_default().push(row);
         }
@@ -290,7 +290,8 @@
     let store = Arc::new(Slow::with_jobs(&[]));
     let clock = Clock::real();
     let mirror = Mirror::new(store, Arc::new(StoreHealth::new(clock.clone())), clock);
-    let row = JobRow { queue: "q".into(), team: None, at: 1, spec: JobSpec::default() };
+    let row =
+        JobRow { queue: "q".into(), team: None, at: 1, spec: JobSpec::default(), definition: None };
     let put = async {
         task::sleep(Duration::from_millis(ANSWER_MS / 2)).await;
         mirror.put_job(id, Arc::new(row));
--- a/tests/control_policy.rs
+++ b/tests/control_policy.rs
@@ -344,7 +344,13 @@
         every_ms: 2_000,
         times: 2,
     };
-    let row = Arc::new(JobRow { queue: "patient".into(), team: None, at: cell.now, spec });
+    let row = Arc::new(JobRow {
+        queue: "patient".into(),
+        team: None,
+        at: cell.now,
+        spec,
+        definition: None,
+    });
     let now = Now { mono: cell.now, wall: cell.now };
     let engine: &mut Engine = &mut cell.engine;
     engine.add_job(JobId(9), row, None, now);
@@ -375,6 +381,7 @@
         ended: 0,
         steps: vec![StepRow(1, Default::default(), vec![TaskRow::default(); 3], BTreeSet::new())],
         unreported: BTreeMap::from([(0, BTreeMap::from([(2, BTreeSet::from([Attempt(4)]))]))]),
+        definition: None,
     };
     assert_eq!(rows::decode::<ProgressRow>(&rows::encode(&row)).unwrap(), row);
     assert!(rows::decode::<ProgressRow>(b"junk").is_err());
--- a/tests/control_roles.rs
+++ b/tests/control_roles.rs
@@ -228,7 +228,8 @@
 async fn a_feed_answer_from_before_jobs_were_dropped_is_ignored() {
     let rows = MemoryStore::default();
     let spec = JobSpec { steps: vec![Step { count: 1, ..Step::default() }], ..JobSpec::default() };
-    let row = rows::encode(&JobRow { queue: "q".into(), team: None, at: 1, spec });
+    let row =
+        rows::encode(&JobRow { queue: "q".into(), team: None, at: 1, spec, definition: None });
     for id in ids() {
         rows.put(rows::job_key(id), row.clone());
     }
--- a/tests/control_submissions.rs
+++ b/tests/control_submissions.rs
@@ -102,7 +102,8 @@
     );
     let (writer, writers) = SubmissionWriter::new(store, health, mirror, Arc::new(link), clock);
     let running: Vec<_> = writers.into_iter().map(|w| task::spawn(w.run())).collect();
-    let row = JobRow { queue: "q".into(), team: None, at: 1, spec: JobSpec::default() };
+    let row =
+        JobRow { queue: "q".into(), team: None, at: 1, spec: JobSpec::default(), definition: None };
     let out = writer.submit(JobId(5), &row, &Caller::Anyone, CALLER_MS).await;
     drop(writer);
     for writer in running {
--- a/tests/unreadable_rows.rs
+++ b/tests/unreadable_rows.rs
@@ -4,10 +4,11 @@
 use assert_matches::assert_matches;
 use ciborium::Value;
 use currantgw::control::mirror::{Mirror, Table};
-use currantgw::control::model::{self, Attempt, Born, JobId, JobSpec, JobState, Step};
+use currantgw::control::model::{self, Approval, Attempt, Born, JobId, JobSpec, JobState, Step};
 use currantgw::control::ports::{
     Change, Changes, Commit, CommitError, Key, Page, ReadError, Row, Store, Txn,
 };
+use currantgw::control::queue_row::QueueRow;
 use currantgw::control::rows::{self, BadRow, JobRow, LeaderRow, ProgressRow, StepRow, TaskRow};
 use currantgw::control::store_health::StoreHealth;
 use currantgw::kernel::clock::Clock;
@@ -60,7 +61,21 @@
     let step = Step { count: 2, estimate: 900, ..Step::default() };
     let next = Step { count: 1, after: vec![0], ..Step::default() };
     let spec = JobSpec { payload: "s".into(), steps: vec![step, next], ..JobSpec::default() };
-    JobRow { queue: "q".into(), team: Some("t".into()), at: 1_700_000_000_000, spec }
+    let (team, at) = (Some("t".into()), 1_700_000_000_000);
+    JobRow { queue: "q".into(), team, at, spec, definition: Some(definition()) }
+}
+
+fn definition() -> QueueRow {
+    let approval = Approval { base_ms: 360.0, each_ms: 5.1, valid_ms: 1_500 };
+    QueueRow {
+        version: 7,
+        service: "svc".into(),
+        priority: 1,
+        max_fails: 3,
+        slack: 2.5,
+        latency_ms: 1_000,
+        approval: Some(approval),
+    }
 }
 
 fn progress() -> ProgressRow {
@@ -75,6 +90,7 @@
         ended: 0,
         steps: vec![first, second],
         unreported: of_tasks,
+        definition: Some(definition()),
     }
 }
 
@@ -439,6 +455,7 @@
     let mut read: ProgressRow = rows::decode(&rows::encode(&landed)).unwrap();
     assert_eq!(rows::encode(&read), rows::encode(&landed));
     read.unreported = progress().unreported;
+    read.definition = progress().definition;
     assert_eq!(read, progress());
     assert_eq!(rows::decode(&rows::encode(&read)), Ok(landed));
 }
