Tests: an address is checked with a socket that does not listen

A process that another thread starts in between keeps a copy of the listener until it has executed its program.

Change: the check binds without listening.

--- a/tests/common/ports.rs
+++ b/tests/common/ports.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+use socket2::{Domain, Socket, Type};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Mutex;
 
@@ -29,6 +30,18 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
+/// Whether no socket listens on an address. The check itself never listens: a process that another
+/// thread starts meanwhile keeps a copy of the socket for a moment, and a copy that listens would
+/// occupy the address.
+fn is_free(at: SocketAddr) -> bool {
+    let bind = || -> std::io::Result<()> {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&at.into())
+    };
+    bind().is_ok()
+}
+
 /// Takes a block that no test process uses.
 fn take_block() -> Block {
     let start = std::process::id() as u16;
@@ -52,7 +65,7 @@
         let block = taken.last_mut().expect("a block was taken");
         let at = addr(block.first + block.used);
         block.used += 1;
-        if TcpListener::bind(at).is_ok() {
+        if is_free(at) {
             return at;
         }
     }
