A gang reserves nothing that would not be enough for it, and nothing without end

What callers saw: a gang that no state of the cell could hold is accepted.

Cause: Engine::reserve reserved runners for a waiting gang until their capacity was enough, without asking whether it ever would be. For a gang that does not fit it took all candidates, in each pass, from all non-urgent steps planned after it: those with a later latest start until the gang is late, and every service, whose job is soon past three times its objective, for as long as the gang is known.

Class: capacity kept unused for one waiting job without a bound, in size or in time. It also covers gangs that only services keep from starting, a gang that fits and waits for one long task, gangs with too few approved or reachable runners, several such gangs that use up the number that may reserve, and demand of tasks that no runner could hold, which counted as demand that waits.

Change: a step that could not be placed even if all work but services had ended reserves nothing, asks for no advice, has nothing preempted and is no demand. It stays open and is checked in each pass. A gang reserves only if the runners that take tasks now would be enough. Services use reserved runners at once, other steps after 5 s while under 60 % of the service is in use, as deferred steps do.

Ruled out: showing the job as failed (only ends "failed" count as attempts, and runners may be added); rejecting it when it is submitted (the leader's state for submissions exists only where overload control is on, and says nothing about sums); no reservations below 60 % (gangs on fragmented runners would never start).

--- a/src/control/engine/admission.rs
+++ b/src/control/engine/admission.rs
@@ -265,7 +265,8 @@
         backlog
     }
 
-    /// An open step; `None` if it cannot earn anything any more, or if its tasks do not end.
+    /// An open step; `None` if it cannot earn anything any more, cannot be placed, or if its tasks do
+    /// not end.
     fn admission_step<'a>(
         &'a self,
         cat: &'a Catalogue,
@@ -273,7 +274,7 @@
         gang_wait: u64,
         now: Now,
     ) -> Option<Waiting<'a, TeamKey>> {
-        let job = self.jobs.get(&id.job)?;
+        let job = self.jobs.get(&id.job).filter(|_| !self.is_unplaceable(id))?;
         let queue = cat.queues.get(&job.row.queue)?;
         let rank = self.rank(id, gang_wait, now).filter(|r| !r.no_value)?;
         let step = job.spec(id);
--- a/src/control/engine/candidates.rs
+++ b/src/control/engine/candidates.rs
@@ -72,15 +72,15 @@
     ) -> Option<Candidate<RunnerKey>> {
         let r = self.runners.get(k);
         let e = r.entry.as_ref().filter(|_| r.usable(now))?;
-        let has_label = v.step.label.is_empty() || e.labels.contains(&v.step.label);
-        if e.service != v.queue.service || !has_label || !v.step.demand().fits(&e.capacity) {
+        if !v.runs_on(e) {
             return None;
         }
         let limit = match v.step.per_runner {
             0 => u32::MAX,
             n => n.saturating_sub(task_counts.get(&k).copied().unwrap_or(0)),
         };
-        let free = if v.non_urgent { reserved.available(k, r.free()) } else { r.free() };
+        let yields = v.non_urgent && !v.past_reservations;
+        let free = if yields { reserved.available(k, r.free()) } else { r.free() };
         Some(Candidate {
             key: k,
             free,
--- a/src/control/engine/deferral.rs
+++ b/src/control/engine/deferral.rs
@@ -186,9 +186,9 @@
         }
     }
 
-    /// Service of a step and the demand of its waiting tasks.
+    /// Service of a step and the demand of its waiting tasks; none if they cannot be placed.
     fn waiting_demand<'a>(&self, cat: &'a Catalogue, id: StepId) -> Option<(&'a str, u64)> {
-        let job = self.jobs.get(&id.job)?;
+        let job = self.jobs.get(&id.job).filter(|_| !self.is_unplaceable(id))?;
         let queue = cat.queues.get(&job.row.queue)?;
         Some((&queue.service, job.spec(id).demand().cpu * self.waiting(id) as u64))
     }
--- a/src/control/engine/gang_reservations.rs
+++ b/src/control/engine/gang_reservations.rs
@@ -3,11 +3,14 @@
 //! Needed for wide gangs that few runners may run, on a cell where tasks of other steps arrive all
 //! the time. Capacity for a gang becomes free task by task, and other tasks would take each piece.
 //! A waiting gang therefore reserves runners, on which only urgent queues may place tasks. The
-//! number of gangs with reservations is bounded.
+//! number of gangs with reservations is bounded, and a gang reserves nothing that would not be enough
+//! for it. Services, and steps that have waited for long while much capacity is unused, are placed on
+//! reserved runners, too.
 
+use super::plan::StepView;
 use super::teams::TeamKey;
-use super::{Engine, RunnerKey};
-use crate::control::model::StepId;
+use super::{Engine, Now, Runner, RunnerKey};
+use crate::control::model::{Queue, StepId};
 use crate::control::policy::place::{self, Candidate};
 use crate::control::policy::queue::Rank;
 use crate::kernel::res::Resources;
@@ -28,6 +31,10 @@
 /// cent: its tasks end one by one, and a gang that expected all of it would wait for the last.
 const EXPECTED_FREE_PERCENT: u64 = 25;
 
+/// A step that has waited for this long uses reserved runners, ms, while its service has capacity for
+/// deferred steps: an accepted job must not stay without a running task while capacity is unused.
+const MAX_RESERVED_WAIT_MS: u64 = 5_000;
+
 /// Processor demand of the waiting steps and capacity of the cell, in thousandths of a core.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Backlog {
@@ -101,30 +108,43 @@
 }
 
 impl Engine {
+    /// Whether a step may use reserved runners.
+    pub(super) fn past_reservations(&mut self, id: StepId, queue: &Queue, now: Now) -> bool {
+        let Some((step, job)) = self.step(id).zip(self.jobs.get(&id.job)) else { return false };
+        if job.spec(id).lasts {
+            return true;
+        }
+        step.opened + MAX_RESERVED_WAIT_MS <= now.mono
+            && self.service_use(&queue.service, now).may_release(0)
+    }
+
     /// Reserves runners for a waiting gang out of its `candidates`, largest free capacity first,
     /// until the capacity that is free there or expected to become free is enough.
     pub(super) fn reserve(
-        &self,
-        id: StepId,
+        &mut self,
+        v: &StepView<'_>,
         rank: Rank,
         candidates: &[Candidate<RunnerKey>],
-        need: &Resources,
         reserved: &mut GangReservations,
+        now: Now,
     ) {
-        if !reserved.allows(rank) {
+        let (need, count) = (v.step.demand(), v.waiting as u64);
+        // Runners that take no tasks at present may be missing for long.
+        let usable = |r: &Runner| r.usable(now);
+        if !reserved.allows(rank) || self.drained_slots(v, count, usable) < count {
             return;
         }
         reserved.gangs += 1;
         let mut by_free: Vec<&Candidate<RunnerKey>> = candidates.iter().collect();
         by_free.sort_by_key(|p| std::cmp::Reverse((p.free.cpu, p.key)));
-        let mut missing = self.step(id).map_or(0, |s| s.tasks.len()) as u64;
+        let mut missing = count;
         for p in by_free {
             if missing == 0 {
                 return;
             }
-            let emptied = Candidate { free: self.runners.get(p.key).capacity(), ..p.clone() };
-            let now = place::capacity(std::slice::from_ref(p), need);
-            let later = place::capacity(&[emptied], need).saturating_sub(now);
+            let drained = Candidate { free: self.runners.get(p.key).drained(), ..p.clone() };
+            let now = place::capacity(std::slice::from_ref(p), &need);
+            let later = place::capacity(&[drained], &need).saturating_sub(now);
             missing = missing.saturating_sub((now + later * EXPECTED_FREE_PERCENT / 100).max(1));
             reserved.runners.insert(p.key);
         }
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -38,6 +38,7 @@
 mod store_backlog;
 mod teams;
 mod unlisted;
+mod unplaceable;
 mod urgent;
 mod urgent_places;
 mod urgent_preempt;
@@ -213,6 +214,8 @@
     updated: BTreeSet<StepId>,
     /// Waiting steps of expired jobs, which are not open.
     deferral: deferral::Deferral,
+    /// Open steps that cannot be placed.
+    unplaceable: unplaceable::Unplaceable,
     /// Sums over the runners that the current round has computed.
     round: round::Round,
     /// Tasks that were ordered to stop, until the stop is acknowledged.
@@ -285,6 +288,7 @@
             pass: round::PlanningPass::default(),
             updated: BTreeSet::new(),
             deferral: deferral::Deferral::default(),
+            unplaceable: unplaceable::Unplaceable::default(),
             round: round::Round::default(),
             stopping: BTreeSet::new(),
             not_due: BTreeSet::new(),
--- a/src/control/engine/placement.rs
+++ b/src/control/engine/placement.rs
@@ -46,8 +46,15 @@
         let missing = self.place_free(v, &mut places, reserved, now);
         let missing = self.secure_places(v, rank, places, missing, reserved, now);
         self.renew_places(v, now);
-        if missing > 0 {
-            self.request_advice(v, reserved, missing, now);
+        if missing == 0 {
+            return;
+        }
+        match self.obstacle(v, 1) {
+            Some(why) => self.record_unplaceable(v, why),
+            None => {
+                self.record_placeable(v.id);
+                self.request_advice(v, reserved, missing, now);
+            }
         }
     }
 
@@ -127,6 +134,11 @@
             self.decide_gang(v, &keys, now);
             return;
         }
+        // It would keep runners reserved, ask for advice and hold up others without end.
+        if let Some(why) = self.obstacle(v, count as u64) {
+            return self.record_unplaceable(v, why);
+        }
+        self.record_placeable(v.id);
         if !self.advice_pending(v.id) {
             if let Some(keys) = place::place_all(&mut candidates.clone(), &request, count, &avoid) {
                 self.reserve_provisionally(v.id, keys, need, now);
@@ -136,7 +148,7 @@
                 return self.place_reserved(v, now);
             }
         }
-        self.reserve(v.id, rank, &candidates, &need, reserved);
+        self.reserve(v, rank, &candidates, reserved, now);
         self.request_advice(v, reserved, count, now);
     }
 
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -8,6 +8,7 @@
 use crate::control::model::{Catalogue, Queue, Step, StepId};
 use crate::control::policy::queue::{self, Rank, RankInput};
 use crate::control::policy::speeds::Preference;
+use crate::control::ports::RunnerEntry;
 use crate::kernel::res::Resources;
 use std::collections::BTreeSet;
 
@@ -21,9 +22,19 @@
     pub non_urgent: bool,
     /// Speed of runners that it prefers.
     pub speed: Preference,
+    /// Whether it may use capacity that is reserved for gangs.
+    pub past_reservations: bool,
 }
 
 impl StepView<'_> {
+    /// Whether a runner with this registry entry is one of its service, has its label and is large
+    /// enough for a task.
+    pub fn runs_on(&self, entry: &RunnerEntry) -> bool {
+        let has_label = self.step.label.is_empty() || entry.labels.contains(&self.step.label);
+        let serves = entry.service == self.queue.service;
+        serves && has_label && self.step.demand().fits(&entry.capacity)
+    }
+
     /// Kind of the advice requests for this step.
     pub fn kind(&self) -> Kind {
         match (self.non_urgent, self.step.gang) {
@@ -70,6 +81,7 @@
 
     fn new_pass(&mut self, now: Now) -> PlanningPass {
         let mut order = self.ranked(self.open.iter().copied(), now);
+        self.begin_unplaceable_pass(order.len());
         self.counts.looks += order.len() as u64;
         self.defer_expired(&mut order, now);
         let reserved = GangReservations::new(self.backlog(&order));
@@ -115,7 +127,9 @@
         let Some(queue) = cat.queues.get(&row.queue) else { return };
         let step = &row.spec.steps[id.step as usize];
         let speed = self.speed_preference(id, queue, rank, now);
-        let view = StepView { id, step, queue, waiting: self.waiting(id), non_urgent, speed };
+        let waiting = self.waiting(id);
+        let past_reservations = self.past_reservations(id, queue, now);
+        let view = StepView { id, step, queue, waiting, non_urgent, speed, past_reservations };
         match step.gang {
             true => self.place_gang(&view, rank, reserved, now),
             false => self.place_tasks(&view, rank, reserved, now),
@@ -163,13 +177,14 @@
         Some(self.rank_under_load(queue::rank(&input, now.wall), &queue.service))
     }
 
-    /// Demand of the waiting steps, and the capacity of the cell.
+    /// Demand of the waiting steps that can be placed, and the capacity of the cell.
     fn backlog(&self, order: &[(Rank, StepId)]) -> Backlog {
+        let placeable = order.iter().filter(|(_, id)| !self.is_unplaceable(*id));
         let demand = |&(_, id): &(Rank, StepId)| {
             let demand = self.jobs.get(&id.job).map_or(Resources::ZERO, |j| j.spec(id).demand());
             demand.cpu * self.waiting(id) as u64
         };
-        let demand: u64 = order.iter().map(demand).sum();
+        let demand: u64 = placeable.map(demand).sum();
         let listed = self.runners.iter().filter(|(_, r)| r.listed && !r.replaced);
         let capacity: u64 = listed.map(|(_, r)| r.capacity().cpu).sum();
         Backlog { demand, capacity }
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -113,6 +113,8 @@
     pub rack: u32,
     /// Capacity allocated to tasks that run or may run there.
     pub used: Resources,
+    /// Part of [`Self::used`] that is allocated until jobs are cancelled.
+    lasting: Resources,
     /// Capacity provisionally reserved for gangs while their tickets are requested.
     pub provisional: Resources,
     /// Capacity that steps whose pending advice requests name this runner will probably use.
@@ -168,6 +170,7 @@
             health: RunnerHealth::default(),
             rack: 0,
             used: Resources::ZERO,
+            lasting: Resources::ZERO,
             provisional: Resources::ZERO,
             anticipated: Resources::ZERO,
             tasks: BTreeMap::new(),
@@ -228,6 +231,11 @@
         self.capacity().sub(&self.used).sub(&self.provisional)
     }
 
+    /// Capacity that is free once all its tasks have ended that do not last.
+    pub fn drained(&self) -> Resources {
+        self.capacity().sub(&self.lasting)
+    }
+
     /// Whether the allocated tasks leave the provisionally reserved capacity free.
     pub fn reservation_fits(&self) -> bool {
         self.used.add(&self.provisional).fits(&self.capacity())
@@ -262,6 +270,9 @@
         let added = self.tasks.insert((id, attempt), allocation).is_none();
         if added {
             self.used = self.used.add(&allocation.need);
+            if allocation.lasts {
+                self.lasting = self.lasting.add(&allocation.need);
+            }
         }
         added
     }
@@ -270,6 +281,9 @@
     pub(super) fn deallocate(&mut self, id: TaskId, attempt: Attempt) -> Option<Allocation> {
         let allocation = self.tasks.remove(&(id, attempt))?;
         self.used = self.used.sub(&allocation.need);
+        if allocation.lasts {
+            self.lasting = self.lasting.sub(&allocation.need);
+        }
         self.suspects.remove(&id);
         self.strays.remove(&(id, attempt));
         Some(allocation)
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -470,6 +470,7 @@
                 "fence": engine.fence, "jobs": engine.job_count(), "held": engine.held_count(),
                 "tasks": tasks, "open_steps": engine.open_steps(), "usable_runners": usable,
                 "deferred_steps": engine.deferred_steps(),
+                "unplaceable_steps": engine.unplaceable_steps(),
                 "room": resources, "counts": engine.counts, "teams": teams,
                 "advice_lines": self.server.advice_connections(),
             });
