A service in a crash loop is restarted at intervals and never given up

Cause: update_state ended a job as failed if any task was in a crash loop, whether its step lasts or not.

Change: only steps that end are given up.

--- a/src/control/engine/jobs.rs
+++ b/src/control/engine/jobs.rs
@@ -30,6 +30,8 @@
     pub avoid: BTreeSet<RunnerKey>,
     /// Consecutive runs that were lost with their runners.
     pub losses: Losses,
+    /// When the latest of [`Self::losses`] was recorded, local ms.
+    pub lost_at: u64,
     /// Number of times that it was preempted, at most; see [`Job::assume_preempted`].
     pub preemptions: u32,
     /// Attempts that were written off and whose completion may yet be reported. Empty for a member
--- a/src/control/engine/lifecycle.rs
+++ b/src/control/engine/lifecycle.rs
@@ -172,11 +172,12 @@
                 let most_fails = s.tasks.iter().map(|t| t.fails).max().unwrap_or(0);
                 !step.lasts && most_fails.max(s.gang_fails) >= max_fails
             });
+            let ends = |id: &TaskId| !spec.steps[id.step.step as usize].lasts;
             let mut ids = job.steps.iter().flat_map(|s| s.ids().zip(&s.tasks));
             if failed_too_often {
                 log::info!(job:% = id, limit = max_fails; "job failed: a task failed too often");
                 self.finish(id, JobState::Failed, now);
-            } else if let Some((task, t)) = ids.find(|(_, t)| t.crash_loop()) {
+            } else if let Some((task, t)) = ids.find(|(id, t)| t.crash_loop() && ends(id)) {
                 let Losses { count, chance, .. } = t.losses;
                 log::warn!(job:% = id, task:% = task, lost = count, chance;
                     "job failed: a task crashes its runners");
--- a/src/control/engine/losses.rs
+++ b/src/control/engine/losses.rs
@@ -8,6 +8,11 @@
 use crate::control::policy::place::Candidate;
 use std::collections::BTreeSet;
 
+/// Time from a crash to the next start of a task that lasts and is in a crash loop, ms: bounds the
+/// runners that it costs. A task that lasts may not be absent for longer than 6 s where nothing else
+/// is disturbed.
+const RESTART_DELAY_MS: u64 = 5_000;
+
 /// Reason for which runs without a reported completion are lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Loss {
@@ -106,6 +111,7 @@
                 ran.filter(|_| crashed && started_here && task.losses.count == most_losses);
             let chance = conclusive.map_or(1.0, |ms| rate.chance(ms));
             task.losses.record_loss(task.attempt, k, chance);
+            task.lost_at = now.mono;
             self.mark_changed(id.step.job);
             self.loss_rate.record_loss(ran.unwrap_or(0), now.mono);
         }
@@ -162,6 +168,12 @@
 }
 
 impl Task {
+    /// Whether its next start waits. Only tasks that last start again after a crash loop: their job
+    /// runs until it is cancelled.
+    pub(super) fn restart_delayed(&self, now: Now) -> bool {
+        self.losses.crash_loop() && self.lost_at + RESTART_DELAY_MS > now.mono
+    }
+
     /// Whether it crashes its runners. The loss of a run that its runner may yet list is no evidence.
     pub(super) fn crash_loop(&self) -> bool {
         let uncertain = self.run.is_some() && self.losses.lost(self.attempt);
--- a/src/control/engine/placement.rs
+++ b/src/control/engine/placement.rs
@@ -5,7 +5,7 @@
 use super::plan::StepView;
 use super::runs::{Run, Stage};
 use super::urgent_places::Place;
-use super::{Engine, Now, RunnerKey, StepRun};
+use super::{Engine, Now, RunnerKey, StepRun, Task};
 use crate::control::model::{StepId, TaskId};
 use crate::control::policy::place::{self, Candidate, PlacementRequest};
 use crate::control::policy::queue::Rank;
@@ -26,6 +26,7 @@
             rack,
             one_rack: v.step.one_rack,
             suspect: false,
+            apart: false,
             policy: self.rules.placement,
             seed: v.id.job.0 ^ self.counts.rounds,
         }
@@ -74,7 +75,7 @@
         let mut budget = if v.non_urgent { self.non_urgent_capacity(v, now) } else { u64::MAX };
         budget = budget.min(self.release_budget(v, now).unwrap_or(u64::MAX));
         let request = self.placement_request(v);
-        let mut waiting: Vec<TaskId> = self.waiting_ids(v.id);
+        let mut waiting: Vec<TaskId> = self.waiting_ids(v.id, now);
         waiting.truncate(allowed);
         let mut missing = waiting.len();
         for id in waiting {
@@ -83,7 +84,8 @@
             }
             let avoid = self.runners_to_avoid([id], &approved);
             let Some(task) = self.task(id) else { continue };
-            let request = PlacementRequest { suspect: task.losses.suspect(), ..request.clone() };
+            let (suspect, apart) = (task.losses.suspect(), task.losses.crash_loop());
+            let request = PlacementRequest { suspect, apart, ..request.clone() };
             let chosen = place::place_one(&mut approved, &request, &avoid, task.fails > 0);
             let Some(k) = chosen else { break };
             budget -= request.need.cpu;
@@ -108,6 +110,9 @@
         if v.waiting < count {
             return;
         }
+        if self.step(v.id).is_some_and(|s| s.tasks.iter().any(|t| t.restart_delayed(now))) {
+            return;
+        }
         self.forget_lapsed(v.id, now);
         if !self.may_retry(v.id, now) {
             return;
@@ -196,9 +201,11 @@
         }
     }
 
-    fn waiting_ids(&self, id: StepId) -> Vec<TaskId> {
+    /// Tasks of a step that may be placed now.
+    fn waiting_ids(&self, id: StepId, now: Now) -> Vec<TaskId> {
         let Some(s) = self.step(id) else { return Vec::new() };
-        s.ids().zip(&s.tasks).filter(|(_, t)| t.waits()).map(|(id, _)| id).collect()
+        let due = |t: &Task| t.waits() && !t.restart_delayed(now);
+        s.ids().zip(&s.tasks).filter(|(_, t)| due(t)).map(|(id, _)| id).collect()
     }
 
     /// Decides the placement of a task. Its start is ordered once the placement is stored.
--- a/src/control/policy/place.rs
+++ b/src/control/policy/place.rs
@@ -56,6 +56,9 @@
     pub one_rack: bool,
     /// A run of the task was lost with its runner.
     pub suspect: bool,
+    /// The task crashes its runners: it gets the runner with the largest free capacity, where least
+    /// runs beside it.
+    pub apart: bool,
     /// Placement policy.
     pub policy: Placement,
     /// Seed of random placement.
@@ -66,6 +69,7 @@
 /// the capacity that the task would leave free.
 fn order(request: &PlacementRequest, index: usize, remaining: &Resources) -> (u64, u64) {
     match request.policy {
+        _ if request.apart => (u64::MAX - remaining.cpu, u64::MAX - remaining.mem),
         Placement::BestFit => (remaining.cpu, remaining.mem),
         Placement::FirstFit => (0, 0),
         Placement::Random => {
--- a/tests/control_policy.rs
+++ b/tests/control_policy.rs
@@ -67,6 +67,7 @@
         rack: None,
         one_rack: false,
         suspect: false,
+        apart: false,
         policy: Placement::BestFit,
         seed: 1,
     }
