A gang of tasks that last starts again however often its members have failed

What callers saw: a gang that lasts runs again after each failure of a member until the failures reach max_attempts of its queue.

Cause: may_retry lets a gang start only while its failures, and attempts that may have failed unreported, are fewer than the queue allows; the decision that a job has failed leaves out steps that last. The job neither ran nor ended.

Change: the limit holds for gangs that end. Looked at: every reader of the limit (update_state leaves out steps that last; mark_failed and fail_late only count) and every path that closes a step.

--- a/src/control/engine/gangs.rs
+++ b/src/control/engine/gangs.rs
@@ -113,9 +113,13 @@
 
     /// Whether a gang may be started again. Each completion that was not received may be a failure,
     /// which counts if its runner comes back and reports it before its lease expires. The gang
-    /// waits while these could add up to the failures that the queue allows.
+    /// waits while these could add up to the failures that the queue allows. One that lasts starts
+    /// again however often it has failed.
     pub(super) fn may_retry(&self, step: StepId, now: Now) -> bool {
         let Some((s, job)) = self.step(step).zip(self.jobs.get(&step.job)) else { return false };
+        if job.spec(step).lasts {
+            return true;
+        }
         let Some(queue) = self.cat.queues.get(&job.row.queue) else { return false };
         let open = s.unreported.values().filter(|lease_end| **lease_end > now.mono).count();
         s.gang_fails + (open as u32) < queue.max_fails
