--- a/src/control/engine/candidates.rs
+++ b/src/control/engine/candidates.rs
@@ -79,8 +79,8 @@
             0 => u32::MAX,
             n => n.saturating_sub(task_counts.get(&k).copied().unwrap_or(0)),
         };
-        let yields = v.non_urgent && !v.past_reservations;
-        let free = if yields { reserved.available(k, r.free()) } else { r.free() };
+        let excluded = v.non_urgent && !v.uses_reserved;
+        let free = if excluded { reserved.available(k, r.free()) } else { r.free() };
         Some(Candidate {
             key: k,
             free,
--- a/src/control/engine/gang_reservations.rs
+++ b/src/control/engine/gang_reservations.rs
@@ -109,7 +109,7 @@
 
 impl Engine {
     /// Whether a step may use reserved runners.
-    pub(super) fn past_reservations(&mut self, id: StepId, queue: &Queue, now: Now) -> bool {
+    pub(super) fn may_use_reserved(&mut self, id: StepId, queue: &Queue, now: Now) -> bool {
         let Some((step, job)) = self.step(id).zip(self.jobs.get(&id.job)) else { return false };
         if job.spec(id).lasts {
             return true;
--- a/src/control/engine/placement.rs
+++ b/src/control/engine/placement.rs
@@ -50,8 +50,8 @@
         if missing == 0 {
             return;
         }
-        match self.obstacle(v, 1) {
-            Some(why) => self.record_unplaceable(v, why),
+        match self.unplaceable_reason(v, 1) {
+            Some(why) => self.record_unplaceable(v.id, why),
             None => {
                 self.record_placeable(v.id);
                 self.request_advice(v, reserved, missing, now);
@@ -140,8 +140,8 @@
             return;
         }
         // It would keep runners reserved, ask for advice and hold up others without end.
-        if let Some(why) = self.obstacle(v, count as u64) {
-            return self.record_unplaceable(v, why);
+        if let Some(why) = self.unplaceable_reason(v, count as u64) {
+            return self.record_unplaceable(v.id, why);
         }
         self.record_placeable(v.id);
         if !self.advice_pending(v.id) {
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -23,7 +23,7 @@
     /// Speed of runners that it prefers.
     pub speed: Preference,
     /// Whether it may use capacity that is reserved for gangs.
-    pub past_reservations: bool,
+    pub uses_reserved: bool,
 }
 
 impl StepView<'_> {
@@ -128,8 +128,8 @@
         let step = &row.spec.steps[id.step as usize];
         let speed = self.speed_preference(id, queue, rank, now);
         let waiting = self.waiting(id);
-        let past_reservations = self.past_reservations(id, queue, now);
-        let view = StepView { id, step, queue, waiting, non_urgent, speed, past_reservations };
+        let uses_reserved = self.may_use_reserved(id, queue, now);
+        let view = StepView { id, step, queue, waiting, non_urgent, speed, uses_reserved };
         match step.gang {
             true => self.place_gang(&view, rank, reserved, now),
             false => self.place_tasks(&view, rank, reserved, now),
--- a/src/control/engine/removed_queues.rs
+++ b/src/control/engine/removed_queues.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-/// Maximum number of queues that a catalogue change logs one by one.
+/// Maximum number of queues that are logged one by one, after a catalogue change or by a new leader.
 const MAX_LOGGED: usize = 8;
 
 impl Job {
@@ -34,16 +34,14 @@
             let version = kept_before.get(&q.name).copied().unwrap_or(last.version);
             definitions.insert(q.name.clone(), QueueRow::new(q, version));
         }
-        let mut jobs: BTreeMap<String, Vec<JobId>> = BTreeMap::new();
-        for (id, job) in self.jobs.iter().filter(|(_, job)| !job.state.ended()) {
-            let name = &job.row.queue;
-            if cat.queues.contains_key(name) {
-                continue;
-            }
-            jobs.entry(name.clone()).or_default().push(*id);
+        let jobs = self.jobs_without_queue();
+        for (name, ids) in &jobs {
+            let stored = ids.iter().filter_map(|id| self.jobs[id].queue_definition());
             let known = definitions.get(name).map(|d| d.version);
-            if let Some(stored) = job.queue_definition().filter(|d| Some(d.version) > known) {
-                definitions.insert(name.clone(), stored.clone());
+            if let Some(newest) =
+                stored.max_by_key(|d| d.version).filter(|d| Some(d.version) > known)
+            {
+                definitions.insert(name.clone(), newest.clone());
             }
         }
         definitions.retain(|name, _| jobs.contains_key(name) || !kept_before.contains_key(name));
@@ -59,10 +57,21 @@
             log::info!(queue = name, jobs = ids.len(), first:% = ids[0], service:? = service,
                 cat = cat.version; "queue no longer in the catalogue: its jobs keep running");
         }
-        metrics::gauge!("control_removed_queues").set(jobs.len() as f64);
+        metrics::gauge!("control_removed_queues").set(self.removed_queues.len() as f64);
         self.removed_queues.keys().filter(is_new).cloned().collect()
     }
 
+    /// Jobs that have not ended and whose queue the catalogue does not have, by queue.
+    fn jobs_without_queue(&self) -> BTreeMap<String, Vec<JobId>> {
+        let mut out: BTreeMap<String, Vec<JobId>> = BTreeMap::new();
+        for (id, job) in self.jobs.iter().filter(|(_, job)| !job.state.ended()) {
+            if !self.cat.queues.contains_key(&job.row.queue) {
+                out.entry(job.row.queue.clone()).or_default().push(*id);
+            }
+        }
+        out
+    }
+
     /// Keeps the queue of a job that was just added if the catalogue does not have it.
     pub(super) fn keep_queue_of(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id).filter(|job| !job.state.ended()) else { return };
@@ -73,6 +82,11 @@
         }
         if let Some(stored) = job.queue_definition().filter(|d| Some(d.version) > removed).cloned()
         {
+            if removed.is_none() && self.removed_queues.len() < MAX_LOGGED {
+                log::info!(queue = name, first:% = id, service = stored.service,
+                    cat = self.cat.version;
+                    "queue no longer in the catalogue: its jobs keep running");
+            }
             self.keep_queue(&name, &stored);
         } else if let Some((queue, version)) = self.cat.queues.get(&name).zip(removed) {
             let definition = QueueRow::new(queue, version);
@@ -84,6 +98,7 @@
         self.removed_queues.insert(name.to_string(), definition.version);
         let queue = definition.queue(name);
         Arc::make_mut(&mut self.cat).queues.insert(name.to_string(), queue);
+        metrics::gauge!("control_removed_queues").set(self.removed_queues.len() as f64);
     }
 
     /// Stores the definition of a job's queue with its progress unless its rows hold the same.
--- a/src/control/engine/unplaceable.rs
+++ b/src/control/engine/unplaceable.rs
@@ -8,7 +8,7 @@
 use super::plan::StepView;
 use super::{Engine, Runner};
 use crate::control::model::StepId;
-use crate::control::policy::place::{self, Candidate};
+use crate::control::policy::place;
 use std::collections::BTreeMap;
 
 /// Maximum number of steps that a planning pass logs one by one; a last line has their number.
@@ -16,7 +16,7 @@
 
 /// Why a step cannot be placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Obstacle {
+pub(super) enum Reason {
     /// No catalogue that is known has its queue.
     UnknownQueue,
     /// No runner that may run its tasks is large enough.
@@ -25,7 +25,7 @@
     GangTooLarge,
 }
 
-impl Obstacle {
+impl Reason {
     fn name(self) -> &'static str {
         match self {
             Self::UnknownQueue => "unknown queue",
@@ -38,7 +38,7 @@
 /// Open steps that could not be placed when they were last planned.
 #[derive(Debug, Default)]
 pub(super) struct Unplaceable {
-    steps: BTreeMap<StepId, Obstacle>,
+    steps: BTreeMap<StepId, Reason>,
     /// Number of steps that became unplaceable, or placeable again, in this planning pass.
     changes: usize,
 }
@@ -77,14 +77,14 @@
                 job.is_some_and(|j| !self.cat.queues.contains_key(&j.row.queue))
             };
             let ids: Vec<StepId> = self.open.iter().copied().filter(unknown).collect();
-            ids.into_iter().for_each(|id| self.set_obstacle(id, Obstacle::UnknownQueue));
+            ids.into_iter().for_each(|id| self.record_unplaceable(id, Reason::UnknownQueue));
         }
         metrics::gauge!("control_unplaceable_steps").set(self.unplaceable.steps.len() as f64);
     }
 
     /// Why `count` tasks of a step could not be placed at once even if all tasks ended that do not
     /// last; `None` if they could, or if the service has no runners at present.
-    pub(super) fn obstacle(&mut self, v: &StepView<'_>, count: u64) -> Option<Obstacle> {
+    pub(super) fn unplaceable_reason(&mut self, v: &StepView<'_>, count: u64) -> Option<Reason> {
         let listed = |r: &Runner| r.listed && !r.replaced;
         if self.drained_slots(v, count, listed) >= count {
             return None;
@@ -94,8 +94,8 @@
             return None;
         }
         Some(match v.step.gang {
-            true => Obstacle::GangTooLarge,
-            false => Obstacle::NoRunner,
+            true => Reason::GangTooLarge,
+            false => Reason::NoRunner,
         })
     }
 
@@ -109,6 +109,7 @@
     ) -> u64 {
         let denied = self.step(v.id).map(|s| &s.approvals.denied);
         let limit = if v.step.per_runner > 0 { v.step.per_runner } else { u32::MAX };
+        let need = v.step.demand();
         let (mut slots, mut checked) = (0, 0);
         for (k, r) in self.runners.iter() {
             checked += 1;
@@ -116,17 +117,7 @@
             if !suitable || denied.is_some_and(|d| d.contains(&k)) {
                 continue;
             }
-            let drained = Candidate {
-                key: k,
-                free: r.drained(),
-                rack: r.rack,
-                limit,
-                proven: false,
-                suspects: 0,
-                repeat_suspect: false,
-                speed_order: 0,
-            };
-            slots += u64::from(place::slots(&drained, &v.step.demand()));
+            slots += u64::from(place::fitting(&r.drained(), &need).min(limit));
             if slots >= wanted {
                 break;
             }
@@ -136,11 +127,7 @@
     }
 
     /// Records that a step cannot be placed.
-    pub(super) fn record_unplaceable(&mut self, v: &StepView<'_>, why: Obstacle) {
-        self.set_obstacle(v.id, why);
-    }
-
-    fn set_obstacle(&mut self, id: StepId, why: Obstacle) {
+    pub(super) fn record_unplaceable(&mut self, id: StepId, why: Reason) {
         if self.unplaceable.steps.insert(id, why) == Some(why) || !self.unplaceable.count_change() {
             return;
         }
--- a/src/control/policy/place.rs
+++ b/src/control/policy/place.rs
@@ -88,9 +88,14 @@
 
 /// Number of further tasks of the step that fit on a candidate.
 pub fn slots<K>(c: &Candidate<K>, need: &Resources) -> u32 {
+    fitting(&c.free, need).min(c.limit)
+}
+
+/// Number of tasks that fit into `free`.
+pub fn fitting(free: &Resources, need: &Resources) -> u32 {
     let fit = |free: u64, each: u64| free.checked_div(each).unwrap_or(u64::from(u32::MAX));
-    let n = fit(c.free.cpu, need.cpu).min(fit(c.free.mem, need.mem)).min(fit(c.free.acc, need.acc));
-    c.limit.min(u32::try_from(n).unwrap_or(u32::MAX))
+    let n = fit(free.cpu, need.cpu).min(fit(free.mem, need.mem)).min(fit(free.acc, need.acc));
+    u32::try_from(n).unwrap_or(u32::MAX)
 }
 
 /// Number of tasks of the step that fit on all of `candidates` together.
