--- a/tests/unreadable_rows.rs
+++ b/tests/unreadable_rows.rs
@@ -420,7 +420,7 @@
 
 /// Rows of progress as version 091395e reads and writes them.
 mod landed {
-    use currantgw::control::model::{Attempt, JobState};
+    use currantgw::control::model::{Attempt, JobSpec, JobState};
     use currantgw::control::rows::TaskRow;
     use serde::{Deserialize, Serialize};
     use std::collections::BTreeSet;
@@ -439,6 +439,15 @@
         pub ended: u64,
         pub steps: Vec<StepRow>,
     }
+
+    /// A job's row before it held the definition of the queue.
+    #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+    pub struct JobRow {
+        pub queue: String,
+        pub team: Option<String>,
+        pub at: u64,
+        pub spec: JobSpec,
+    }
 }
 
 fn landed_progress() -> landed::ProgressRow {
@@ -461,3 +470,15 @@
     assert_eq!(read, progress());
     assert_eq!(rows::decode(&rows::encode(&read)), Ok(landed));
 }
+
+/// Guards against a rolling update in which an instance cannot read the jobs that the other version has
+/// accepted.
+#[test]
+fn jobs_are_readable_for_the_version_without_definitions_and_the_other_way_round() {
+    let JobRow { queue, team, at, spec, .. } = job();
+    let landed = landed::JobRow { queue, team, at, spec };
+    assert_eq!(rows::decode(&rows::encode(&job())), Ok(landed.clone()));
+    let read: JobRow = rows::decode(&rows::encode(&landed)).unwrap();
+    assert_eq!(read, JobRow { definition: None, ..job() });
+    assert_eq!(rows::encode(&read), rows::encode(&landed));
+}
