Second reading: a removed queue whose last definition arrives late, as a known red test

Read for the same event in another order, late, twice, by a new leader and from rows of before. A leader that never reads the version with which a queue moved, and learns of it from a job that arrives after the removal, runs all jobs of the queue by the newer definition but stores it with that job alone. After a change of the leader the others run by the definition they were accepted under, on a service without runners.

The test fails on the code of (early job Running, expected Completed). Ruled out as part of it: the same job or version twice (ignored), jobs known before the catalogue, a leader with an older catalogue.

--- a/tests/control_removed_queues.rs
+++ b/tests/control_removed_queues.rs
@@ -196,3 +196,25 @@
         assert!(read.unwrap_err().to_string().contains(&InvalidValue::Queue.to_string()));
     }
 }
+
+/// Guards against a job that runs only until the next change of the leader: a job that arrives late
+/// shows that their removed queue had moved, and the last definition is stored with that job alone.
+#[test]
+fn a_definition_that_arrives_late_is_stored_with_every_job_of_its_queue() {
+    let mut cell = Cell::new(2, 1);
+    let retired = Queue { service: "retired".into(), ..queue("moved", 1, 3, None) };
+    cell.configure(vec![retired.clone()]);
+    let next = Step { after: vec![0], ..step(1, 1_000, 1_000) };
+    let early = cell.submit(1, "moved", vec![step(1, 1_000, 8_000), next]);
+    // The version with which the queue moved was never read by the leader.
+    let moved = QueueRow::new(&Queue { service: "svc".into(), ..retired }, 3);
+    let late = cell.new_row("moved", vec![step(1, 1_000, 1_000)]);
+    cell.configure(other_queue());
+    let late = cell.submit_row(2, JobRow { definition: Some(moved), ..late });
+    cell.run(4_000);
+    assert_eq!(state(&cell, late), JobState::Completed);
+    cell.change_leader();
+    cell.run(ENOUGH_MS);
+    assert_eq!(state(&cell, early), JobState::Completed);
+    cell.check();
+}
