Leases count from the leader's last stored heartbeat, so that a new leader knows when they have expired

Cause: a leader extended leases to 8 s from each call, with or without the store, until it stepped down 10 s after its last acknowledged write. A successor that could not reach a runner had to assume both, counted from its own election. Class: a bound that follows from what a predecessor might have done, where nothing stored limits what it may do.

Ruled out: taking the removal of a runner's registry entry, or refused connections, for the end of its runs. Neither shows it: a zone that is cut off may refuse connections, its entries are removed after 4.5 s, and its runners run on.

Change: a lease ends 8 s after the leader sent the last heartbeat that the store has acknowledged. The successor counts 8.4 s from when it last saw the predecessor's row or heartbeat change; the conditional write that elects it fails if a later heartbeat was stored. The leader's row carries how long the leases of the leaders before it may last (prior_ms); rows without it are of earlier versions, for which 18.4 s count from their last heartbeat. A runner that was lost after its first answer to a term no longer counts as one that never answered.

The price: with a store that accepts no writes for 8 s, running tasks lapse (18 s before).

--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -17,6 +17,7 @@
 //! after that is final for all earlier terms.
 
 use super::health::Dependency;
+use super::leases;
 use super::links::Candidate;
 use super::partitions::{self, Partition};
 use super::ports::{Change, Commit, CommitError, ReadError, Row, Store, Txn};
@@ -119,6 +120,8 @@
     pub fence: u64,
     /// Versions of the fence rows: conditions of every commit.
     pub fence_versions: [u64; partitions::COUNT],
+    /// When the leases that earlier leaders sent to runners have expired, local ms.
+    pub prior_leases_end: u64,
 }
 
 impl Term {
@@ -141,6 +144,11 @@
     last_fence: AtomicU64,
     /// Number of terms of this process so far.
     terms: AtomicU64,
+    /// See [`Term::prior_leases_end`].
+    prior_leases_end: AtomicU64,
+    /// See [`Self::renewed_at`].
+    renewed_at: AtomicU64,
+    lease_ms: u64,
     /// See [`Self::set_idle_ms`].
     idle_ms: AtomicU64,
     /// Wakes a waiting candidate when the leader becomes suspect.
@@ -161,6 +169,8 @@
     standbys: Option<BTreeSet<String>>,
     /// When the leader or its heartbeat last changed, local ms.
     since: u64,
+    /// When the leader last changed, local ms.
+    leader_since: u64,
     /// When the leader was last named over a link, local ms. An instance that is not eligible polls
     /// the store so rarely that its heartbeats show later.
     named: u64,
@@ -184,13 +194,31 @@
             links: Some(settings.links),
             size: settings.millis(),
             next: String::new(),
+            prior_ms: None,
         };
         let reads = Dependency::new("store, office", clock.clone());
         let started = clock.mono();
         let wakeup = channel::bounded(1);
         let (seen, last_fence, terms, idle_ms) = Default::default();
+        let (prior_leases_end, renewed_at) = Default::default();
+        let lease_ms = leases::lease_ms(settings);
         let domain = settings.domain.clone();
-        Self { store, clock, me, domain, reads, started, seen, last_fence, terms, idle_ms, wakeup }
+        Self {
+            store,
+            clock,
+            me,
+            domain,
+            reads,
+            started,
+            seen,
+            last_fence,
+            terms,
+            prior_leases_end,
+            renewed_at,
+            lease_ms,
+            idle_ms,
+            wakeup,
+        }
     }
 
     /// This instance as a candidate that is not able yet.
@@ -207,7 +235,7 @@
     /// Address of the leader's link server; none if there is no leader or this instance is it.
     pub fn leader_links(&self) -> Option<SocketAddr> {
         let seen = self.seen.lock().unwrap();
-        seen.leader.as_ref().filter(|l| **l != self.me && !l.node.is_empty())?.links
+        seen.leader.as_ref().filter(|l| !self.is_me(l) && !l.node.is_empty())?.links
     }
 
     /// The last known leader, and the version of its row.
@@ -216,6 +244,34 @@
         Some((seen.leader.clone()?, seen.leader_version))
     }
 
+    /// Whether a row names this process as the leader.
+    fn is_me(&self, row: &LeaderRow) -> bool {
+        row.node == self.me.node && row.life == self.me.life
+    }
+
+    /// When the last heartbeat of the current term that the store has acknowledged was sent, or the
+    /// write that won the term, local ms; 0 if none was acknowledged.
+    pub fn renewed_at(&self) -> u64 {
+        self.renewed_at.load(Ordering::Relaxed)
+    }
+
+    /// When the leases have expired that the leaders up to the one in `seen` sent, local ms. Until it is
+    /// replaced, that leader stores no heartbeat after the one in `seen`.
+    fn prior_leases_end(&self, seen: &Observed) -> u64 {
+        if seen.leader_version == 0 {
+            return 0;
+        }
+        let unrenewed_ms = leases::unrenewed_expiry_ms(self.lease_ms);
+        match seen.leader.as_ref().and_then(|l| l.prior_ms) {
+            Some(prior_ms) => {
+                let own = seen.since + leases::expiry_ms(self.lease_ms);
+                own.max(seen.leader_since + prior_ms.min(unrenewed_ms))
+            }
+            // Of an earlier version, or unreadable.
+            None => seen.since + unrenewed_ms,
+        }
+    }
+
     /// Number of terms that this process has won so far.
     pub fn terms(&self) -> u64 {
         self.terms.load(Ordering::Relaxed)
@@ -234,6 +290,7 @@
             seen.leader_version = version;
             seen.leader = Some(row);
             seen.since = self.clock.mono();
+            seen.leader_since = seen.since;
             seen.suspect = false;
             if vacant {
                 // A full channel already holds a wakeup.
@@ -257,7 +314,7 @@
     /// it found when its term began; none if it is not the leader.
     pub fn last_heartbeat(&self) -> Option<(u64, u64)> {
         let seen = self.seen.lock().unwrap();
-        let is_leader = seen.leader.as_ref() == Some(&self.me);
+        let is_leader = seen.leader.as_ref().is_some_and(|l| self.is_me(l));
         is_leader.then(|| (seen.heartbeat, self.clock.mono().saturating_sub(seen.since)))
     }
 
@@ -345,7 +402,7 @@
             }
             let seen = self.seen.lock().unwrap().clone();
             let now = self.clock.mono();
-            if seen.leader.as_ref() == Some(&self.me) {
+            if seen.leader.as_ref().is_some_and(|l| self.is_me(l)) {
                 let elapsed = now.saturating_sub(seen.since);
                 let term = match seen.leader_version > self.last_fence.load(Ordering::Relaxed) {
                     // Won by a write whose answer was lost, or not all partitions could be fenced.
@@ -501,6 +558,7 @@
                 seen.leader_version = row.version;
                 seen.leader = rows::decode(&row.value).ok();
                 seen.since = now;
+                seen.leader_since = now;
                 seen.suspect = false;
                 if let Some(l) = &seen.leader {
                     log::info!(holder = l.node, fence = row.version; "office changed hands");
@@ -525,19 +583,23 @@
         let node = seen.leader.as_ref().map_or("", |l| l.node.as_str());
         log::info!(holder = node, silent_ms = elapsed, beat = seen.heartbeat;
             "trying to acquire leadership");
+        let (sent, prior_leases_end) = (self.clock.mono(), self.prior_leases_end(seen));
+        self.prior_leases_end.store(prior_leases_end, Ordering::Relaxed);
+        let prior_ms = Some(prior_leases_end.saturating_sub(sent));
+        let row = rows::encode(&LeaderRow { prior_ms, ..self.me.clone() });
         let txn = Txn {
             expect: vec![
                 (rows::leader_key(), seen.leader_version),
                 (rows::heartbeat_key(), seen.heartbeat),
             ],
-            put: vec![(rows::leader_key(), rows::encode(&self.me))],
+            put: vec![(rows::leader_key(), row.clone())],
             remove: Vec::new(),
         };
         match self.store.commit(&txn, WRITE_MS).await {
             Ok(Commit::Done(fence)) => {
-                let row =
-                    Row { key: rows::leader_key(), value: rows::encode(&self.me), version: fence };
+                let row = Row { key: rows::leader_key(), value: row, version: fence };
                 self.observe(vec![row], fence);
+                self.renewed_at.store(sent, Ordering::Relaxed);
                 log::info!(fence = fence, silent_ms = elapsed; "office taken");
                 self.fence(fence).await
             }
@@ -561,7 +623,8 @@
         let fence_versions = versions?.try_into().ok()?;
         self.last_fence.store(fence, Ordering::Relaxed);
         self.terms.fetch_add(1, Ordering::Relaxed);
-        Some(Term { fence, fence_versions })
+        let prior_leases_end = self.prior_leases_end.load(Ordering::Relaxed);
+        Some(Term { fence, fence_versions, prior_leases_end })
     }
 
     /// Fences a partition, and returns the version of its fence row; none if all attempts until
@@ -607,8 +670,10 @@
             put: vec![(rows::heartbeat_key(), rows::encode(&self.clock.wall()))],
             remove: Vec::new(),
         };
+        let sent = self.clock.mono();
         match self.store.commit(&txn, WRITE_MS).await? {
             Commit::Done(version) => {
+                self.renewed_at.fetch_max(sent, Ordering::Relaxed);
                 let mut seen = self.seen.lock().unwrap();
                 if version > seen.heartbeat {
                     seen.heartbeat = version;
@@ -628,7 +693,8 @@
     /// that is not empty. Returns the row that was stored, and its version.
     pub async fn step_down(&self, term: Term, next: String) -> Option<(LeaderRow, u64)> {
         let (life, size) = (self.me.life, self.me.size);
-        let vacant = LeaderRow { node: String::new(), life, links: None, size, next };
+        let prior_ms = Some(term.prior_leases_end.saturating_sub(self.clock.mono()));
+        let vacant = LeaderRow { node: String::new(), life, links: None, size, next, prior_ms };
         let txn = Txn {
             expect: vec![(rows::leader_key(), term.fence)],
             put: vec![(rows::leader_key(), rows::encode(&vacant))],
@@ -652,5 +718,6 @@
     /// Discards the observed state, so that the rows are read again after a term.
     pub fn reset(&self) {
         *self.seen.lock().unwrap() = Observed::default();
+        self.renewed_at.store(0, Ordering::Relaxed);
     }
 }
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -76,14 +76,12 @@
 /// Limits that follow from the platform's bounds.
 #[derive(Clone, Copy, Debug)]
 pub struct Rules {
-    /// Length of the lease that every call to a runner extends, ms.
+    /// Length of a lease on a runner, from the last heartbeat that the store has acknowledged, ms.
     pub lease_ms: u64,
     /// Longest lease that a runner grants, ms.
     pub hold_max_ms: u64,
     /// Longest time from a stop order that a runner acknowledged until the run has ended, ms.
     pub stop_ms: u64,
-    /// For this long after a new leader was elected its predecessor may have extended leases, ms.
-    pub step_down_ms: u64,
     /// Time that ended jobs are kept, ms.
     pub keep_ms: u64,
     /// How runners are selected for tasks.
@@ -180,6 +178,11 @@
     pub fence: u64,
     /// When this leader was elected, local ms.
     pub elected_at: u64,
+    /// When the last heartbeat that the store has acknowledged was sent, local ms: leases that are
+    /// sent to runners count from then.
+    pub renewed_at: u64,
+    /// When the leases that earlier leaders sent have expired, local ms.
+    prior_leases_end: u64,
     /// Set once a runner has seen a higher fencing token: this term is over.
     pub superseded: bool,
     /// Set once the store holds progress that this scheduler has neither read nor stored: this term
@@ -267,12 +270,15 @@
 }
 
 impl Engine {
-    /// The scheduler of a newly elected leader with the fencing token `fence`.
-    pub fn new(rules: Rules, fence: u64, now: Now) -> Self {
+    /// The scheduler of a newly elected leader with the fencing token `fence`. The leases that earlier
+    /// leaders sent have expired at `prior_leases_end`, local ms.
+    pub fn new(rules: Rules, fence: u64, prior_leases_end: u64, now: Now) -> Self {
         Self {
             rules,
             fence,
             elected_at: now.mono,
+            renewed_at: now.mono,
+            prior_leases_end,
             superseded: false,
             stale: false,
             counts: Counts::default(),
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -25,7 +25,7 @@
     /// Handles the result of a poll. From an answer without lists nothing follows, unless the last one
     /// had none either.
     pub fn polled(&mut self, k: RunnerKey, res: Result<Report, Refusal>, now: Now) {
-        let prior = self.predecessor_leases_end();
+        let prior = self.prior_leases_end;
         let runner = self.runners.get_mut(k);
         runner.polling = false;
         let unanswered = std::mem::take(&mut runner.unanswered);
@@ -40,7 +40,9 @@
                         "runner answers again");
                 }
                 let k = self.answering_incarnation(k, &report, now);
+                let lease_ms = self.rules.lease_ms;
                 let runner = self.runners.get_mut(k);
+                runner.record_inherited_lease(report.clock, lease_ms);
                 runner.record_answer(report.clock, now);
                 runner.lists_completions = !report.ends.is_empty();
                 runner.polled_at = now.mono;
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -7,6 +7,7 @@
 use super::losses::Loss;
 use super::teams::TeamKey;
 use super::{Action, Engine, Job, Now, RunnerKey};
+use crate::control::leases::{LEASE_MARGIN_MS, SLOWEST_CLOCK_PERMILLE};
 use crate::control::model::{Attempt, Born, JobId, TaskId};
 use crate::control::policy::crashes::Losses;
 use crate::control::ports::{PollRequest, RunnerCall, RunnerEntry};
@@ -28,13 +29,6 @@
 /// A runner without contact for this long beyond the wait of its poll gets no new tasks, ms.
 const CONTACT_TIMEOUT_MS: u64 = 900;
 
-/// Slowest rate of a runner's clock, per mille of the local clock's: the platform's bound is 2 %.
-const SLOWEST_CLOCK_PERMILLE: u64 = 980;
-
-/// Margin added to the computed end of a lease, ms: several times the error of the estimated clock
-/// between two polls (2 % of about a second) and the time that an answer travels.
-const LEASE_MARGIN_MS: u64 = 200;
-
 /// Time that a runner is avoided after its first strike, ms; doubles with each further strike.
 const AVOID_MS: u64 = 500;
 
@@ -310,34 +304,41 @@
         self.unanswered_since.get_or_insert(now.mono);
     }
 
-    /// The end of a lease of `lease_ms` from now, on the runner's clock. It is recorded, since the
+    /// The end of a lease up to `end`, local ms, on the runner's clock. It is recorded, since the
     /// order that carries it may take effect even if it is never answered.
-    pub fn extend(&mut self, lease_ms: u64, now: Now) -> Option<u64> {
-        let until = self.clock_at(now)? + lease_ms;
+    pub fn extend(&mut self, end: u64, now: Now) -> Option<u64> {
+        let until = self.clock_at(now)? + end.saturating_sub(now.mono);
         self.lease_until = self.lease_until.max(until);
         Some(until)
     }
 
+    /// Records its first answer to this term's polls: the fencing token that it has seen now keeps
+    /// earlier leaders from sending leases that end later than `lease_ms` from now.
+    pub(super) fn record_inherited_lease(&mut self, clock: u64, lease_ms: u64) {
+        if self.clock.is_none() {
+            self.lease_until = self.lease_until.max(clock + lease_ms);
+        }
+    }
+
     /// Latest end of a lease that was sent, ms of its clock.
     pub(super) fn lease_until(&self) -> u64 {
         self.lease_until
     }
 
-    /// When every lease that was sent there has expired by the slowest clock, local ms. Before this
-    /// term has sent one, only the leases of its predecessors count, which end at
-    /// `predecessors`.
-    pub(super) fn lease_end(&self, predecessors: u64) -> u64 {
+    /// When every lease that was sent there has expired by the slowest clock, local ms: as long as it
+    /// has not answered, those of earlier leaders, which end at `prior`.
+    pub(super) fn lease_end(&self, prior: u64) -> u64 {
         match self.clock {
             Some((clock, at)) if self.lease_until > 0 => {
                 let rest = (self.lease_until + LEASE_MARGIN_MS).saturating_sub(clock);
                 at + (rest * 1000).div_ceil(SLOWEST_CLOCK_PERMILLE)
             }
-            _ => predecessors,
+            _ => prior,
         }
     }
 
-    fn lease_expired(&self, now: Now, predecessors: u64) -> bool {
-        now.mono > self.lease_end(predecessors)
+    fn lease_expired(&self, now: Now, prior: u64) -> bool {
+        now.mono > self.lease_end(prior)
     }
 }
 
@@ -365,8 +366,8 @@
 
     /// Polls every runner whose next poll is due.
     pub(super) fn poll_runners(&mut self, now: Now) {
-        let (fence, lease_ms, settle_ms) =
-            (self.fence, self.rules.lease_ms, self.rules.settle_ms());
+        let (fence, settle_ms) = (self.fence, self.rules.settle_ms());
+        let lease_end = self.lease_end();
         let (jobs, held) = (&self.jobs, &self.held);
         let effect = |id: JobId, rev: u64| effect(jobs, held, id, rev);
         let mut acts = Vec::new();
@@ -381,7 +382,7 @@
             // extend the lease either: it may take effect at a runner that receives calls and whose
             // answers are lost, and leases that are sent repeatedly to an unreachable runner would
             // never expire.
-            let until = if r.unanswered { None } else { r.extend(lease_ms, now) };
+            let until = if r.unanswered { None } else { r.extend(lease_end, now) };
             // Numbers of completions start anew with each incarnation, and the poll may reach another
             // than the last one did, also because this leader was frozen since: only what the last
             // answer listed is acknowledged, and only soon after it.
@@ -420,21 +421,18 @@
         self.lose_all(k, Loss::OtherIncarnation, now);
     }
 
-    /// When the leases that predecessors sent have expired, local ms. A predecessor that cannot
-    /// reach the store but can reach a runner may extend that runner's lease until it must step
-    /// down; from then on the lease runs out.
-    pub(super) fn predecessor_leases_end(&self) -> u64 {
-        let lease = self.rules.lease_ms * 1000 / SLOWEST_CLOCK_PERMILLE + LEASE_MARGIN_MS;
-        self.elected_at + self.rules.step_down_ms + lease
+    /// End of the leases that are sent now, local ms. It may have passed: then nothing can be started.
+    pub(super) fn lease_end(&self) -> u64 {
+        self.renewed_at + self.rules.lease_ms
     }
 
     /// Marks the runs on runners whose leases have expired as lost.
     pub(super) fn expire_leases(&mut self, now: Now) {
-        let predecessors = self.predecessor_leases_end();
+        let prior = self.prior_leases_end;
         let due: Vec<RunnerKey> = self
             .runners
             .iter()
-            .filter(|(_, r)| !r.tasks.is_empty() && r.lease_expired(now, predecessors))
+            .filter(|(_, r)| !r.tasks.is_empty() && r.lease_expired(now, prior))
             .map(|(k, _)| k)
             .collect();
         for k in due {
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -208,7 +208,7 @@
 impl Engine {
     /// Orders the start of a task whose placement is stored.
     pub(super) fn order_start(&mut self, id: TaskId, now: Now, after_ms: u64) {
-        let (fence, lease_ms) = (self.fence, self.rules.lease_ms);
+        let (fence, lease_end) = (self.fence, self.lease_end());
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let urgent = self.cat.queues.get(&job.row.queue).is_some_and(|q| q.priority == 0);
         let payload = job.row.spec.payload.clone();
@@ -219,7 +219,9 @@
         // A ticket that was issued after the placement was decided is valid for longer.
         run.ticket = tickets.get(&run.runner).map(|(t, _)| t.clone()).or(run.ticket.take());
         let runner = self.runners.get_mut(run.runner);
-        let (Some(to), Some(until)) = (runner.call(), runner.extend(lease_ms, now)) else { return };
+        let (Some(to), Some(until)) = (runner.call(), runner.extend(lease_end, now)) else {
+            return;
+        };
         self.order_backlog.leave(run.stage);
         run.stage = Stage::Sent;
         run.tries += 1;
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -60,15 +60,9 @@
 /// after it began to drain.
 const REGISTRY_INTERVAL_MS: u64 = 200;
 
-/// The leader steps down when no heartbeat or commit has been acknowledged for this long, ms. It
-/// extends no lease after that, so that a successor can compute when the leases of runners that it
-/// cannot reach expire.
+/// The leader steps down when no heartbeat or commit has been acknowledged for this long, ms.
 pub const STEP_DOWN_MS: u64 = 10_000;
 
-/// Lease on a runner that each call to it extends, ms: longer than a takeover and most outages of a
-/// runner's link, and shorter than the platform's maximum.
-pub const LEASE_MS: u64 = 8_000;
-
 /// A failure of a call to the store is seen by the planning rounds of this time, ms.
 const NEW_FAILURE_MS: u64 = 4 * MAX_ROUND_MS;
 
@@ -165,7 +159,7 @@
             self.step_down(term).await;
             return;
         };
-        let mut engine = Engine::new(self.rules, term.fence, self.now());
+        let mut engine = Engine::new(self.rules, term.fence, term.prior_leases_end, self.now());
         engine.set_catalogue(self.mirror.catalogue());
         if let Some(row) = speeds {
             engine.restore_speeds(&row, self.now());
@@ -354,6 +348,7 @@
             } else if batching.is_expired(now.mono) {
                 return "no heartbeat stored";
             }
+            engine.renewed_at = self.election.renewed_at();
             engine.advice_connections = self.server.advice_connections();
             engine.order_backlog.ms = orders.backlog_ms();
             engine.order_backlog.start_ms = orders.start_ms();
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,6 +10,7 @@
 //! - `front` handles callers' requests, `access` and `teams` decide who may make them, `admission`
 //!   holds what the leader has said about the backlog, and `links` connects the other instances to
 //!   the leader.
+//! - `leases` bounds how long the leases last that a leader has sent to runners.
 //! - `store_health` tracks the health of the store, and `health` logs dependencies lost and
 //!   regained.
 //! - `model` and `ports` hold the data model and the interfaces to the platform; `node` and
@@ -22,6 +23,7 @@
 pub mod front;
 pub mod health;
 pub mod leader;
+pub mod leases;
 pub mod links;
 pub mod mirror;
 pub mod model;
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -4,7 +4,8 @@
 use super::election::Election;
 use super::engine::Rules;
 use super::front::Front;
-use super::leader::{Leader, LEASE_MS, STEP_DOWN_MS};
+use super::leader::Leader;
+use super::leases;
 use super::links::client::LinkClient;
 use super::links::server::{LinkAcceptor, LinkServer};
 use super::mirror::{reading, Mirror, Table};
@@ -169,12 +170,10 @@
 
     /// Waits as a candidate, and runs the scheduler for each term that this instance wins.
     async fn lead(self: Arc<Self>) {
-        let lease_ms = LEASE_MS.min(self.settings.hold_max_ms);
         let rules = Rules {
-            lease_ms,
+            lease_ms: leases::lease_ms(&self.settings),
             hold_max_ms: self.settings.hold_max_ms,
             stop_ms: self.settings.stop_ms,
-            step_down_ms: STEP_DOWN_MS,
             keep_ms: self.settings.keep_ms,
             placement: self.settings.placement,
             features: self.settings.features(),
--- a/src/control/rows.rs
+++ b/src/control/rows.rs
@@ -143,6 +143,10 @@
     /// Id of the instance that a leader which steps down proposes as its successor; empty for none.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub next: String,
+    /// Longest time from the write of this row until the leases that earlier leaders sent have
+    /// expired, ms; none from versions whose leaders extended leases without heartbeats.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub prior_ms: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -154,6 +158,8 @@
     size: u64,
     #[serde(default)]
     next: String,
+    #[serde(default)]
+    prior_ms: Option<u64>,
 }
 
 impl TryFrom<WireLeader> for LeaderRow {
@@ -162,8 +168,8 @@
     fn try_from(w: WireLeader) -> Result<Self, InvalidValue> {
         match w.size <= MAX_SIZE {
             true => {
-                let WireLeader { node, life, links, size, next } = w;
-                Ok(Self { node, life, links, size, next })
+                let WireLeader { node, life, links, size, next, prior_ms } = w;
+                Ok(Self { node, life, links, size, next, prior_ms })
             }
             false => Err(InvalidValue::Size),
         }
--- a/tests/control_leases.rs
+++ b/tests/control_leases.rs
@@ -70,3 +70,33 @@
     let waits: Vec<&str> = cell.engine.standing_jobs().keys().copied().collect();
     assert_eq!(waits, ["capacity", "lease", "queue"]);
 }
+
+/// Guards against leases that outlast those a new leader waits for: a leader that cannot store
+/// heartbeats extends none, however long it reaches the runners.
+#[test]
+fn a_leader_that_stores_no_heartbeats_extends_no_leases() {
+    let (mut cell, task) = cell_with_run();
+    cell.faults.store_down = true;
+    cell.run(9_000);
+    assert!(cell.runners_of(task).is_empty());
+    assert_eq!(cell.starts[&task], 1);
+    cell.faults.store_down = false;
+    cell.run(2_000);
+    assert_eq!((cell.runners_of(task).len(), cell.starts[&task]), (1, 2));
+    cell.check();
+}
+
+/// Guards against a wait for earlier leaders' leases on a runner that was lost after it had answered the
+/// new leader.
+#[test]
+fn runs_on_a_runner_lost_after_its_first_answer_start_again_within_a_lease() {
+    for answered_ms in [20, 100, 1_000] {
+        let (mut cell, task) = cell_with_run();
+        cell.change_leader();
+        cell.run(answered_ms);
+        lose_runner(&mut cell);
+        let ms = restart_ms(&mut cell, task);
+        assert!(ms < RESTART_MS, "started again {ms} ms after the loss");
+        cell.check();
+    }
+}
--- a/tests/control_links.rs
+++ b/tests/control_links.rs
@@ -80,6 +80,7 @@
             links: Some(links),
             size: 500,
             next: String::new(),
+            prior_ms: None,
         };
         let key = rows::leader_key();
         let value = STANDARD.encode(rows::encode(&row));
