Leases: orders past their end carry a time in the past, and earlier versions count from the end of the fencing

A runner whose clock is 2 % slow and that was last heard 9.8 s before takes that for 196 ms in its future, and starts a task that a successor has started elsewhere (by arithmetic; the model's variant PASTEND fails by it). The end is now computed from the clock as it was read. a_lease_that_has_ended_is_not_sent_anew_by_an_estimate_of_the_clock. - A leader of an earlier version renews its 10 s by commits too, which need no heartbeat (variant OLDBEAT). After one, 18.4 s count from the end of the fencing, as before, and the row of the new leader says so. - A report about the last heartbeat of an earlier term at the same address no longer dates the leader back before its own row (by reading). - A term without an acknowledged heartbeat begins without leases (renewed_at 0).

The cell of the tests dates leases from the last heartbeat of any leader: with two changes of leader and no time between them, it dated them from a term that had none, and mixed_faults_violate_no_invariant failed.

--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -113,6 +113,9 @@
 /// Rows of the election's own partition: heartbeat, leader and standby instances.
 const ROWS: usize = 3;
 
+/// End of earlier leases that is not known yet.
+const UNKNOWN: u64 = u64::MAX;
+
 /// A term of leadership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Term {
@@ -144,7 +147,7 @@
     last_fence: AtomicU64,
     /// Number of terms of this process so far.
     terms: AtomicU64,
-    /// See [`Term::prior_leases_end`].
+    /// See [`Term::prior_leases_end`]; [`UNKNOWN`] until the partitions are fenced.
     prior_leases_end: AtomicU64,
     /// See [`Self::renewed_at`].
     renewed_at: AtomicU64,
@@ -256,20 +259,20 @@
     }
 
     /// When the leases have expired that the leaders up to the one in `seen` sent, local ms. Until it is
-    /// replaced, that leader stores no heartbeat after the one in `seen`.
-    fn prior_leases_end(&self, seen: &Observed) -> u64 {
+    /// replaced, that leader stores no heartbeat after the one in `seen`. None if it is of a version
+    /// whose commits, too, kept it extending leases: then only the end of the fencing bounds them.
+    fn prior_leases_end(&self, seen: &Observed) -> Option<u64> {
         if seen.leader_version == 0 {
-            return 0;
-        }
-        let unrenewed_ms = leases::unrenewed_expiry_ms(self.lease_ms);
-        match seen.leader.as_ref().and_then(|l| l.prior_ms) {
-            Some(prior_ms) => {
-                let own = seen.since + leases::expiry_ms(self.lease_ms);
-                own.max(seen.leader_since + prior_ms.min(unrenewed_ms))
-            }
-            // Of an earlier version, or unreadable.
-            None => seen.since + unrenewed_ms,
+            return Some(0);
         }
+        let prior_ms = seen.leader.as_ref().and_then(|l| l.prior_ms)?;
+        let earlier = seen.leader_since + prior_ms.min(self.max_prior_ms());
+        Some(earlier.max(seen.since + leases::expiry_ms(self.lease_ms)))
+    }
+
+    /// Longest time from the election of a leader until the leases of earlier ones have expired, ms.
+    fn max_prior_ms(&self) -> u64 {
+        FENCE_MS + leases::unrenewed_expiry_ms(self.lease_ms)
     }
 
     /// Number of terms that this process has won so far.
@@ -327,7 +330,9 @@
             return;
         }
         let stored = self.clock.mono().saturating_sub(age_ms);
-        seen.since = if version > seen.heartbeat { stored } else { seen.since.min(stored) };
+        let since = if version > seen.heartbeat { stored } else { seen.since.min(stored) };
+        // The report may be about an earlier term of the process at that address.
+        seen.since = since.max(seen.leader_since);
         seen.heartbeat = version;
         if seen.suspect {
             // A full channel already holds a wakeup.
@@ -584,8 +589,9 @@
         log::info!(holder = node, silent_ms = elapsed, beat = seen.heartbeat;
             "trying to acquire leadership");
         let (sent, prior_leases_end) = (self.clock.mono(), self.prior_leases_end(seen));
-        self.prior_leases_end.store(prior_leases_end, Ordering::Relaxed);
-        let prior_ms = Some(prior_leases_end.saturating_sub(sent));
+        self.prior_leases_end.store(prior_leases_end.unwrap_or(UNKNOWN), Ordering::Relaxed);
+        let prior_ms = prior_leases_end.map(|end| end.saturating_sub(sent));
+        let prior_ms = Some(prior_ms.unwrap_or(self.max_prior_ms()));
         let row = rows::encode(&LeaderRow { prior_ms, ..self.me.clone() });
         let txn = Txn {
             expect: vec![
@@ -623,7 +629,10 @@
         let fence_versions = versions?.try_into().ok()?;
         self.last_fence.store(fence, Ordering::Relaxed);
         self.terms.fetch_add(1, Ordering::Relaxed);
-        let prior_leases_end = self.prior_leases_end.load(Ordering::Relaxed);
+        let prior_leases_end = match self.prior_leases_end.load(Ordering::Relaxed) {
+            UNKNOWN => self.clock.mono() + leases::unrenewed_expiry_ms(self.lease_ms),
+            end => end,
+        };
         Some(Term { fence, fence_versions, prior_leases_end })
     }
 
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -277,7 +277,7 @@
             rules,
             fence,
             elected_at: now.mono,
-            renewed_at: now.mono,
+            renewed_at: 0,
             prior_leases_end,
             superseded: false,
             stale: false,
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -153,7 +153,8 @@
 }
 
 impl Runner {
-    pub(super) fn new(id: &str) -> Self {
+    /// A runner of which nothing is known but its id.
+    pub fn new(id: &str) -> Self {
         Self {
             id: id.to_string(),
             entry: None,
@@ -304,10 +305,12 @@
         self.unanswered_since.get_or_insert(now.mono);
     }
 
-    /// The end of a lease up to `end`, local ms, on the runner's clock. It is recorded, since the
-    /// order that carries it may take effect even if it is never answered.
-    pub fn extend(&mut self, end: u64, now: Now) -> Option<u64> {
-        let until = self.clock_at(now)? + end.saturating_sub(now.mono);
+    /// The end of a lease up to `end`, local ms, on the runner's clock; an end that has passed stays in
+    /// the past. It is recorded, since the order that carries it may take effect even if it is never
+    /// answered.
+    pub fn extend(&mut self, end: u64) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        let until = (clock + end).saturating_sub(at);
         self.lease_until = self.lease_until.max(until);
         Some(until)
     }
@@ -382,7 +385,7 @@
             // extend the lease either: it may take effect at a runner that receives calls and whose
             // answers are lost, and leases that are sent repeatedly to an unreachable runner would
             // never expire.
-            let until = if r.unanswered { None } else { r.extend(lease_end, now) };
+            let until = if r.unanswered { None } else { r.extend(lease_end) };
             // Numbers of completions start anew with each incarnation, and the poll may reach another
             // than the last one did, also because this leader was frozen since: only what the last
             // answer listed is acknowledged, and only soon after it.
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -219,7 +219,7 @@
         // A ticket that was issued after the placement was decided is valid for longer.
         run.ticket = tickets.get(&run.runner).map(|(t, _)| t.clone()).or(run.ticket.take());
         let runner = self.runners.get_mut(run.runner);
-        let (Some(to), Some(until)) = (runner.call(), runner.extend(lease_end, now)) else {
+        let (Some(to), Some(until)) = (runner.call(), runner.extend(lease_end)) else {
             return;
         };
         self.order_backlog.leave(run.stage);
--- a/tests/common/control/setup.rs
+++ b/tests/common/control/setup.rs
@@ -45,6 +45,7 @@
             runners: Vec::new(),
             faults: Faults::default(),
             now,
+            heartbeat: 0,
             violations: Vec::new(),
             starts: BTreeMap::new(),
             listed: BTreeMap::new(),
--- a/tests/control_leases.rs
+++ b/tests/control_leases.rs
@@ -6,6 +6,7 @@
 }
 
 use common::control::{step, Cell, STEP_MS};
+use currantgw::control::engine::{Now, Runner};
 use currantgw::control::model::{JobId, StepId, TaskId};
 use std::collections::BTreeMap;
 
@@ -100,3 +101,14 @@
         cell.check();
     }
 }
+
+/// Guards against starts after the end of a leader's leases, which a runner with a slow clock accepts
+/// when their end is computed from an estimate of that clock.
+#[test]
+fn a_lease_that_has_ended_is_not_sent_anew_by_an_estimate_of_the_clock() {
+    let mut runner = Runner::new("r");
+    assert_eq!(runner.extend(9_000), None);
+    runner.record_answer(500_000, Now { mono: 1_000, wall: 0 });
+    assert_eq!(runner.extend(9_000), Some(508_000));
+    assert_eq!(runner.extend(900), Some(499_900));
+}
