A runner's id that no header can carry names no runner

Callers saw: with one row under the key "é" among those of the runners, jobs are accepted and none of them is completed any more.

Cause: each call to a runner has its id in X-Expected-Instance, and the HTTP library panics on a value that is not ASCII. The panic ends the leader's scheduler, while its process goes on without one; the next leader reads the same row. An id with a line break adds headers to the call instead.

The request is built only of values that a header can carry, and other ids are refused where the registry is decoded (BadEntry::Id: logged once, counted).

--- a/src/control/mirror/state.rs
+++ b/src/control/mirror/state.rs
@@ -319,7 +319,7 @@
         if let Some(reading) = self.readings.get_mut(&Table::Registry) {
             reading.keys.insert(id.clone());
         }
-        let entry = runners::entry(&row.value);
+        let entry = runners::named_entry(&id, &row.value);
         if let Err(why) = &entry {
             metrics::counter!("control_bad_entries").increment(1);
             // Logged once for each entry: a runner rewrites its entry with each heartbeat.
--- a/src/http.rs
+++ b/src/http.rs
@@ -83,6 +83,9 @@
     /// No connection could be opened; the call was not sent.
     #[error("cannot connect: {0}")]
     Connect(String),
+    /// The value of this header cannot be sent, see [`is_header_value`]; the call was not sent.
+    #[error("header {0} cannot be sent")]
+    Header(String),
     /// No complete answer in time; the call may have taken effect, or may do so later.
     #[error("timed out")]
     Timeout,
@@ -230,8 +233,8 @@
         body: Option<Vec<u8>>,
         ms: u64,
     ) -> Result<Reply, CallError> {
-        let req = self.url(addr, path).map(|url| request(url, method, headers, body));
-        self.send(addr, req.map_err(|e| CallError::Connect(e.to_string()))?, None, ms).await
+        let url = self.url(addr, path).map_err(|e| CallError::Connect(e.to_string()))?;
+        self.send(addr, request(url, method, headers, body)?, None, ms).await
     }
 
     /// Reads a large answer from `addr`: waits at most `ms` for its head and for each further part,
@@ -239,8 +242,8 @@
     /// depend on the size and the network: at 10 Mbit/s an answer of 2 MB takes 1.6 s. If it timed
     /// out earlier, the request would be repeated, and unused answers would fill the network.
     pub async fn fetch(&self, addr: SocketAddr, path: &str, ms: u64) -> Result<Reply, CallError> {
-        let req = parse_url(addr, path).map(|url| request(url, Method::Get, &[], None));
-        let req = req.map_err(|e| CallError::Connect(e.to_string()))?;
+        let url = parse_url(addr, path).map_err(|e| CallError::Connect(e.to_string()))?;
+        let req = request(url, Method::Get, &[], None)?;
         self.send(addr, req, Some(ms), ms * MAX_ANSWER_WAITS).await
     }
 
@@ -355,14 +358,24 @@
     }
 }
 
+/// Whether a header can carry `text` as it is: printable ASCII, without spaces around it. Others add
+/// lines to the head of a request, or arrive changed; on text that is not ASCII, the library panics.
+pub fn is_header_value(text: &str) -> bool {
+    let printable = text.bytes().all(|b| b == b' ' || b.is_ascii_graphic());
+    printable && !text.is_empty() && text.trim_matches(' ') == text
+}
+
 fn request(
     url: Url,
     method: Method,
     headers: &[(&str, &str)],
     body: Option<Vec<u8>>,
-) -> http::Request {
+) -> Result<http::Request, CallError> {
     let mut req = http::Request::new(method, url);
     for (name, value) in headers {
+        if !is_header_value(value) {
+            return Err(CallError::Header(name.to_string()));
+        }
         req.insert_header(*name, *value);
     }
     if let Some(b) = body {
@@ -370,5 +383,5 @@
         body.set_mime(http::mime::JSON);
         req.set_body(body);
     }
-    req
+    Ok(req)
 }
