Fields of a log line have at most 1,024 bytes

The cut is where lines are formatted, and so holds for every error. Configurations that cannot be decoded are counted (control_bad_catalogues).

--- a/src/control/mirror/state.rs
+++ b/src/control/mirror/state.rs
@@ -374,6 +374,7 @@
             }
             Ok(_) => {}
             Err(e) => {
+                metrics::counter!("control_bad_catalogues").increment(1);
                 log::error!(why:% = e; "catalogue unreadable; the previous one stays in force")
             }
         }
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -8,6 +8,7 @@
 use log::LevelFilter;
 use serde::{Serialize, Serializer};
 use std::borrow::Cow;
+use std::fmt::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{self, SyncSender};
 use std::time::{Duration, Instant};
@@ -27,6 +28,10 @@
 /// Usual maximum length of a line, bytes.
 const LINE_BYTES: usize = 384;
 
+/// Maximum length of the text of a field, bytes; the rest is left out. Errors quote what other programs
+/// have written: a line with a value of 60 KB costs as much as hundreds of others.
+const FIELD_BYTES: usize = 1_024;
+
 /// Time for which the writer collects lines before it writes them. If it wrote each line at once, a
 /// scheduler would pay for waking its thread and for a system call with each line.
 const COLLECT: Duration = Duration::from_millis(10);
@@ -72,6 +77,48 @@
     Thread(#[from] std::io::Error),
 }
 
+/// The first `max` bytes of `text`, or fewer, so that no character is cut.
+fn excerpt(text: &str, max: usize) -> &str {
+    let end = (0..=max.min(text.len())).rev().find(|&i| text.is_char_boundary(i));
+    &text[..end.unwrap_or(0)]
+}
+
+/// The first [`FIELD_BYTES`] of a value.
+struct Excerpt<'a, T>(&'a T);
+
+impl<T: fmt::Display> fmt::Display for Excerpt<'_, T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut out = Limited { out: f, left: FIELD_BYTES };
+        let written = write!(out, "{}", self.0);
+        // An error because the limit is reached is none of the output.
+        if out.left == 0 {
+            Ok(())
+        } else {
+            written
+        }
+    }
+}
+
+/// Passes on as many bytes as are left, and then fails, which ends the formatting.
+struct Limited<'a, 'f> {
+    out: &'a mut fmt::Formatter<'f>,
+    left: usize,
+}
+
+impl fmt::Write for Limited<'_, '_> {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        let part = excerpt(text, self.left);
+        self.out.write_str(part)?;
+        let cut = part.len() < text.len();
+        self.left = if cut { 0 } else { self.left - part.len() };
+        if cut {
+            Err(fmt::Error)
+        } else {
+            Ok(())
+        }
+    }
+}
+
 /// Value of a field of a line.
 enum FieldValue<'a> {
     Text(&'a str),
@@ -82,7 +129,7 @@
 impl Serialize for FieldValue<'_> {
     fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
         match self {
-            Self::Text(text) => s.serialize_str(text),
+            Self::Text(text) => s.serialize_str(excerpt(text, FIELD_BYTES)),
             Self::Number(n) => s.serialize_u64(*n),
             Self::Captured(v) => {
                 if let Some(n) = v.to_u64() {
@@ -92,7 +139,7 @@
                 } else if let Some(f) = v.to_f64() {
                     s.serialize_f64(f)
                 } else {
-                    s.collect_str(v)
+                    s.collect_str(&Excerpt(v))
                 }
             }
         }
