Ages in frames on links are added without overflow

Cause: the age of a candidate in a frame is added to the time since it came. With an age near 2^64 the addition panics in builds that check for overflow, while the links are locked, so that the leader's scheduler and all its links fail; in a release build it wraps, and the candidate appears to be the youngest. Only another program, or a faulty instance, sends such a frame.

The age of a catalogue in client.rs is read the same way and was changed too; no run shows that one.

--- a/src/control/links/client.rs
+++ b/src/control/links/client.rs
@@ -230,7 +230,7 @@
         }
         let (sent, version) = (self.clock.mono(), self.mirror.catalogue().version);
         if let Some((newer, age)) = self.config(version, CONFIG_TIMEOUT_MS).await {
-            let age = age + (self.clock.mono() - sent);
+            let age = age.saturating_add(self.clock.mono() - sent);
             self.mirror.learn_config(version, newer.as_deref(), age);
         }
     }
--- a/src/control/links/server.rs
+++ b/src/control/links/server.rs
@@ -162,7 +162,10 @@
         let now = self.clock.mono();
         let links = self.links.lock().unwrap();
         let served = links.values().filter(|l| !l.store_unreachable);
-        let aged = |(at, c): &(u64, Candidate)| Candidate { age: c.age + (now - at), ..c.clone() };
+        let aged = |(at, c): &(u64, Candidate)| Candidate {
+            age: c.age.saturating_add(now - at),
+            ..c.clone()
+        };
         let candidates: Vec<Candidate> =
             served.filter_map(|l| l.candidate.as_ref()).map(aged).collect();
         choose_successor(candidates.iter(), size).unwrap_or_default().to_string()
@@ -182,7 +185,7 @@
             node: c.node.clone(),
             domain: c.domain.clone(),
             size: c.size,
-            age: c.age + (now - at),
+            age: c.age.saturating_add(now - at),
         };
         served.filter_map(|l| l.candidate.as_ref()).map(applicant).collect()
     }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -219,7 +219,9 @@
     let stream = TcpStream::connect(cell.links(leader)).await.unwrap();
     let url = format!("ws://{}/", cell.links(leader));
     let (mut link, _) = async_tungstenite::client_async(url, stream).await.unwrap();
-    for frame in odd::cbor() {
+    let candidate = json!({"node": "x", "able": true, "age": u64::MAX, "size": u64::MAX});
+    let odd = rows::encode(&json!({"Follows": {"yes": true, "candidate": candidate}}));
+    for frame in odd::cbor().into_iter().chain([odd]) {
         link.send(Message::binary(frame)).await.unwrap();
     }
     completes(&cell, 1, "00000000000000a2", &[]).await;
