A panic of the scheduler ends its term only; without heartbeats nothing is placed

A panic in the scheduler's task left a live process without a scheduler: it went on to accept jobs and took itself for the leader, so that it neither campaigned nor followed the tables again. The term now ends with a log line and a counter, and the instance campaigns again after 2 s. a_panic_of_the_scheduler_ends_only_its_term panics itself on the code before.

Nothing is placed now while the leases that may be sent last for less than 1 s, placements that were stored meanwhile are given up, and a heartbeat waits 3 s for its answer (0.9 s before), as only its send time counts. A runner that a new leader has not polled yet is not written off in its first round.

--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -104,6 +104,10 @@
 /// Timeout of a write of the election, ms.
 const WRITE_MS: u64 = 900;
 
+/// Timeout of a heartbeat, ms: longer than the slowest answers of a store that works, since leases count
+/// from the last heartbeat that was acknowledged.
+const HEARTBEAT_TIMEOUT_MS: u64 = 3_000;
+
 /// Time in which all partitions have to be fenced, ms: several attempts on a slow store.
 const FENCE_MS: u64 = 2_000;
 
@@ -680,7 +684,7 @@
             remove: Vec::new(),
         };
         let sent = self.clock.mono();
-        match self.store.commit(&txn, WRITE_MS).await? {
+        match self.store.commit(&txn, HEARTBEAT_TIMEOUT_MS).await? {
             Commit::Done(version) => {
                 self.renewed_at.fetch_max(sent, Ordering::Relaxed);
                 let mut seen = self.seen.lock().unwrap();
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -26,6 +26,10 @@
     pub uses_reserved: bool,
 }
 
+/// Nothing is placed once the leases that may be sent last for less than this, ms: until heartbeats are
+/// acknowledged again, runs would lapse as soon as they start.
+const MIN_LEASE_MS: u64 = 1_000;
+
 impl StepView<'_> {
     /// Whether a runner with this registry entry is one of its service, has its label and is large
     /// enough for a task.
@@ -50,6 +54,9 @@
     /// Continues the current planning pass over the waiting steps, or begins a new one.
     pub fn plan(&mut self, now: Now) {
         self.counts.rounds += 1;
+        if self.lease_end() < now.mono + MIN_LEASE_MS {
+            return;
+        }
         if self.round.is_outdated(self.runners.len(), now) {
             self.round = Round::new(now);
         }
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -340,6 +340,11 @@
         }
     }
 
+    /// Whether a poll of this term was answered or has failed, or no poll can be sent.
+    fn was_polled(&self) -> bool {
+        self.clock.is_some() || self.poll_failed || self.call().is_none()
+    }
+
     fn lease_expired(&self, now: Now, prior: u64) -> bool {
         now.mono > self.lease_end(prior)
     }
@@ -424,18 +429,19 @@
         self.lose_all(k, Loss::OtherIncarnation, now);
     }
 
-    /// End of the leases that are sent now, local ms. It may have passed: then nothing can be started.
+    /// End of the leases that are sent now, local ms. It may have passed: then nothing is started.
     pub(super) fn lease_end(&self) -> u64 {
         self.renewed_at + self.rules.lease_ms
     }
 
-    /// Marks the runs on runners whose leases have expired as lost.
+    /// Marks the runs on runners whose leases have expired as lost. A runner that a new leader has not
+    /// polled yet may list completions of them.
     pub(super) fn expire_leases(&mut self, now: Now) {
         let prior = self.prior_leases_end;
         let due: Vec<RunnerKey> = self
             .runners
             .iter()
-            .filter(|(_, r)| !r.tasks.is_empty() && r.lease_expired(now, prior))
+            .filter(|(_, r)| !r.tasks.is_empty() && r.was_polled() && r.lease_expired(now, prior))
             .map(|(k, _)| k)
             .collect();
         for k in due {
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -207,7 +207,7 @@
 
 impl Engine {
     /// Orders the start of a task whose placement is stored.
-    pub(super) fn order_start(&mut self, id: TaskId, now: Now, after_ms: u64) {
+    pub(super) fn order_start(&mut self, id: TaskId, after_ms: u64) {
         let (fence, lease_end) = (self.fence, self.lease_end());
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let urgent = self.cat.queues.get(&job.row.queue).is_some_and(|q| q.priority == 0);
@@ -349,7 +349,7 @@
                 self.runner_replaced(k, now);
             }
             Refusal::NoResponse | Refusal::Unreachable if tries < MAX_START_TRIES => {
-                self.order_start(id, now, START_RETRY_MS);
+                self.order_start(id, START_RETRY_MS);
             }
             // The attempt has ended or was stopped there, and cannot start any more. The refusal does
             // not carry the runner's clock; the answer to a stop does.
@@ -473,16 +473,17 @@
             .map(|(id, _)| id)
             .collect();
         let gang = self.jobs.get(&step.job).is_some_and(|j| j.spec(step).gang);
-        let (mut expired, mut valid): (Vec<_>, Vec<_>) = due
-            .into_iter()
-            .partition(|id| self.ticket_expired(*id, now) || self.capacity_shrunk(*id));
+        let lease_over = self.lease_end() <= now.mono;
+        let (mut expired, mut valid): (Vec<_>, Vec<_>) = due.into_iter().partition(|id| {
+            lease_over || self.ticket_expired(*id, now) || self.capacity_shrunk(*id)
+        });
         let over_cap = self.team_over_cap(step.job);
         if gang && (!expired.is_empty() || over_cap) {
             expired.append(&mut valid);
         }
         if !expired.is_empty() {
             let shrunk = expired.iter().filter(|id| self.capacity_shrunk(**id)).count();
-            log::info!(step:% = step, tasks = expired.len(), shrunk, over_cap;
+            log::info!(step:% = step, tasks = expired.len(), shrunk, over_cap, lease_over;
                 "ticket or room gone before the start");
         }
         for id in expired {
@@ -494,7 +495,7 @@
                 log::info!(task:% = id; "cap of the team lowered before the start");
                 self.release(id, now);
             } else {
-                self.order_start(id, now, 0);
+                self.order_start(id, 0);
             }
         }
     }
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -34,6 +34,7 @@
 use futures::FutureExt;
 use standbys::Standbys;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::panic::AssertUnwindSafe;
 use std::sync::{Arc, Mutex};
 use traffic::TrafficLog;
 
@@ -63,6 +64,10 @@
 /// The leader steps down when no heartbeat or commit has been acknowledged for this long, ms.
 pub const STEP_DOWN_MS: u64 = 10_000;
 
+/// Time after a panic of the scheduler for which this instance does not campaign, ms: others are elected
+/// meanwhile, on which the cause may not act.
+const PANIC_PAUSE_MS: u64 = 2_000;
+
 /// A failure of a call to the store is seen by the planning rounds of this time, ms.
 const NEW_FAILURE_MS: u64 = 4 * MAX_ROUND_MS;
 
@@ -146,8 +151,22 @@
         Now { mono: self.clock.mono(), wall: self.clock.wall() }
     }
 
-    /// Runs the scheduler for a term, until leadership is lost or the instance stops.
+    /// Runs the scheduler for a term, until leadership is lost or the instance stops. A panic ends the
+    /// term only: a process without a scheduler would go on to accept jobs, and would never lead again.
     pub async fn serve(&self, term: Term, stop: &Stop) {
+        let served = AssertUnwindSafe(self.serve_term(term, stop)).catch_unwind().await;
+        let Err(panic) = served else { return };
+        let text = panic.downcast_ref::<String>().map(String::as_str);
+        let why = text.or(panic.downcast_ref::<&str>().copied()).unwrap_or("no message");
+        log::error!(fence = term.fence, why; "scheduler panicked: its term ends");
+        metrics::counter!("control_scheduler_panics").increment(1);
+        self.mirror.subscribe(None);
+        self.mirror.discard_jobs();
+        self.admission.clear();
+        self.clock.sleep(PANIC_PAUSE_MS).await;
+    }
+
+    async fn serve_term(&self, term: Term, stop: &Stop) {
         let began = self.clock.mono();
         let (tx, updates) = channel::unbounded();
         // Changes from here on arrive through the channel, earlier ones are in the snapshot. A job
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -67,6 +67,8 @@
     pub commits: f64,
     /// Whether the store accepts no writes.
     pub store_down: bool,
+    /// Whether the store accepts no heartbeats.
+    pub heartbeats: bool,
     /// Time after which a call to a crashed runner is sent again, ms; 0 if it is not. It reaches the
     /// runner's next incarnation if there is one by then.
     pub resent_after: u64,
@@ -331,7 +333,7 @@
                     self.handle_event(term, e);
                 }
             }
-            if !self.faults.store_down {
+            if !self.faults.store_down && !self.faults.heartbeats {
                 self.heartbeat = self.now;
                 self.engine.renewed_at = self.now;
             }
--- a/tests/control_leader_terms.rs
+++ b/tests/control_leader_terms.rs
@@ -14,9 +14,11 @@
 use currantgw::control::mirror::Table;
 use currantgw::control::model::{JobId, JobSpec, JobState, Step};
 use currantgw::control::partitions::Partition;
+use currantgw::control::ports::{Changes, Commit, CommitError, Page, ReadError, Store, Txn};
 use currantgw::control::rows::{self, JobRow, ProgressRow};
 use currantgw::kernel::clock::Clock;
 use currantgw::kernel::stop;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -155,3 +157,57 @@
         assert_eq!(store.written.lock().unwrap().len(), 1);
     });
 }
+
+/// A store that panics at the first write.
+#[derive(Default)]
+struct Panics {
+    inner: MemoryStore,
+    panicked: AtomicBool,
+}
+
+#[tide::utils::async_trait]
+impl Store for Panics {
+    async fn commit(&self, txn: &Txn, ms: u64) -> Result<Commit, CommitError> {
+        assert!(self.panicked.swap(true, Ordering::Relaxed), "first write");
+        self.inner.commit(txn, ms).await
+    }
+
+    async fn page(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: Option<&str>,
+        limit: usize,
+    ) -> Result<Page, ReadError> {
+        self.inner.page(table, part, from, to, limit).await
+    }
+
+    async fn changes(&self, table: &str, after: u64, wait_ms: u64) -> Result<Changes, ReadError> {
+        self.inner.changes(table, after, wait_ms).await
+    }
+}
+
+/// Guards against a process that accepts jobs and never leads again after its scheduler has panicked.
+#[test]
+fn a_panic_of_the_scheduler_ends_only_its_term() {
+    let clock = Clock::real();
+    let (_trigger, stop) = stop::pair();
+    let store = Arc::new(Panics::default());
+    let leader = leader(&clock, store.clone());
+    let term = || {
+        let fence = store.inner.put(rows::leader_key(), Vec::new());
+        let fences: Vec<u64> =
+            Partition::all().map(|p| store.inner.put(rows::fence_key(p), Vec::new())).collect();
+        Term { fence, fence_versions: fences.try_into().unwrap(), prior_leases_end: 0 }
+    };
+    async_std::task::block_on(async {
+        store.inner.put(config().key, config().value);
+        leader.serve(term(), &stop).await;
+        let second = term();
+        let serve = leader.serve(second, &stop);
+        let served = async_std::future::timeout(Duration::from_millis(TERM_MS), serve).await;
+        assert!(served.is_err(), "the second term goes on");
+        assert_eq!(leader.view.lock().unwrap()["fence"], second.fence);
+    });
+}
--- a/tests/control_leases.rs
+++ b/tests/control_leases.rs
@@ -112,3 +112,20 @@
     assert_eq!(runner.extend(9_000), Some(508_000));
     assert_eq!(runner.extend(900), Some(499_900));
 }
+
+/// Guards against placements that are stored and started without end while heartbeats, and so leases, are
+/// not: each start would be refused as late.
+#[test]
+fn without_heartbeats_nothing_is_placed_although_commits_are_stored() {
+    let (mut cell, _) = cell_with_run();
+    cell.faults.heartbeats = true;
+    cell.run(8_000);
+    let job = cell.submit(2, "patient", vec![step(1, 1_000, 100)]);
+    cell.run(5_000);
+    let task = TaskId { step: StepId { job, occurrence: 0, step: 0 }, index: 0 };
+    assert_eq!((cell.starts.get(&task), cell.writes.get(&job)), (None, None));
+    cell.faults.heartbeats = false;
+    cell.run(1_000);
+    assert_eq!(cell.starts.get(&task), Some(&1));
+    cell.check();
+}
