Soak: queues with advice, and runners that check tickets

The stand-in's advice approves every runner with a ticket that no runner checks, and the soak's queues had no advice. Placement with advice was never played with faults.

The soak has an advice service of its own: it approves a share of the runners of each step by a hash of step and runner, the same each time, serves calls in turn, and its tickets hold step, runner and expiry. The soak's runners refuse any other start (409, ticket). Two of the three queues have advice. Other tests keep the old service.

--- a/tests/common/soak/instances.rs
+++ b/tests/common/soak/instances.rs
@@ -2,6 +2,7 @@
 
 use super::runner::STOP_MS;
 use crate::common::ports::free_addr;
+use crate::common::users::advice::{Advice, AdviceServer};
 use crate::common::users::{self, Gate, Platform};
 use async_std::task::{self, JoinHandle};
 use currantgw::http::{ConnPool, Method};
@@ -27,18 +28,21 @@
     settings: PathBuf,
     pub log: PathBuf,
     child: Mutex<Option<Child>>,
-    store_server: Mutex<Option<JoinHandle<()>>>,
+    /// Its servers of the store and of advice.
+    servers: Mutex<Vec<JoinHandle<()>>>,
 }
 
 impl Instance {
     /// An instance that is not started yet; its settings and its log are in `dir`.
-    pub fn new(n: usize, platform: &Arc<Platform>, dir: &Path) -> Self {
+    pub fn new(n: usize, platform: &Arc<Platform>, advice: Advice, dir: &Path) -> Self {
         let (gate, store, server) = users::serve_store(platform);
+        let advice_at = free_addr();
+        let advice_server = users::serve(AdviceServer::app(advice), advice_at);
         let (front, ready, links, metrics) = (free_addr(), free_addr(), free_addr(), free_addr());
         let settings = json!({"id": format!("n{n}"), "domain": format!("z{}", n % 3),
             "front": front, "ready": ready, "links": links, "metrics": metrics, "share": 0.25,
-            "store": store, "cross_part": true, "advice": null, "hold_max_ms": 10_000, "stop_ms": STOP_MS,
-            "grace_ms": GRACE_MS, "keep_ms": 120_000});
+            "store": store, "cross_part": true, "advice": advice_at, "hold_max_ms": 10_000,
+            "stop_ms": STOP_MS, "grace_ms": GRACE_MS, "keep_ms": 120_000});
         let path = dir.join(format!("n{n}.json"));
         std::fs::write(&path, settings.to_string()).unwrap();
         Self {
@@ -49,7 +53,7 @@
             settings: path,
             log: dir.join(format!("n{n}.log")),
             child: Mutex::default(),
-            store_server: Mutex::new(Some(server)),
+            servers: Mutex::new(vec![server, advice_server]),
         }
     }
 
@@ -125,11 +129,11 @@
         !dump["scheduler"].is_null()
     }
 
-    /// Stops the process and the server of its store.
+    /// Stops the process and its servers.
     pub async fn end(&self) {
         self.kill();
-        let server = self.store_server.lock().unwrap().take();
-        if let Some(server) = server {
+        let servers = std::mem::take(&mut *self.servers.lock().unwrap());
+        for server in servers {
             server.cancel().await;
         }
     }
--- a/tests/common/soak/load.rs
+++ b/tests/common/soak/load.rs
@@ -24,6 +24,8 @@
     pub name: &'static str,
     pub priority: u32,
     pub max_attempts: usize,
+    /// Whether the advice service decides which runners may run its steps.
+    pub is_advised: bool,
     per_s: f64,
     steps: f64,
     width: f64,
@@ -41,6 +43,7 @@
         name: "archive",
         priority: 1,
         max_attempts: 4,
+        is_advised: true,
         per_s: 1.81,
         steps: 1.2,
         width: 8.0,
@@ -55,6 +58,7 @@
         name: "convert",
         priority: 2,
         max_attempts: 3,
+        is_advised: false,
         per_s: 6.81,
         steps: 1.5,
         width: 10.0,
@@ -69,6 +73,7 @@
         name: "lookup",
         priority: 0,
         max_attempts: 4,
+        is_advised: true,
         per_s: 30.8,
         steps: 1.0,
         width: 2.0,
@@ -100,7 +105,7 @@
     let steps = (0..=extra).map(|_| step(rng)).collect();
     let poison = rng.gen_bool(POISON_SHARE);
     let fail_share = if poison { 1.0 } else { kind.fail_share };
-    JobInfo { steps, fail_share, max_attempts: kind.max_attempts }
+    JobInfo { steps, fail_share, max_attempts: kind.max_attempts, is_advised: kind.is_advised }
 }
 
 fn body_of(job: &JobInfo) -> String {
--- a/tests/common/soak/mod.rs
+++ b/tests/common/soak/mod.rs
@@ -8,6 +8,7 @@
 pub mod runner;
 
 use super::ports::free_addr;
+use super::users::advice::Advice;
 use super::users::{Platform, StoreMode};
 use async_std::task;
 use currantgw::http::ConnPool;
@@ -106,12 +107,17 @@
     }
 }
 
-fn config() -> Value {
+fn config(advice: Advice) -> Value {
     let route = |k: &load::Kind| {
-        json!({"name": k.name, "host": "h.example", "path_prefix": format!("/{}/", k.name),
+        let mut route = json!({"name": k.name, "host": "h.example", "path_prefix": format!("/{}/", k.name),
             "kind": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 250,
             "priority": k.priority, "service": "svc", "max_attempts": k.max_attempts,
-            "slack_factor": 2.0})
+            "slack_factor": 2.0});
+        if k.is_advised {
+            route["recommendation"] = json!({"decision_ms": advice.decision_ms, "validity_ms": advice.validity_ms,
+                "per_item_ms": advice.per_item_ms});
+        }
+        route
     };
     let routes: Vec<Value> = KINDS.iter().map(route).collect();
     json!({"version": 3, "services": [], "limits": {}, "routes": routes})
@@ -142,12 +148,19 @@
     let mut fork = || StdRng::seed_from_u64(rng.gen());
     let platform = Arc::new(Platform::default());
     platform.set_store_mode(STORE);
-    platform.put("op", "config", &config());
+    let advice = Advice {
+        percent: 60,
+        decision_ms: 6,
+        per_item_ms: 0.1,
+        validity_ms: 2_000,
+        began: Instant::now(),
+    };
+    platform.put("op", "config", &config(advice));
     let addrs: Vec<_> = (0..plan.runners).map(|_| free_addr()).collect();
-    let fleet = Fleet::new(platform.clone(), &addrs, plan.gaps, fork());
+    let fleet = Fleet::new(platform.clone(), &addrs, plan.gaps, advice, fork());
     let mut servers: Vec<_> = (0..plan.runners).map(|n| fleet.serve(n)).collect();
     servers.push(task::spawn(fleet.clone().run()));
-    let new = |n| Instance::new(n, &platform, &dir);
+    let new = |n| Instance::new(n, &platform, advice, &dir);
     let instances: Arc<Vec<Instance>> = Arc::new((0..plan.instances).map(new).collect());
     instances.iter().for_each(Instance::boot);
     wait_ready(&instances).await;
--- a/tests/common/soak/runner.rs
+++ b/tests/common/soak/runner.rs
@@ -2,6 +2,7 @@
 
 use super::judge::{How, Judge, RunKey};
 use super::Gaps;
+use crate::common::users::advice::Advice;
 use crate::common::users::{self, Platform};
 use async_std::task;
 use rand::rngs::StdRng;
@@ -50,6 +51,7 @@
     /// Probability that a run fails.
     pub fail_share: f64,
     pub max_attempts: usize,
+    pub is_advised: bool,
 }
 
 struct Run {
@@ -102,6 +104,7 @@
     pub jobs: BTreeMap<String, JobInfo>,
     pub judge: Judge,
     gaps: Gaps,
+    advice: Advice,
     rng: StdRng,
     /// Gang runs (step and attempt) of which all members were present, and those that are over.
     formed: BTreeSet<(String, u64)>,
@@ -141,7 +144,13 @@
         Duration::from_millis(self.rng.gen_range(least..=most))
     }
 
-    fn start(&mut self, n: usize, task: &str, attempt: u64, now: Instant) -> Result<(), &str> {
+    fn start(
+        &mut self,
+        n: usize,
+        (task, attempt): (&str, u64),
+        ticket: &str,
+        now: Instant,
+    ) -> Result<(), &str> {
         let r = &self.runners[n];
         if r.runs.get(task).is_some_and(|x| x.attempt == attempt && x.ended.is_none()) {
             return Ok(());
@@ -151,6 +160,9 @@
             return Err("old");
         }
         let Some((job, step)) = self.step(task) else { return Err("late") };
+        if job.is_advised && !self.advice.is_valid(ticket, step_of(task), &r.id) {
+            return Err("ticket");
+        }
         let (fails, share, step) = (job.max_attempts, job.fail_share, step.clone());
         let used = |part: fn((u64, u64)) -> u64| -> u64 {
             r.runs.values().map(|x| part(x.need)).sum::<u64>() + part(step.need)
@@ -352,8 +364,9 @@
             r.lease_until = r.lease_until.max(expires.min(clock + HOLD_MAX_MS));
         }
         let (task, attempt) = (body["task"].as_str().unwrap_or(""), number("attempt"));
+        let ticket = body["ticket"].as_str().unwrap_or("");
         match path {
-            "start" => match self.start(n, task, attempt, now) {
+            "start" => match self.start(n, (task, attempt), ticket, now) {
                 Ok(()) => (200, json!({"clock_ms": clock})),
                 Err(reason) => refused(reason),
             },
@@ -434,6 +447,7 @@
         platform: Arc<Platform>,
         addrs: &[SocketAddr],
         gaps: Gaps,
+        advice: Advice,
         mut rng: StdRng,
     ) -> Arc<Self> {
         let now = Instant::now();
@@ -445,6 +459,7 @@
             jobs: BTreeMap::new(),
             judge: Judge::default(),
             gaps,
+            advice,
             rng,
             formed: BTreeSet::new(),
             broken: BTreeSet::new(),
--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -4,6 +4,8 @@
 
 #![allow(dead_code)]
 
+#[path = "users/advice.rs"]
+pub mod advice;
 #[path = "users/calls.rs"]
 mod calls;
 #[path = "users/runner.rs"]
