Soak: judge of LOST

No check of the soak saw a job that stands still: one that never ran again was counted as open at the end, and that was not judged.

A time is calm from 12 s after the last fault on.

--- a/tests/common/soak/faults.rs
+++ b/tests/common/soak/faults.rs
@@ -85,11 +85,19 @@
             }
             let fault = kinds[rng.gen_range(0..kinds.len())];
             let own = StdRng::seed_from_u64(rng.gen());
-            running.push(task::spawn(self.clone().cause(fault, own)));
+            running.push(task::spawn(self.clone().cause_noted(fault, own)));
         }
         futures::future::join_all(running).await;
     }
 
+    /// Causes a fault, and tells the judge when it begins and is over.
+    async fn cause_noted(self, fault: Fault, rng: StdRng) {
+        let fleet = self.fleet.clone();
+        fleet.world.lock().unwrap().fault_begins(Instant::now());
+        self.cause(fault, rng).await;
+        fleet.world.lock().unwrap().fault_ends(Instant::now());
+    }
+
     async fn restart(&self, n: usize, down: Duration) {
         self.instances[n].kill();
         task::sleep(down).await;
--- a/tests/common/soak/judge.rs
+++ b/tests/common/soak/judge.rs
@@ -1,7 +1,7 @@
-//! Checks what the runners see against the rules TWICE, LIMIT and BUDGET.
+//! Checks what the runners see against the rules TWICE, LIMIT, BUDGET and LOST.
 
 use std::collections::BTreeMap;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// A rule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -12,8 +12,17 @@
     Limit,
     /// A start after the permitted number of failed runs, whose completions count.
     Budget,
+    /// An accepted job has nothing running for [`STANDING_MS`] though a task of it could run.
+    Lost,
 }
 
+/// Time for which a job that could run may have nothing running, ms.
+const STANDING_MS: u128 = 3_000;
+
+/// Time from the last fault until the time of a job without runs counts, ms: leases of 8 s and a
+/// takeover may pass before.
+pub const CALM_MS: u128 = 12_000;
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum How {
@@ -62,6 +71,15 @@
     ack: Ack,
 }
 
+/// State of a task, as far as its runs may count.
+#[derive(Clone, Copy, Debug)]
+pub struct Task {
+    pub is_active: bool,
+    pub is_done: bool,
+    /// Number of failed runs.
+    pub failed: usize,
+}
+
 /// A start that breaks a rule if at least `least` of the completions of `prior` are acknowledged.
 struct Candidate {
     violation: Violation,
@@ -73,7 +91,7 @@
 #[derive(Clone, Debug)]
 pub struct Violation {
     pub rule: Rule,
-    /// Time of the start, Unix ms.
+    /// Time of the start, or when a job has stood still for too long, Unix ms.
     pub at: u128,
     pub text: String,
 }
@@ -85,6 +103,8 @@
     by_task: BTreeMap<String, Vec<RunKey>>,
     violations: Vec<Violation>,
     candidates: Vec<Candidate>,
+    /// Since when each job that could run has nothing running, and whether that is reported.
+    standing: BTreeMap<String, (Instant, bool)>,
 }
 
 fn unix_ms() -> u128 {
@@ -159,6 +179,31 @@
         }
     }
 
+    /// State of a task.
+    pub fn task(&self, task: &str) -> Task {
+        let runs = self.by_task.get(task).into_iter().flatten().map(|k| &self.runs[k.0]);
+        let runs: Vec<&Run> = runs.filter(|r| r.ack != Ack::Void).collect();
+        let count = |end| runs.iter().filter(|r| r.end == end).count();
+        Task {
+            is_active: count(None) > 0,
+            is_done: count(Some(How::Done)) > 0,
+            failed: count(Some(How::Failed)),
+        }
+    }
+
+    /// Records which jobs that could run have nothing running at present, each with a text.
+    pub fn sampled(&mut self, standing: BTreeMap<String, String>, now: Instant) {
+        self.standing.retain(|id, _| standing.contains_key(id));
+        for (id, why) in standing {
+            let (since, reported) = self.standing.entry(id).or_insert((now, false));
+            let ms = now.duration_since(*since).as_millis();
+            if ms >= STANDING_MS && !std::mem::replace(reported, true) {
+                let text = format!("{why}, nothing has run for {ms} ms");
+                self.violations.push(Violation { rule: Rule::Lost, at: unix_ms(), text });
+            }
+        }
+    }
+
     /// All broken rules.
     pub fn violations(&self) -> Vec<Violation> {
         let acked = |k: &&RunKey| self.runs[k.0].ack == Ack::Done;
--- a/tests/common/soak/load.rs
+++ b/tests/common/soak/load.rs
@@ -105,7 +105,14 @@
     let steps = (0..=extra).map(|_| step(rng)).collect();
     let poison = rng.gen_bool(POISON_SHARE);
     let fail_share = if poison { 1.0 } else { kind.fail_share };
-    JobInfo { steps, fail_share, max_attempts: kind.max_attempts, is_advised: kind.is_advised }
+    JobInfo {
+        steps,
+        fail_share,
+        max_attempts: kind.max_attempts,
+        is_advised: kind.is_advised,
+        accepted: false,
+        cancelled: false,
+    }
 }
 
 fn body_of(job: &JobInfo) -> String {
@@ -184,10 +191,17 @@
     ) -> Option<String> {
         let (job, name) = (job_of(kind, gangs, &mut rng), format!("{id:016x}"));
         let (body, path) = (body_of(&job), format!("/{}/{name}", kind.name));
-        self.fleet.world.lock().unwrap().jobs.insert(name, job);
+        self.fleet.world.lock().unwrap().jobs.insert(name.clone(), job);
+        let set = |change: fn(&mut JobInfo)| {
+            self.fleet.world.lock().unwrap().jobs.entry(name.clone()).and_modify(change);
+        };
         let accepted = self.submit(&path, &body, rng.gen()).await;
+        if accepted {
+            set(|job| job.accepted = true);
+        }
         if rng.gen_bool(kind.cancel_share) {
             task::sleep(Duration::from_millis(rng.gen_range(0..3_000))).await;
+            set(|job| job.cancelled = true);
             self.call(rng.gen(), Method::Delete, &path, "").await;
         }
         if rng.gen_bool(TWICE_SHARE) {
--- a/tests/common/soak/mod.rs
+++ b/tests/common/soak/mod.rs
@@ -6,6 +6,7 @@
 pub mod judge;
 pub mod load;
 pub mod runner;
+pub mod standing;
 
 use super::ports::free_addr;
 use super::users::advice::Advice;
--- a/tests/common/soak/runner.rs
+++ b/tests/common/soak/runner.rs
@@ -1,7 +1,7 @@
 //! Runners that take time for starts, stops and lists, with leases, failures and gangs.
 
 use super::judge::{How, Judge, RunKey};
-use super::Gaps;
+use super::{standing, Gaps};
 use crate::common::users::advice::Advice;
 use crate::common::users::{self, Platform};
 use async_std::task;
@@ -52,12 +52,15 @@
     pub fail_share: f64,
     pub max_attempts: usize,
     pub is_advised: bool,
+    pub accepted: bool,
+    /// Its cancellation was sent.
+    pub cancelled: bool,
 }
 
-struct Run {
+pub struct Run {
     attempt: u64,
     key: RunKey,
-    need: (u64, u64),
+    pub need: (u64, u64),
     started: Instant,
     listed_at: Instant,
     /// End of its work and how it ends; none while a gang waits.
@@ -69,8 +72,9 @@
     ended: Option<(How, Instant, Option<u64>)>,
 }
 
-struct Runner {
-    id: String,
+/// A runner.
+pub struct Runner {
+    pub id: String,
     addr: SocketAddr,
     life: u32,
     began: Instant,
@@ -78,7 +82,7 @@
     rate: f64,
     fence: u64,
     lease_until: u64,
-    runs: BTreeMap<String, Run>,
+    pub runs: BTreeMap<String, Run>,
     completions: BTreeMap<u64, (RunKey, Value)>,
     last_seq: u64,
     /// Completions up to this number are forgotten.
@@ -96,15 +100,20 @@
     fn clock(&self, now: Instant) -> u64 {
         5_000 + (now.duration_since(self.began).as_secs_f64() * 1_000.0 * self.rate) as u64
     }
+
+    /// Whether it is registered and receives calls.
+    pub fn is_live(&self, now: Instant) -> bool {
+        self.registered && self.cut_until <= now && self.down_until <= now
+    }
 }
 
 /// State of all runners.
 pub struct World {
-    runners: Vec<Runner>,
+    pub runners: Vec<Runner>,
     pub jobs: BTreeMap<String, JobInfo>,
     pub judge: Judge,
     gaps: Gaps,
-    advice: Advice,
+    pub advice: Advice,
     rng: StdRng,
     /// Gang runs (step and attempt) of which all members were present, and those that are over.
     formed: BTreeSet<(String, u64)>,
@@ -112,6 +121,9 @@
     /// Share of orders that are carried out late and of answers that are lost.
     pub late_share: f64,
     pub lost_share: f64,
+    /// Number of faults at present, and when the last one began or was over.
+    pub faults: usize,
+    pub last_fault: Instant,
 }
 
 /// The runners and their servers.
@@ -465,6 +477,8 @@
             broken: BTreeSet::new(),
             late_share: 0.0,
             lost_share: 0.0,
+            faults: 0,
+            last_fault: now,
         };
         Arc::new(Self { world: Mutex::new(world), platform })
     }
@@ -481,11 +495,16 @@
 
     /// Moves the runs on and keeps the registry, as long as it is polled.
     pub async fn run(self: Arc<Self>) {
+        let mut sampled = Instant::now();
         loop {
             let now = Instant::now();
             let changed = {
                 let mut world = self.world.lock().unwrap();
                 world.tick(now);
+                if now >= sampled + standing::SAMPLE {
+                    sampled = now;
+                    world.sample(now);
+                }
                 let mut changed = Vec::new();
                 for r in &mut world.runners {
                     let silent = now.duration_since(r.cut_since).as_millis() as u64;
