Soak: runners that are lost, leaders killed in series, changes of routes

The incident's jobs stood still after leadership had moved four times, 1.2 to 1.6 s apart, while the configuration changed about once a second. The soak killed one leader at a time, every runner came back, and its configuration never changed.

New faults: runner-lost (a quarter of the runners that are left, as long as half of all are; the registry entry goes after 4.5 s), leader-series (four leaders, each killed when its successor leads, 1.2 to 1.6 s apart at least) and config (a route is removed, renamed or moved to another path, and brought back). A plan may also have faults at given times.

--- a/tests/common/soak/faults.rs
+++ b/tests/common/soak/faults.rs
@@ -1,16 +1,21 @@
 //! Faults from outside, in series that overlap.
 
 use super::instances::{self, Instance};
-use super::runner::Fleet;
+use super::load::KINDS;
+use super::runner::{Fleet, LOST};
 use crate::common::users::{Platform, StoreMode};
 use async_std::task;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use serde_json::{json, Value};
 use std::collections::BTreeSet;
 use std::str::FromStr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// Time until a leader that was killed in a series is started again.
+const SERIES_DOWN: Duration = Duration::from_millis(500);
+
 /// A kind of fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fault {
@@ -32,6 +37,12 @@
     /// Runners receive nothing and run on.
     RunnerCut,
     RunnerCrash,
+    /// Runners crash and do not come back.
+    RunnerLost,
+    /// Leaders are killed in series, each soon after its term has begun.
+    LeaderSeries,
+    /// A route is removed, renamed or moved, and brought back.
+    Config,
     /// Calls to runners are executed seconds later.
     Late,
     /// Answers of runners are lost.
@@ -39,7 +50,7 @@
 }
 
 impl Fault {
-    pub const ALL: [(&'static str, Self); 12] = [
+    pub const ALL: [(&'static str, Self); 15] = [
         ("kill", Self::Kill),
         ("freeze", Self::Freeze),
         ("term", Self::Term),
@@ -50,6 +61,9 @@
         ("store-cut", Self::StoreCut),
         ("runner-cut", Self::RunnerCut),
         ("runner-crash", Self::RunnerCrash),
+        ("runner-lost", Self::RunnerLost),
+        ("leader-series", Self::LeaderSeries),
+        ("config", Self::Config),
         ("late", Self::Late),
         ("lost", Self::Lost),
     ];
@@ -71,13 +85,26 @@
     pub fleet: Arc<Fleet>,
     pub platform: Arc<Platform>,
     pub runners: usize,
+    pub config: Arc<Mutex<Value>>,
 }
 
 impl Target {
-    /// Brings about faults of these kinds for `time`, and waits until the last one is over.
-    pub async fn run(self, kinds: BTreeSet<Fault>, time: Duration, mut rng: StdRng) {
+    /// Brings about the faults of `script`, each at its time in ms, then faults of these kinds until
+    /// `time`, and waits until the last one is over.
+    pub async fn run(
+        self,
+        kinds: BTreeSet<Fault>,
+        script: &'static [(u64, Fault)],
+        time: Duration,
+        mut rng: StdRng,
+    ) {
         let kinds: Vec<Fault> = kinds.into_iter().collect();
         let (began, mut running) = (Instant::now(), Vec::new());
+        for (at_ms, fault) in script {
+            task::sleep(Duration::from_millis(*at_ms).saturating_sub(began.elapsed())).await;
+            let own = StdRng::seed_from_u64(rng.gen());
+            running.push(task::spawn(self.clone().cause_noted(*fault, own)));
+        }
         while !kinds.is_empty() {
             task::sleep(Duration::from_millis(rng.gen_range(300..3_500))).await;
             if began.elapsed() >= time {
@@ -165,6 +192,30 @@
                 task::sleep(short + long).await;
             }
             Fault::RunnerCrash => self.fleet.crash(rng.gen_range(0..self.runners), short).await,
+            Fault::RunnerLost => self.lose_runners(&mut rng).await,
+            Fault::LeaderSeries => {
+                let mut restarts = Vec::new();
+                for _ in 0..4 {
+                    let n = instances::next_leader(&self.instances).await;
+                    let target = self.clone();
+                    restarts.push(task::spawn(async move { target.restart(n, SERIES_DOWN).await }));
+                    task::sleep(Duration::from_millis(rng.gen_range(1_200..1_600))).await;
+                }
+                futures::future::join_all(restarts).await;
+            }
+            Fault::Config => {
+                let (route, change) = (rng.gen_range(0..KINDS.len()), rng.gen_range(0..3));
+                self.change_config(|config| {
+                    let routes = config["routes"].as_array_mut().expect("routes");
+                    match change {
+                        0 => drop(routes.remove(route.min(routes.len() - 1))),
+                        1 => routes[route]["name"] = json!("renamed"),
+                        _ => routes[route]["path_prefix"] = json!("/moved/"),
+                    }
+                });
+                task::sleep(short).await;
+                self.change_config(|_| {});
+            }
             Fault::Late => {
                 self.fleet.world.lock().unwrap().late_share = 0.05;
                 task::sleep(long).await;
@@ -178,6 +229,29 @@
         }
     }
 
+    /// Loses a quarter of the runners that are left, as long as half of all are left.
+    async fn lose_runners(&self, rng: &mut StdRng) {
+        let lost: Vec<usize> = {
+            let now = Instant::now();
+            let world = self.fleet.world.lock().unwrap();
+            let is_left = |n: &usize| !world.runners[*n].is_lost(now);
+            let mut left: Vec<usize> = (0..self.runners).filter(is_left).collect();
+            let count = (left.len() / 4).min(left.len() - self.runners.div_ceil(2));
+            (0..count).map(|_| left.swap_remove(rng.gen_range(0..left.len()))).collect()
+        };
+        let crashes = lost.into_iter().map(|n| self.fleet.crash(n, LOST));
+        futures::future::join_all(crashes).await;
+    }
+
+    /// Puts a new version of the configuration: the first one, changed.
+    fn change_config(&self, change: impl FnOnce(&mut Value)) {
+        let mut config = self.config.lock().unwrap();
+        config["version"] = json!(config["version"].as_u64().unwrap_or(0) + 1);
+        let mut changed = config.clone();
+        change(&mut changed);
+        self.platform.put("op", "config", &changed);
+    }
+
     async fn store(&self, mode: StoreMode, time: Duration) {
         self.platform.set_store_mode(mode);
         task::sleep(time).await;
--- a/tests/common/soak/instances.rs
+++ b/tests/common/soak/instances.rs
@@ -13,7 +13,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time from SIGTERM to SIGKILL, ms.
 const GRACE_MS: u64 = 6_000;
@@ -145,6 +145,20 @@
     }
 }
 
+/// Index of the leader, as soon as there is one; of the first instance if there is none for 3 s.
+pub async fn next_leader(instances: &[Instance]) -> usize {
+    let (conns, began) = (ConnPool::new(Clock::real()), Instant::now());
+    while began.elapsed() < Duration::from_secs(3) {
+        for (n, instance) in instances.iter().enumerate() {
+            if instance.is_up() && instance.leads(&conns).await {
+                return n;
+            }
+        }
+        task::sleep(Duration::from_millis(20)).await;
+    }
+    0
+}
+
 /// Index of the leader, or of the first instance if there is none.
 pub async fn leader(instances: &[Instance]) -> usize {
     let conns = ConnPool::new(Clock::real());
--- a/tests/common/soak/mod.rs
+++ b/tests/common/soak/mod.rs
@@ -25,7 +25,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// How the store answers while there is no fault.
@@ -86,6 +86,8 @@
     pub gaps: Gaps,
     pub gangs: bool,
     pub faults: BTreeSet<Fault>,
+    /// Faults before those, each at a time from the beginning of the traffic, ms.
+    pub script: &'static [(u64, Fault)],
 }
 
 /// What a run has shown.
@@ -156,7 +158,8 @@
         validity_ms: 2_000,
         began: Instant::now(),
     };
-    platform.put("op", "config", &config(advice));
+    let config = config(advice);
+    platform.put("op", "config", &config);
     let addrs: Vec<_> = (0..plan.runners).map(|_| free_addr()).collect();
     let fleet = Fleet::new(platform.clone(), &addrs, plan.gaps, advice, fork());
     let mut servers: Vec<_> = (0..plan.runners).map(|n| fleet.serve(n)).collect();
@@ -173,8 +176,9 @@
         fleet: fleet.clone(),
         platform,
         runners: plan.runners,
+        config: Arc::new(Mutex::new(config)),
     };
-    let faults = task::spawn(target.run(plan.faults.clone(), time, fork()));
+    let faults = task::spawn(target.run(plan.faults.clone(), plan.script, time, fork()));
     let clients = Clients::new(instances.clone(), fleet.clone());
     let (submitted, accepted) = clients.run(scale, plan.gangs, time, fork()).await;
     faults.await;
--- a/tests/common/soak/runner.rs
+++ b/tests/common/soak/runner.rs
@@ -29,6 +29,9 @@
 /// Time without a heartbeat after which the platform removes a runner's entry, ms.
 const ABSENT_MS: u64 = 4_500;
 
+/// Time that a runner is down which does not come back.
+pub const LOST: Duration = Duration::from_secs(86_400);
+
 /// Interval between two checks of runs and waiting calls, ms.
 const TICK_MS: u64 = 4;
 
@@ -101,6 +104,11 @@
         5_000 + (now.duration_since(self.began).as_secs_f64() * 1_000.0 * self.rate) as u64
     }
 
+    /// Whether it has crashed and does not come back.
+    pub fn is_lost(&self, now: Instant) -> bool {
+        self.down_until > now + LOST / 2
+    }
+
     /// Whether it is registered and receives calls.
     pub fn is_live(&self, now: Instant) -> bool {
         self.registered && self.cut_until <= now && self.down_until <= now
@@ -337,9 +345,9 @@
         let gangs: Vec<(String, u64)> =
             r.runs.iter().map(|(t, x)| (step_of(t).to_string(), x.attempt)).collect();
         self.broken.extend(gangs);
-        let rate = r.rate;
+        let (rate, down_until) = (r.rate, r.down_until.max(now + down));
         let fresh = new_runner(n, life, r.addr, rate, now);
-        self.runners[n] = Runner { down_until: now + down, ..fresh };
+        self.runners[n] = Runner { down_until, ..fresh };
         old
     }
 
@@ -561,7 +569,8 @@
     if fleet.held_up(n) {
         // Half of what is sent to a runner that is cut off arrives when the cut ends.
         let arrives = fleet.world.lock().unwrap().rng.gen_bool(0.5);
-        while fleet.held_up(n) {
+        let since = Instant::now();
+        while fleet.held_up(n) && since.elapsed() < Duration::from_millis(NO_ANSWER_MS) {
             task::sleep(Duration::from_millis(20)).await;
         }
         if !arrives {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -55,6 +55,7 @@
         gaps,
         gangs: true,
         faults: faults("all"),
+        script: &[],
     }
 }
 
@@ -122,6 +123,7 @@
             },
             gangs: setting("GANGS", true),
             faults: faults(&setting("FAULTS", "all".to_string())),
+            script: &[],
         };
         let outcome = task::block_on(soak::run(&plan));
         report(&plan, &outcome);
