--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -101,6 +101,15 @@
     check(&Plan { traffic_s: 9, tail_s: 3, faults: faults("kill"), ..short(2, gaps) });
 }
 
+/// Guards against jobs that have nothing running because each new leader in a series waits anew for
+/// the runs on lost runners.
+#[test]
+fn no_job_stands_still_after_lost_runners_and_a_series_of_leaders() {
+    let script = &[(3_000, Fault::RunnerLost), (3_000, Fault::LeaderSeries)];
+    let short = short(4, Gaps::NONE);
+    check(&Plan { runners: 16, traffic_s: 6, tail_s: 16, faults: faults(""), script, ..short });
+}
+
 #[test]
 #[ignore = "run by hand"]
 fn runs_by_hand() {
