Soak: ends that were listed count for LOST; calm time of runs by hand

The judge took a task for open if its runner was lost after it had listed the task's end and before the end was acknowledged. An end that was in an answer now counts as known to the scheduler.

SOAK_CALM_MS sets the time from the last fault until LOST is judged.

--- a/tests/common/soak/judge.rs
+++ b/tests/common/soak/judge.rs
@@ -21,7 +21,7 @@
 
 /// Time from the last fault until the time of a job without runs counts, ms: leases of 8 s and a
 /// takeover may pass before.
-pub const CALM_MS: u128 = 12_000;
+pub const CALM_MS: u64 = 12_000;
 
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,6 +69,8 @@
     text: String,
     end: Option<How>,
     ack: Ack,
+    /// Whether its completion was in an answer: the scheduler may know of it.
+    is_told: bool,
 }
 
 /// State of a task, as far as its runs may count.
@@ -153,7 +155,13 @@
         }
         self.violations.append(&mut found);
         let key = RunKey(self.runs.len());
-        self.runs.push(Run { task: task.to_string(), text, end: None, ack: Ack::Pending });
+        self.runs.push(Run {
+            task: task.to_string(),
+            text,
+            end: None,
+            ack: Ack::Pending,
+            is_told: false,
+        });
         self.by_task.entry(self.runs[key.0].task.clone()).or_default().push(key);
         key
     }
@@ -163,6 +171,11 @@
         self.runs[run.0].end = Some(how);
     }
 
+    /// Records that the completion of a run is in an answer.
+    pub fn told(&mut self, run: RunKey) {
+        self.runs[run.0].is_told = true;
+    }
+
     /// Records that the completion of a run is acknowledged.
     pub fn acknowledged(&mut self, run: RunKey) {
         let ack = &mut self.runs[run.0].ack;
@@ -182,7 +195,7 @@
     /// State of a task.
     pub fn task(&self, task: &str) -> Task {
         let runs = self.by_task.get(task).into_iter().flatten().map(|k| &self.runs[k.0]);
-        let runs: Vec<&Run> = runs.filter(|r| r.ack != Ack::Void).collect();
+        let runs: Vec<&Run> = runs.filter(|r| r.ack != Ack::Void || r.is_told).collect();
         let count = |end| runs.iter().filter(|r| r.end == end).count();
         Task {
             is_active: count(None) > 0,
--- a/tests/common/soak/mod.rs
+++ b/tests/common/soak/mod.rs
@@ -88,6 +88,8 @@
     pub faults: BTreeSet<Fault>,
     /// Faults before those, each at a time from the beginning of the traffic, ms.
     pub script: &'static [(u64, Fault)],
+    /// Time from the last fault until LOST is judged, ms.
+    pub calm_ms: u64,
 }
 
 /// What a run has shown.
@@ -162,6 +164,7 @@
     platform.put("op", "config", &config);
     let addrs: Vec<_> = (0..plan.runners).map(|_| free_addr()).collect();
     let fleet = Fleet::new(platform.clone(), &addrs, plan.gaps, advice, fork());
+    fleet.world.lock().unwrap().calm_ms = plan.calm_ms;
     let mut servers: Vec<_> = (0..plan.runners).map(|n| fleet.serve(n)).collect();
     servers.push(task::spawn(fleet.clone().run()));
     let new = |n| Instance::new(n, &platform, advice, &dir);
--- a/tests/common/soak/runner.rs
+++ b/tests/common/soak/runner.rs
@@ -1,6 +1,6 @@
 //! Runners that take time for starts, stops and lists, with leases, failures and gangs.
 
-use super::judge::{How, Judge, RunKey};
+use super::judge::{How, Judge, RunKey, CALM_MS};
 use super::{standing, Gaps};
 use crate::common::users::advice::Advice;
 use crate::common::users::{self, Platform};
@@ -132,6 +132,8 @@
     /// Number of faults at present, and when the last one began or was over.
     pub faults: usize,
     pub last_fault: Instant,
+    /// Time from the last fault until LOST is judged, ms.
+    pub calm_ms: u64,
 }
 
 /// The runners and their servers.
@@ -417,7 +419,8 @@
                     })
                     .collect();
                 let page = r.completions.values().take(self.gaps.page);
-                let completions: Vec<&Value> = page.map(|(_, row)| row).collect();
+                let completions: Vec<&Value> =
+                    page.inspect(|(key, _)| self.judge.told(*key)).map(|(_, row)| row).collect();
                 (200, json!({"clock_ms": clock, "active": active, "finished": completions}))
             }
         }
@@ -487,6 +490,7 @@
             lost_share: 0.0,
             faults: 0,
             last_fault: now,
+            calm_ms: CALM_MS,
         };
         Arc::new(Self { world: Mutex::new(world), platform })
     }
--- a/tests/common/soak/standing.rs
+++ b/tests/common/soak/standing.rs
@@ -1,6 +1,5 @@
 //! Jobs that have nothing running though a task of them could run, from what the runners know.
 
-use super::judge::CALM_MS;
 use super::runner::{JobInfo, Runner, StepInfo, World, CAPACITY};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -31,13 +30,13 @@
 
     /// Reports the jobs that have nothing running, at a calm time, to the judge.
     pub fn sample(&mut self, now: Instant) {
-        let calm_ms = now.duration_since(self.last_fault).as_millis();
+        let calm_ms = now.duration_since(self.last_fault).as_millis() as u64;
         let live: Vec<&Runner> = self.runners.iter().filter(|r| r.is_live(now)).collect();
         let sum = |part: fn((u64, u64)) -> u64| live.iter().map(|r| part(free(r))).sum::<u64>();
         let (total, all) = (live.len() as u64, (sum(|n| n.0), sum(|n| n.1)));
         let half_free = 2 * all.0 > total * CAPACITY.0 && 2 * all.1 > total * CAPACITY.1;
         let mut standing = BTreeMap::new();
-        if self.faults == 0 && calm_ms >= CALM_MS && half_free {
+        if self.faults == 0 && calm_ms >= self.calm_ms && half_free {
             for (id, job) in self.jobs.iter().filter(|(_, j)| j.accepted && !j.cancelled) {
                 if let Some((step, room)) = self.could_run(id, job, &live) {
                     let text =
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,7 +9,7 @@
 
 use async_std::task;
 use common::soak::faults::Fault;
-use common::soak::{self, Gaps, Outcome, Plan};
+use common::soak::{self, judge, Gaps, Outcome, Plan};
 use std::collections::BTreeSet;
 
 /// Value of an environment variable of a run by hand.
@@ -56,6 +56,7 @@
         gangs: true,
         faults: faults("all"),
         script: &[],
+        calm_ms: judge::CALM_MS,
     }
 }
 
@@ -133,6 +134,7 @@
             gangs: setting("GANGS", true),
             faults: faults(&setting("FAULTS", "all".to_string())),
             script: &[],
+            calm_ms: setting("CALM_MS", judge::CALM_MS),
         };
         let outcome = task::block_on(soak::run(&plan));
         report(&plan, &outcome);
