A connection that does not reach the advice service takes no more long requests

Cause: of equally loaded queues pick_queue takes the oldest. A request that fails at once leaves its queue empty, so the repeat goes over the same connection. The same holds for lookups if the leader's own path is lost.

Tests first, on the code as it was: three in control_advice_queues, with real links whose instances have advisors of the test, failed with "10 of 10 requests failed" (1 or 2 allowed): the oldest of the long queues lost, the leader's own lost, and all long queues lost with only the leader's own working. Two further tests (a regained connection is used again; all are tried while all fail) passed before too.

Fix: the link server keeps per connection when a request last ended as Unreachable. For 1 s after it pick_queue prefers the other connections that have capacity; a failing one is used only if none of them has. If all queues for long requests fail and one kept for lookups does not, long requests use that one. If all fail, all are candidates as before; where nothing fails, the choice is the same. So a lost path costs at most about one failed request a second. Log lines `advice service lost over a link`, `advice service regained over a link`, with the instance if known.

QueueLoad has a new field, which two existing tests set to false; their checks are the same.

--- a/src/control/engine/advice.rs
+++ b/src/control/engine/advice.rs
@@ -278,7 +278,7 @@
                 }
             }
             Err(e) => {
-                // A broken connection is no sign of load: another connection is available at once.
+                // A broken connection is no sign of load: the link server prefers others meanwhile.
                 a.refusals = if e == AdviceError::Busy { a.refusals + 1 } else { 0 };
                 let wait = backoff(step, a.refusals);
                 a.retry_at = now.mono + wait;
--- a/src/control/links/advice_queues.rs
+++ b/src/control/links/advice_queues.rs
@@ -32,6 +32,8 @@
     pub waiting: usize,
     /// Total service time of these requests, ms.
     pub cost: f64,
+    /// The connection did not reach the service lately.
+    pub failing: bool,
 }
 
 impl QueueLoad {
@@ -50,11 +52,19 @@
 
 /// Returns the index of the queue that would answer a request of `cost` ms first; none if the
 /// answer would come too late in all. `loads` is ordered by the age of the queues; the first one is
-/// that of the leader itself.
+/// that of the leader itself. A failing connection takes a request only if no other can: its queue
+/// is always short, since each request fails at once.
 pub fn pick_queue(loads: &[QueueLoad], cost: f64) -> Option<usize> {
     let long = cost > LONG_REQUEST_MS && loads.len() > 1;
-    let first = if long { short_queues(loads.len()) } else { 0 };
+    let mut first = if long { short_queues(loads.len()) } else { 0 };
+    if loads[first..].iter().all(|l| l.failing) && loads.iter().any(|l| !l.failing) {
+        // Otherwise long requests would get no advice at all.
+        first = 0;
+    }
     let open = loads.iter().enumerate().skip(first).filter(|(_, l)| l.has_capacity(cost));
     // Of equally loaded queues the first is chosen, which for a short request takes no long ones.
-    open.min_by(|(_, a), (_, b)| a.cost.total_cmp(&b.cost)).map(|(n, _)| n)
+    let order = |a: &QueueLoad, b: &QueueLoad| {
+        a.failing.cmp(&b.failing).then_with(|| a.cost.total_cmp(&b.cost))
+    };
+    open.min_by(|(_, a), (_, b)| order(a, b)).map(|(n, _)| n)
 }
--- a/src/control/links/server.rs
+++ b/src/control/links/server.rs
@@ -52,6 +52,10 @@
 /// Delay after a failure to accept a link, ms.
 const RETRY_MS: u64 = 100;
 
+/// Time for which a connection that did not reach the advice service is avoided, ms: several repeats
+/// of a failed request, and short enough that it is soon used again.
+const AVOID_MS: u64 = 1_000;
+
 /// Key of the queue of this instance's own connection to the advice service.
 const LOCAL: u64 = 0;
 
@@ -68,6 +72,18 @@
     candidate: Option<(u64, Candidate)>,
     /// Advice requests in flight, by id.
     requests: BTreeMap<u64, Request>,
+    /// Set while requests over the connection do not reach the advice service.
+    failure: Option<Failure>,
+}
+
+/// Failure of a connection to the advice service.
+#[derive(Clone, Copy)]
+struct Failure {
+    /// First and last failed request, local ms.
+    since: u64,
+    last: u64,
+    /// Number of failed requests.
+    calls: u64,
 }
 
 /// An advice request in flight.
@@ -78,9 +94,10 @@
 }
 
 impl Link {
-    fn load(&self) -> QueueLoad {
+    fn load(&self, now: u64) -> QueueLoad {
         let cost = self.requests.values().map(|r| r.cost).sum();
-        QueueLoad { waiting: self.requests.len(), cost }
+        let failing = self.failure.is_some_and(|f| f.last + AVOID_MS > now);
+        QueueLoad { waiting: self.requests.len(), cost, failing }
     }
 }
 
@@ -136,16 +153,17 @@
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let (done, answer) = oneshot::channel();
         let (key, tx, ms) = {
+            let now = self.clock.mono();
             let mut links = self.links.lock().unwrap();
-            let loads: Vec<QueueLoad> = links.values().map(Link::load).collect();
+            let loads: Vec<QueueLoad> = links.values().map(|l| l.load(now)).collect();
             let picked =
                 advice_queues::pick_queue(&loads, cost).and_then(|n| links.iter_mut().nth(n));
             let (key, link) = picked.ok_or(AdviceError::Busy)?;
             link.requests.insert(id, Request { cost, done });
-            (*key, link.tx.clone(), link.load().cost as u64 + ANSWER_MARGIN_MS)
+            (*key, link.tx.clone(), link.load(now).cost as u64 + ANSWER_MARGIN_MS)
         };
         let _guard = RequestGuard { server: self, key, id };
-        match tx {
+        let res = match tx {
             None => local.request(step, &ids, ms).await,
             Some(tx) => {
                 let sent = tx.try_send(encode(&Frame::RequestAdvice { id, step, ids, ms })).is_ok();
@@ -154,7 +172,33 @@
                     _ => Err(AdviceError::Unreachable),
                 }
             }
-        }
+        };
+        self.record_outcome(key, res == Err(AdviceError::Unreachable));
+        res
+    }
+
+    /// Records whether a request reached the advice service. A refusal did: it is a sign of load.
+    fn record_outcome(&self, key: u64, failed: bool) {
+        let now = self.clock.mono();
+        self.update(key, |l| {
+            let instance = l.candidate.as_ref().map_or("", |(_, c)| c.node.as_str());
+            match l.failure.take() {
+                last if failed => {
+                    if last.is_none() {
+                        log::warn!(line = key, instance = instance;
+                            "advice service lost over a link");
+                    }
+                    let (since, calls) = last.map_or((now, 1), |f| (f.since, f.calls + 1));
+                    l.failure = Some(Failure { since, last: now, calls });
+                }
+                Some(f) => {
+                    log::info!(line = key, instance = instance, failed_calls = f.calls,
+                        lost_ms = now.saturating_sub(f.since);
+                        "advice service regained over a link");
+                }
+                None => {}
+            }
+        });
     }
 
     /// The linked instance that a leader of `size` proposes as its successor, empty if there is none.
--- a/tests/common/leader.rs
+++ b/tests/common/leader.rs
@@ -93,7 +93,8 @@
     Row { key, value: value.to_string().into_bytes(), version: 1 }
 }
 
-fn settings() -> NodeSettings {
+/// Settings of an instance whose addresses nothing listens on.
+pub fn settings() -> NodeSettings {
     let at = "127.0.0.1:1".parse().unwrap();
     NodeSettings {
         id: "n".into(),
--- a/tests/control_advice_queues.rs
+++ b/tests/control_advice_queues.rs
@@ -1,14 +1,29 @@
 //! Request queues of the connections to the advice service: which one takes a request, and when it
 //! is refused.
 
-use async_std::task;
+mod common {
+    pub mod leader;
+}
+
+use async_std::net::TcpListener;
+use async_std::task::{self, JoinHandle};
+use common::leader::{self, Empty};
+use currantgw::control::admission::AdmissionView;
+use currantgw::control::election::Election;
 use currantgw::control::links::advice_queues::{self, QueueLoad};
-use currantgw::control::links::server::LinkServer;
+use currantgw::control::links::client::LinkClient;
+use currantgw::control::links::server::{LinkAcceptor, LinkServer};
+use currantgw::control::mirror::Mirror;
 use currantgw::control::model::{JobId, StepId};
 use currantgw::control::ports::{Advice, AdviceError, Advisor};
+use currantgw::control::rows::LeaderRow;
+use currantgw::control::store_health::StoreHealth;
+use currantgw::control::submissions::SubmissionWriter;
 use currantgw::kernel::clock::Clock;
 use futures::future::join_all;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -68,6 +83,7 @@
         let load = |q: &VecDeque<f64>| QueueLoad {
             waiting: q.len(),
             cost: q.iter().copied().sum::<f64>(),
+            failing: false,
         };
         queues.iter().map(load).collect()
     };
@@ -109,7 +125,11 @@
 impl Queues {
     /// Queues a request, and returns the time until its answer, ms; none if no queue takes it.
     fn request(&mut self, cost: f64) -> Option<f64> {
-        let load = |q: &VecDeque<f64>| QueueLoad { waiting: q.len(), cost: q.iter().sum() };
+        let load = |q: &VecDeque<f64>| QueueLoad {
+            waiting: q.len(),
+            cost: q.iter().sum(),
+            failing: false,
+        };
         let loads: Vec<QueueLoad> = self.0.iter().map(load).collect();
         let queue = &mut self.0[advice_queues::pick_queue(&loads, cost)?];
         queue.push_back(cost);
@@ -148,3 +168,170 @@
     let late = waits[waits.len() * 9 / 10];
     assert!(late < 5.0 * LOOKUP_MS, "one in ten waits for {late} ms");
 }
+
+/// A path to the advice service: answers at once, or fails at once while it is lost.
+#[derive(Default)]
+struct Path {
+    lost: AtomicBool,
+    requests: AtomicUsize,
+}
+
+#[tide::utils::async_trait]
+impl Advisor for Path {
+    async fn request(&self, _: StepId, _: &[String], _: u64) -> Result<Advice, AdviceError> {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        match self.lost.load(Ordering::Relaxed) {
+            true => Err(AdviceError::Unreachable),
+            false => Ok(Advice::default()),
+        }
+    }
+}
+
+/// The link server of a leader and the instances linked to it, each with its path to the service.
+struct Linked {
+    server: Arc<LinkServer>,
+    local: Arc<Path>,
+    /// Paths of the linked instances, oldest link first.
+    paths: Vec<Arc<Path>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+fn link_client(advisor: Option<Arc<dyn Advisor>>, to: Option<SocketAddr>) -> LinkClient {
+    let (clock, store) = (Clock::real(), Arc::new(Empty::default()));
+    let health = Arc::new(StoreHealth::new(clock.clone()));
+    let mirror = Arc::new(Mirror::new(store.clone(), health.clone(), clock.clone()));
+    let election = Arc::new(Election::new(store, clock.clone(), &leader::settings()));
+    let row = LeaderRow { node: "leader".into(), life: 1, links: to, size: 500, next: "".into() };
+    election.record_leader(row, 1);
+    let admission = Arc::new(AdmissionView::new(false, clock.clone()));
+    LinkClient::new(advisor, mirror, election, health, admission, Arc::default(), clock)
+}
+
+impl Linked {
+    async fn start(instances: usize) -> Self {
+        let (clock, store) = (Clock::real(), Arc::new(Empty::default()));
+        let local = Arc::new(Path::default());
+        let server = LinkServer::new(Some(local.clone()), Arc::default(), clock.clone());
+        let server = Arc::new(server);
+        let store_health = Arc::new(StoreHealth::new(clock.clone()));
+        let mirror = Arc::new(Mirror::new(store.clone(), store_health.clone(), clock.clone()));
+        let (submissions, _) = SubmissionWriter::new(
+            store.clone(),
+            store_health.clone(),
+            mirror.clone(),
+            Arc::new(link_client(None, None)),
+            clock.clone(),
+        );
+        let acceptor = LinkAcceptor {
+            server: server.clone(),
+            mirror,
+            submissions: Arc::new(submissions),
+            election: Arc::new(Election::new(store, clock.clone(), &leader::settings())),
+            store_health,
+            clock,
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = listener.local_addr().unwrap();
+        let tasks = vec![task::spawn(async move { acceptor.serve(listener).await })];
+        let mut linked = Self { server, local, paths: Vec::new(), tasks };
+        for _ in 0..instances {
+            linked.link(at).await;
+        }
+        linked
+    }
+
+    /// Links another instance.
+    async fn link(&mut self, at: SocketAddr) {
+        let path = Arc::new(Path::default());
+        let client = link_client(Some(path.clone()), Some(at));
+        self.tasks.push(task::spawn(async move { client.run().await }));
+        self.paths.push(path);
+        let linked = async {
+            while self.server.advice_connections() <= self.paths.len() {
+                task::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        async_std::future::timeout(Duration::from_secs(5), linked).await.expect("it links");
+    }
+
+    /// Makes `n` requests, each after the answer to the last one; returns how many failed.
+    async fn failures(&self, n: u64, cost: f64) -> usize {
+        let mut failed = 0;
+        for job in 0..n {
+            let answer = self.server.request(step(job), Vec::new(), cost).await;
+            failed += usize::from(answer == Err(AdviceError::Unreachable));
+        }
+        failed
+    }
+
+    /// Makes ten requests, of which each of `lost` connections may fail one a second.
+    async fn assert_few_failures(&self, lost: usize, cost: f64) {
+        let began = Instant::now();
+        let failed = self.failures(10, cost).await;
+        let allowed = lost * (1 + began.elapsed().as_secs() as usize);
+        assert!(failed <= allowed, "{failed} of 10 requests failed, {allowed} allowed");
+    }
+
+    async fn end(self) {
+        for task in self.tasks {
+            task.cancel().await;
+        }
+    }
+}
+
+/// Guards against gangs that never get advice in an idle cell: a connection whose requests fail at
+/// once has the shortest queue again after each failure.
+#[async_std::test]
+async fn a_linked_instance_without_the_advice_service_does_not_take_every_long_request() {
+    let cell = Linked::start(3).await;
+    cell.paths[0].lost.store(true, Ordering::Relaxed);
+    cell.paths[1].lost.store(true, Ordering::Relaxed);
+    cell.assert_few_failures(2, GANG_MS).await;
+    cell.end().await;
+}
+
+/// Guards against lookups that get no advice from a leader which cannot reach the service itself.
+#[async_std::test]
+async fn a_leader_without_the_advice_service_does_not_take_every_lookup() {
+    let cell = Linked::start(2).await;
+    cell.local.lost.store(true, Ordering::Relaxed);
+    cell.assert_few_failures(1, LOOKUP_MS).await;
+    cell.end().await;
+}
+
+/// Guards against gangs that never get advice while only the queues kept for lookups reach the
+/// service.
+#[async_std::test]
+async fn long_requests_take_a_queue_for_lookups_if_all_others_fail() {
+    let cell = Linked::start(2).await;
+    cell.paths.iter().for_each(|p| p.lost.store(true, Ordering::Relaxed));
+    cell.assert_few_failures(2, GANG_MS).await;
+    cell.end().await;
+}
+
+/// Guards against a connection that is never used again after one failure.
+#[async_std::test]
+async fn a_connection_that_regains_the_advice_service_is_used_again() {
+    let cell = Linked::start(2).await;
+    cell.paths[0].lost.store(true, Ordering::Relaxed);
+    cell.failures(2, GANG_MS).await;
+    cell.paths[0].lost.store(false, Ordering::Relaxed);
+    let before = cell.paths[0].requests.load(Ordering::Relaxed);
+    task::sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(cell.failures(2, GANG_MS).await, 0);
+    assert_eq!(cell.paths[0].requests.load(Ordering::Relaxed), before + 2);
+    cell.end().await;
+}
+
+/// Guards against refused requests while no connection reaches the service: the first that regains
+/// it must be tried.
+#[async_std::test]
+async fn all_connections_are_tried_while_all_fail() {
+    let cell = Linked::start(2).await;
+    cell.local.lost.store(true, Ordering::Relaxed);
+    cell.paths.iter().for_each(|p| p.lost.store(true, Ordering::Relaxed));
+    assert_eq!(cell.failures(6, GANG_MS).await, 6);
+    cell.paths[0].lost.store(false, Ordering::Relaxed);
+    assert_eq!(cell.failures(6, GANG_MS).await, 0);
+    cell.end().await;
+}
