--- a/tests/common/soak/mod.rs
+++ b/tests/common/soak/mod.rs
@@ -153,13 +153,7 @@
     let mut fork = || StdRng::seed_from_u64(rng.gen());
     let platform = Arc::new(Platform::default());
     platform.set_store_mode(STORE);
-    let advice = Advice {
-        percent: 60,
-        decision_ms: 6,
-        per_item_ms: 0.1,
-        validity_ms: 2_000,
-        began: Instant::now(),
-    };
+    let advice = Advice::new(60);
     let config = config(advice);
     platform.put("op", "config", &config);
     let addrs: Vec<_> = (0..plan.runners).map(|_| free_addr()).collect();
--- a/tests/common/users/advice.rs
+++ b/tests/common/users/advice.rs
@@ -23,6 +23,12 @@
 }
 
 impl Advice {
+    /// A service that approves `percent` of the runners within some 10 ms.
+    pub fn new(percent: u64) -> Self {
+        let (decision_ms, per_item_ms) = (6, 0.1);
+        Self { percent, decision_ms, per_item_ms, validity_ms: 2_000, began: Instant::now() }
+    }
+
     /// Whether a runner may run a step: the same answer each time.
     pub fn admits(&self, step: &str, runner: &str) -> bool {
         xxh3::xxh3_64(format!("{step} {runner}").as_bytes()) % 100 < self.percent
--- a/tests/control_advice_queues.rs
+++ b/tests/control_advice_queues.rs
@@ -201,7 +201,14 @@
     let health = Arc::new(StoreHealth::new(clock.clone()));
     let mirror = Arc::new(Mirror::new(store.clone(), health.clone(), clock.clone()));
     let election = Arc::new(Election::new(store, clock.clone(), &leader::settings()));
-    let row = LeaderRow { node: "leader".into(), life: 1, links: to, size: 500, next: "".into() };
+    let row = LeaderRow {
+        node: "leader".into(),
+        life: 1,
+        links: to,
+        size: 500,
+        next: "".into(),
+        prior_ms: None,
+    };
     election.record_leader(row, 1);
     let admission = Arc::new(AdmissionView::new(false, clock.clone()));
     LinkClient::new(advisor, mirror, election, health, admission, Arc::default(), clock)
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -18,6 +18,7 @@
 use common::odd;
 use common::ports::free_addr;
 use common::soak::instances::{self, Instance};
+use common::users::advice::Advice;
 use common::users::{self, Cell};
 use currantgw::control::model::Attempt;
 use currantgw::control::ports::{Change, PollRequest, ReadError, RunnerCall, Runners, Store};
@@ -266,7 +267,8 @@
     std::fs::create_dir_all(&dir).unwrap();
     odd::write_rows(&cell.platform, free_addr());
     cell.platform.put("op", "config", &config(5));
-    let nodes: Vec<Instance> = (0..3).map(|n| Instance::new(n, &cell.platform, &dir)).collect();
+    let new = |n| Instance::new(n, &cell.platform, Advice::new(100), &dir);
+    let nodes: Vec<Instance> = (0..3).map(new).collect();
     nodes.iter().for_each(Instance::boot);
     cell.fronts = nodes.iter().map(|n| n.front).collect();
     for n in &nodes {
