Names: fields of two words; the end of the next leases and of an earlier version's by name

prior_end for prior_leases_end, next_lease_end for the engine's lease_end, which had the name of the runner's, old_version_expiry_ms for unrenewed_expiry_ms. No change of behaviour.

--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -128,7 +128,7 @@
     /// Versions of the fence rows: conditions of every commit.
     pub fence_versions: [u64; partitions::COUNT],
     /// When the leases that earlier leaders sent to runners have expired, local ms.
-    pub prior_leases_end: u64,
+    pub prior_end: u64,
 }
 
 impl Term {
@@ -151,8 +151,8 @@
     last_fence: AtomicU64,
     /// Number of terms of this process so far.
     terms: AtomicU64,
-    /// See [`Term::prior_leases_end`]; [`UNKNOWN`] until the partitions are fenced.
-    prior_leases_end: AtomicU64,
+    /// See [`Term::prior_end`]; [`UNKNOWN`] until the partitions are fenced.
+    prior_end: AtomicU64,
     /// See [`Self::renewed_at`].
     renewed_at: AtomicU64,
     lease_ms: u64,
@@ -207,7 +207,7 @@
         let started = clock.mono();
         let wakeup = channel::bounded(1);
         let (seen, last_fence, terms, idle_ms) = Default::default();
-        let (prior_leases_end, renewed_at) = Default::default();
+        let (prior_end, renewed_at) = Default::default();
         let lease_ms = leases::lease_ms(settings);
         let domain = settings.domain.clone();
         Self {
@@ -220,7 +220,7 @@
             seen,
             last_fence,
             terms,
-            prior_leases_end,
+            prior_end,
             renewed_at,
             lease_ms,
             idle_ms,
@@ -276,7 +276,7 @@
 
     /// Longest time from the election of a leader until the leases of earlier ones have expired, ms.
     fn max_prior_ms(&self) -> u64 {
-        FENCE_MS + leases::unrenewed_expiry_ms(self.lease_ms)
+        FENCE_MS + leases::old_version_expiry_ms(self.lease_ms)
     }
 
     /// Number of terms that this process has won so far.
@@ -592,9 +592,9 @@
         let node = seen.leader.as_ref().map_or("", |l| l.node.as_str());
         log::info!(holder = node, silent_ms = elapsed, beat = seen.heartbeat;
             "trying to acquire leadership");
-        let (sent, prior_leases_end) = (self.clock.mono(), self.prior_leases_end(seen));
-        self.prior_leases_end.store(prior_leases_end.unwrap_or(UNKNOWN), Ordering::Relaxed);
-        let prior_ms = prior_leases_end.map(|end| end.saturating_sub(sent));
+        let (sent, prior_end) = (self.clock.mono(), self.prior_leases_end(seen));
+        self.prior_end.store(prior_end.unwrap_or(UNKNOWN), Ordering::Relaxed);
+        let prior_ms = prior_end.map(|end| end.saturating_sub(sent));
         let prior_ms = Some(prior_ms.unwrap_or(self.max_prior_ms()));
         let row = rows::encode(&LeaderRow { prior_ms, ..self.me.clone() });
         let txn = Txn {
@@ -633,11 +633,11 @@
         let fence_versions = versions?.try_into().ok()?;
         self.last_fence.store(fence, Ordering::Relaxed);
         self.terms.fetch_add(1, Ordering::Relaxed);
-        let prior_leases_end = match self.prior_leases_end.load(Ordering::Relaxed) {
-            UNKNOWN => self.clock.mono() + leases::unrenewed_expiry_ms(self.lease_ms),
+        let prior_end = match self.prior_end.load(Ordering::Relaxed) {
+            UNKNOWN => self.clock.mono() + leases::old_version_expiry_ms(self.lease_ms),
             end => end,
         };
-        Some(Term { fence, fence_versions, prior_leases_end })
+        Some(Term { fence, fence_versions, prior_end })
     }
 
     /// Fences a partition, and returns the version of its fence row; none if all attempts until
@@ -706,7 +706,7 @@
     /// that is not empty. Returns the row that was stored, and its version.
     pub async fn step_down(&self, term: Term, next: String) -> Option<(LeaderRow, u64)> {
         let (life, size) = (self.me.life, self.me.size);
-        let prior_ms = Some(term.prior_leases_end.saturating_sub(self.clock.mono()));
+        let prior_ms = Some(term.prior_end.saturating_sub(self.clock.mono()));
         let vacant = LeaderRow { node: String::new(), life, links: None, size, next, prior_ms };
         let txn = Txn {
             expect: vec![(rows::leader_key(), term.fence)],
--- a/src/control/engine/gangs.rs
+++ b/src/control/engine/gangs.rs
@@ -52,7 +52,7 @@
                     runner = self.runners.get(k).id;
                     "the rest of a broken gang is over where nobody answers: written off");
                 self.broken_gangs.remove(&step);
-                let lease_end = self.runners.get(k).lease_end(self.prior_leases_end);
+                let lease_end = self.runners.get(k).lease_end(self.prior_end);
                 if let Some(s) = self.step_mut(step) {
                     s.unreported.insert(s.broken.attempt, lease_end);
                 }
@@ -103,7 +103,7 @@
     /// at least a lease ago: its failure was listed by then, or does not count any more. Of attempts
     /// from before this term, it is not known when their leases ended.
     pub(super) fn forget_lapsed(&mut self, step: StepId, now: Now) {
-        let (from_before, lease_ms) = (self.prior_leases_end, self.rules.lease_ms);
+        let (from_before, lease_ms) = (self.prior_end, self.rules.lease_ms);
         if let Some(s) = self.step_mut(step) {
             let lapsed =
                 |end: u64| end != NO_WAIT && end != from_before && end + lease_ms <= now.mono;
--- a/src/control/engine/lifecycle.rs
+++ b/src/control/engine/lifecycle.rs
@@ -28,7 +28,7 @@
         job.excess = job.team.is_some_and(|k| !self.record_submission(k, at));
         if let Some((version, row)) = &progress {
             job.version = *version;
-            let leases_end = self.prior_leases_end;
+            let leases_end = self.prior_end;
             job.load(row, leases_end, &mut |name| self.runner_named(name));
             if self.rules.features.urgent_preemption {
                 job.assume_preempted();
--- a/src/control/engine/mod.rs
+++ b/src/control/engine/mod.rs
@@ -182,7 +182,7 @@
     /// sent to runners count from then.
     pub renewed_at: u64,
     /// When the leases that earlier leaders sent have expired, local ms.
-    prior_leases_end: u64,
+    prior_end: u64,
     /// Set once a runner has seen a higher fencing token: this term is over.
     pub superseded: bool,
     /// Set once the store holds progress that this scheduler has neither read nor stored: this term
@@ -271,14 +271,14 @@
 
 impl Engine {
     /// The scheduler of a newly elected leader with the fencing token `fence`. The leases that earlier
-    /// leaders sent have expired at `prior_leases_end`, local ms.
-    pub fn new(rules: Rules, fence: u64, prior_leases_end: u64, now: Now) -> Self {
+    /// leaders sent have expired at `prior_end`, local ms.
+    pub fn new(rules: Rules, fence: u64, prior_end: u64, now: Now) -> Self {
         Self {
             rules,
             fence,
             elected_at: now.mono,
             renewed_at: 0,
-            prior_leases_end,
+            prior_end,
             superseded: false,
             stale: false,
             counts: Counts::default(),
--- a/src/control/engine/plan.rs
+++ b/src/control/engine/plan.rs
@@ -54,7 +54,7 @@
     /// Continues the current planning pass over the waiting steps, or begins a new one.
     pub fn plan(&mut self, now: Now) {
         self.counts.rounds += 1;
-        if self.lease_end() < now.mono + MIN_LEASE_MS {
+        if self.next_lease_end() < now.mono + MIN_LEASE_MS {
             return;
         }
         if self.round.is_outdated(self.runners.len(), now) {
--- a/src/control/engine/reports.rs
+++ b/src/control/engine/reports.rs
@@ -25,7 +25,7 @@
     /// Handles the result of a poll. From an answer without lists nothing follows, unless the last one
     /// had none either.
     pub fn polled(&mut self, k: RunnerKey, res: Result<Report, Refusal>, now: Now) {
-        let prior = self.prior_leases_end;
+        let prior = self.prior_end;
         let runner = self.runners.get_mut(k);
         runner.polling = false;
         let unanswered = std::mem::take(&mut runner.unanswered);
--- a/src/control/engine/runners.rs
+++ b/src/control/engine/runners.rs
@@ -375,7 +375,7 @@
     /// Polls every runner whose next poll is due.
     pub(super) fn poll_runners(&mut self, now: Now) {
         let (fence, settle_ms) = (self.fence, self.rules.settle_ms());
-        let lease_end = self.lease_end();
+        let lease_end = self.next_lease_end();
         let (jobs, held) = (&self.jobs, &self.held);
         let effect = |id: JobId, rev: u64| effect(jobs, held, id, rev);
         let mut acts = Vec::new();
@@ -430,14 +430,14 @@
     }
 
     /// End of the leases that are sent now, local ms. It may have passed: then nothing is started.
-    pub(super) fn lease_end(&self) -> u64 {
+    pub(super) fn next_lease_end(&self) -> u64 {
         self.renewed_at + self.rules.lease_ms
     }
 
     /// Marks the runs on runners whose leases have expired as lost. A runner that a new leader has not
     /// polled yet may list completions of them.
     pub(super) fn expire_leases(&mut self, now: Now) {
-        let prior = self.prior_leases_end;
+        let prior = self.prior_end;
         let due: Vec<RunnerKey> = self
             .runners
             .iter()
--- a/src/control/engine/runs.rs
+++ b/src/control/engine/runs.rs
@@ -208,7 +208,7 @@
 impl Engine {
     /// Orders the start of a task whose placement is stored.
     pub(super) fn order_start(&mut self, id: TaskId, after_ms: u64) {
-        let (fence, lease_end) = (self.fence, self.lease_end());
+        let (fence, lease_end) = (self.fence, self.next_lease_end());
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let urgent = self.cat.queues.get(&job.row.queue).is_some_and(|q| q.priority == 0);
         let payload = job.row.spec.payload.clone();
@@ -473,7 +473,7 @@
             .map(|(id, _)| id)
             .collect();
         let gang = self.jobs.get(&step.job).is_some_and(|j| j.spec(step).gang);
-        let lease_over = self.lease_end() <= now.mono;
+        let lease_over = self.next_lease_end() <= now.mono;
         let (mut expired, mut valid): (Vec<_>, Vec<_>) = due.into_iter().partition(|id| {
             lease_over || self.ticket_expired(*id, now) || self.capacity_shrunk(*id)
         });
--- a/src/control/engine/standing.rs
+++ b/src/control/engine/standing.rs
@@ -133,7 +133,7 @@
     fn lease_remaining_ms(&self, task: &Task, now: Now) -> Option<u64> {
         let runner = self.runners.get(task.run.as_ref()?.runner);
         let silent = runner.clock.is_none() || runner.unanswered_since.is_some();
-        let end = runner.lease_end(self.prior_leases_end);
+        let end = runner.lease_end(self.prior_end);
         silent.then(|| end.saturating_sub(now.mono))
     }
 
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -178,7 +178,7 @@
             self.step_down(term).await;
             return;
         };
-        let mut engine = Engine::new(self.rules, term.fence, term.prior_leases_end, self.now());
+        let mut engine = Engine::new(self.rules, term.fence, term.prior_end, self.now());
         engine.set_catalogue(self.mirror.catalogue());
         if let Some(row) = speeds {
             engine.restore_speeds(&row, self.now());
--- a/src/control/leases.rs
+++ b/src/control/leases.rs
@@ -30,6 +30,6 @@
 
 /// As [`expiry_ms`], for a leader of a version that extended leases without heartbeats until it
 /// stepped down.
-pub fn unrenewed_expiry_ms(lease_ms: u64) -> u64 {
+pub fn old_version_expiry_ms(lease_ms: u64) -> u64 {
     STEP_DOWN_MS + expiry_ms(lease_ms)
 }
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -280,8 +280,8 @@
         self.version += 1;
         self.term = self.version;
         let rules = self.engine.rules;
-        let prior_leases_end = self.heartbeat + leases::expiry_ms(rules.lease_ms);
-        let mut next = Engine::new(rules, self.term, prior_leases_end, self.clocks());
+        let prior_end = self.heartbeat + leases::expiry_ms(rules.lease_ms);
+        let mut next = Engine::new(rules, self.term, prior_end, self.clocks());
         next.set_catalogue(self.cat.clone());
         if let Some(row) = &self.speeds_row {
             next.restore_speeds(row, self.clocks());
--- a/tests/control_election.rs
+++ b/tests/control_election.rs
@@ -254,15 +254,15 @@
         let election = Election::new(store.clone(), clock.clone(), &settings());
         let term = election.campaign(|| false, || true).await;
         let least = (began + row_ms).max(beats.await + beat_ms);
-        assert!((least..least + 2_000).contains(&term.prior_leases_end), "{prior_ms:?}");
+        assert!((least..least + 2_000).contains(&term.prior_end), "{prior_ms:?}");
         let stored_prior_ms = || {
             let row = store.row(&rows::leader_key()).expect("there is a leader");
             rows::decode::<LeaderRow>(&row.value).expect("the row is readable").prior_ms
         };
         let waits_until = |stored: Option<u64>| clock.mono() + stored.expect("it is stored");
-        assert!(waits_until(stored_prior_ms()) >= term.prior_leases_end);
+        assert!(waits_until(stored_prior_ms()) >= term.prior_end);
         assert!(election.step_down(term, String::new()).await.is_some());
-        assert!(waits_until(stored_prior_ms()) >= term.prior_leases_end);
+        assert!(waits_until(stored_prior_ms()) >= term.prior_end);
     }
 }
 
--- a/tests/control_held.rs
+++ b/tests/control_held.rs
@@ -199,7 +199,7 @@
         let fence = store.put(rows::leader_key(), Vec::new());
         let fences: Vec<u64> =
             Partition::all().map(|p| store.put(rows::fence_key(p), Vec::new())).collect();
-        let term = Term { fence, fence_versions: fences.try_into().unwrap(), prior_leases_end: 0 };
+        let term = Term { fence, fence_versions: fences.try_into().unwrap(), prior_end: 0 };
         for table in [Table::Config, Table::Jobs, Table::Progress] {
             leader.mirror.poll(table, 0).await.unwrap();
         }
@@ -255,7 +255,7 @@
         let fence = store.put(rows::leader_key(), Vec::new());
         let fences: Vec<u64> =
             Partition::all().map(|p| store.put(rows::fence_key(p), Vec::new())).collect();
-        Term { fence, fence_versions: fences.try_into().unwrap(), prior_leases_end: 0 }
+        Term { fence, fence_versions: fences.try_into().unwrap(), prior_end: 0 }
     };
     async_std::task::block_on(async {
         store.put(config().0, config().1);
--- a/tests/control_leader.rs
+++ b/tests/control_leader.rs
@@ -39,10 +39,10 @@
     let clock = Clock::real();
     let (_trigger, stop) = stop::pair();
     let leader = leader(&clock, Arc::new(Empty::default()));
-    let mut serve = Box::pin(leader.serve(
-        Term { fence: 5, fence_versions: [5; partitions::COUNT], prior_leases_end: 0 },
-        &stop,
-    ));
+    let mut serve = Box::pin(
+        leader
+            .serve(Term { fence: 5, fence_versions: [5; partitions::COUNT], prior_end: 0 }, &stop),
+    );
     longest_poll(&mut serve, Duration::from_millis(200));
     for id in 0..EVENTS {
         leader.mirror.put_cancel(JobId(id));
@@ -59,10 +59,10 @@
     let store = Arc::new(Empty::default());
     let leader = leader(&clock, store.clone());
     async_std::task::block_on(leader.mirror.poll(Table::Config, 0)).unwrap();
-    let mut serve = Box::pin(leader.serve(
-        Term { fence: 5, fence_versions: [5; partitions::COUNT], prior_leases_end: 0 },
-        &stop,
-    ));
+    let mut serve = Box::pin(
+        leader
+            .serve(Term { fence: 5, fence_versions: [5; partitions::COUNT], prior_end: 0 }, &stop),
+    );
     longest_poll(&mut serve, Duration::from_millis(100));
     let steps = vec![Step { count: 1, ..Step::default() }];
     let spec = JobSpec { steps, ..JobSpec::default() };
--- a/tests/control_leader_store.rs
+++ b/tests/control_leader_store.rs
@@ -59,10 +59,10 @@
     let store = Arc::new(Silent::default());
     let mut leader = leader(&clock, store.clone());
     leader.rules.features.runner_speeds = true;
-    let mut serve = Box::pin(leader.serve(
-        Term { fence: 5, fence_versions: [5; partitions::COUNT], prior_leases_end: 0 },
-        &stop,
-    ));
+    let mut serve = Box::pin(
+        leader
+            .serve(Term { fence: 5, fence_versions: [5; partitions::COUNT], prior_end: 0 }, &stop),
+    );
     longest_poll(&mut serve, Duration::from_millis(700));
     let spec = JobSpec { steps: vec![Step { count: 1, ..Step::default() }], ..JobSpec::default() };
     let row = JobRow { queue: "q".into(), team: None, at: clock.wall(), spec, definition: None };
@@ -107,7 +107,7 @@
         let fence = store.inner.put(rows::leader_key(), Vec::new());
         let fences: Vec<u64> =
             Partition::all().map(|p| store.inner.put(rows::fence_key(p), Vec::new())).collect();
-        let term = Term { fence, fence_versions: fences.try_into().unwrap(), prior_leases_end: 0 };
+        let term = Term { fence, fence_versions: fences.try_into().unwrap(), prior_end: 0 };
         let calls = async {
             pause(1_200).await;
             assert_eq!(get().await, Some(JobState::Completed));
--- a/tests/control_leader_terms.rs
+++ b/tests/control_leader_terms.rs
@@ -63,7 +63,7 @@
         store.inner.put(rows::progress_key(id), rows::encode(&ended));
         let fences: Vec<u64> =
             Partition::all().map(|p| store.inner.put(rows::fence_key(p), Vec::new())).collect();
-        let term = Term { fence, fence_versions: fences.try_into().unwrap(), prior_leases_end: 0 };
+        let term = Term { fence, fence_versions: fences.try_into().unwrap(), prior_end: 0 };
         // An instance polls its tables also while a term of its own begins.
         let own = async {
             if feed == Feed::Expires {
@@ -134,7 +134,7 @@
         let fence = store.inner.put(rows::leader_key(), Vec::new());
         let fences: Vec<u64> =
             Partition::all().map(|p| store.inner.put(rows::fence_key(p), Vec::new())).collect();
-        Term { fence, fence_versions: fences.try_into().unwrap(), prior_leases_end: 0 }
+        Term { fence, fence_versions: fences.try_into().unwrap(), prior_end: 0 }
     };
     async_std::task::block_on(async {
         store.inner.put(config().key, config().value);
@@ -199,7 +199,7 @@
         let fence = store.inner.put(rows::leader_key(), Vec::new());
         let fences: Vec<u64> =
             Partition::all().map(|p| store.inner.put(rows::fence_key(p), Vec::new())).collect();
-        Term { fence, fence_versions: fences.try_into().unwrap(), prior_leases_end: 0 }
+        Term { fence, fence_versions: fences.try_into().unwrap(), prior_end: 0 }
     };
     async_std::task::block_on(async {
         store.inner.put(config().key, config().value);
