--- a/tests/common/soak/instances.rs
+++ b/tests/common/soak/instances.rs
@@ -1,5 +1,7 @@
 //! Instances as processes, with a log and a store address each.
 
+#![allow(dead_code)]
+
 use super::runner::STOP_MS;
 use crate::common::ports::free_addr;
 use crate::common::users::advice::{Advice, AdviceServer};
@@ -21,8 +23,9 @@
 /// One instance; its process is killed on drop.
 pub struct Instance {
     pub front: SocketAddr,
-    ready: SocketAddr,
-    metrics: SocketAddr,
+    pub ready: SocketAddr,
+    pub links: SocketAddr,
+    pub metrics: SocketAddr,
     /// Whether the store serves it.
     pub gate: Gate,
     settings: PathBuf,
@@ -48,6 +51,7 @@
         Self {
             front,
             ready,
+            links,
             metrics,
             gate,
             settings: path,
@@ -66,6 +70,8 @@
             .arg("serve")
             .env("CURRANTGW_CONFIG", &self.settings)
             .env("ASYNC_STD_THREAD_COUNT", "4")
+            // As on a machine, where only a few variables are passed on.
+            .env_remove("RUST_BACKTRACE")
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(Stdio::null())
@@ -86,6 +92,11 @@
         }
     }
 
+    /// Id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.lock().unwrap().as_ref().expect("the process runs").id()
+    }
+
     /// Whether the process runs.
     pub fn is_up(&self) -> bool {
         self.child.lock().unwrap().is_some()
