Connections and their requests stay within a budget of memory and descriptors

What callers saw: a process under clients that open connections, send a request but for its last byte and stay was out of descriptors and memory; then nobody was served, and the process was ended by its machine.

Cause: tide's listener accepts without a limit, nothing counts what the connections hold, a body may take for ever, and neither memory_mb nor max_fds of the machine reached the process.

Evidence: 800 such connections took 837 descriptors of 400 and up to 97 MB of 101; 800 with a trailer that stops in a line 788 (the library then waits without a waker, so that nothing wakes the task again).

Now the listeners are our own (src/ingress), on the HTTP library's accept_one. A budget for each listener counts connections and the memory that they may need: idle, with a request, and with the body that it declares. At a limit, the connection goes whose client has kept it waiting for the longest time; one whose request is being handled never goes, and one that is being closed is never handed to the application. If all others are being served, a request is refused with 503 before it is read, and a connection waits up to 1 s. A body is read before the application is called, so that a handler's time does not depend on its client. Idle connections hold no buffers of the library. Clients that keep a request or an answer waiting for 10 s, or send none for 60 s, are closed.

The budget comes from memory_mb and max_fds, which the template now passes, with defaults for older files: a quarter of the memory for requests, at most as much unread in the system, a third of the descriptors. Readiness and metrics have their own listeners and budgets, so that callers cannot use theirs.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -1,15 +1,13 @@
 //! Functions shared by the HTTP APIs of all daemons: the metrics recorder, JSON answers, and an
 //! HTTP listener that waits for the requests in flight on stop, for a bounded time.
 
-use crate::http;
+use crate::ingress::limits::Limits;
+use crate::ingress::Listener;
 use crate::kernel::clock::Clock;
 use crate::kernel::stop::Stop;
-use futures::future::{self, Either};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, OnceLock};
-use tide::listener::Listener;
+use std::sync::OnceLock;
 
 static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
@@ -35,50 +33,16 @@
     metrics().map(|h| h.render()).unwrap_or_default()
 }
 
-/// Middleware that counts the requests in flight, so that a stopping server can wait for them, and
-/// tells clients to close their connections after the stop.
-#[derive(Clone, Debug)]
-struct InFlight {
-    count: Arc<AtomicUsize>,
-    stop: Stop,
-}
-
-/// Decrements the count when dropped, also if the handler is cancelled or panics.
-struct InFlightGuard(Arc<AtomicUsize>);
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
-#[tide::utils::async_trait]
-impl<S: Clone + Send + Sync + 'static> tide::Middleware<S> for InFlight {
-    async fn handle(&self, req: tide::Request<S>, next: tide::Next<'_, S>) -> tide::Result {
-        self.count.fetch_add(1, Ordering::SeqCst);
-        let guard = InFlightGuard(self.count.clone());
-        let mut res = next.run(req).await;
-        drop(guard);
-        if self.stop.fired() {
-            res.insert_header("Connection", "close");
-        }
-        Ok(res)
-    }
-}
-
 /// Time limits of a stopping listener.
 #[derive(Clone, Copy, Debug)]
 pub struct Drain {
     /// Time for which connections are accepted after the stop, until the load balancer has seen
     /// `/ready` fail, ms.
     pub linger_ms: u64,
-    /// Time limit for the requests in flight after that, ms.
+    /// Time limit for the requests in progress after that, ms.
     pub drain_ms: u64,
 }
 
-/// Delay before the process ends, so that the last answers can be sent, ms.
-const FLUSH_MS: u64 = 50;
-
 /// Errors of the HTTP listener.
 #[derive(Debug, thiserror::Error)]
 pub enum ServeError {
@@ -90,51 +54,22 @@
         /// The error of the operating system.
         source: std::io::Error,
     },
-    /// The listener failed while accepting.
-    #[error("listener failed: {0}")]
-    Accept(std::io::Error),
 }
 
 /// Binds a listener. Returns its address, and a future that serves until `stop` and then waits for
-/// the requests in flight.
-pub async fn bind<S: Clone + Send + Sync + 'static>(
-    mut app: tide::Server<S>,
+/// the requests in progress.
+pub fn bind<S: Clone + Send + Sync + 'static>(
+    app: tide::Server<S>,
     addr: SocketAddr,
+    limits: Limits,
     stop: Stop,
     clock: Clock,
     drain: Drain,
-) -> Result<(SocketAddr, impl std::future::Future<Output = Result<(), ServeError>>), ServeError> {
-    let in_flight = InFlight { count: Arc::default(), stop: stop.clone() };
-    let count = in_flight.count.clone();
-    app.with(in_flight);
+) -> Result<(SocketAddr, impl std::future::Future<Output = ()>), ServeError> {
     let bind_error = |source| ServeError::Bind { addr, source };
-    let socket = http::listen(addr).map_err(bind_error)?;
-    let bound = socket.local_addr().map_err(bind_error)?;
-    let mut listener = app.bind(socket).await.map_err(bind_error)?;
-    let serve = async move {
-        {
-            let accept = std::pin::pin!(listener.accept());
-            let stopped = std::pin::pin!(async {
-                stop.wait().await;
-                clock.sleep(drain.linger_ms).await;
-            });
-            if let Either::Left((res, _)) = future::select(accept, stopped).await {
-                return res.map_err(ServeError::Accept);
-            }
-        }
-        // Graceful shutdown: the socket is closed, so that no connection waits unserved in the
-        // backlog. Requests in flight are finished, for at most `drain_ms`.
-        drop(listener);
-        let drained = clock.timeout(drain.drain_ms, async {
-            while count.load(Ordering::SeqCst) > 0 {
-                clock.sleep(5).await;
-            }
-        });
-        let _ = drained.await;
-        clock.sleep(FLUSH_MS).await;
-        Ok(())
-    };
-    Ok((bound, serve))
+    let listener = Listener::bind(app, addr, limits, stop, clock).map_err(bind_error)?;
+    let bound = listener.local_addr().map_err(bind_error)?;
+    Ok((bound, listener.serve(drain.linger_ms, drain.drain_ms)))
 }
 
 /// A JSON answer with `status`, or 500 if `body` cannot be serialized.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -280,9 +280,10 @@
         Arc::new(crate::standin::Platform::new(cell.platform.clone(), &names, clock.clone()));
     let app = crate::standin::server::app(platform);
     let drain = crate::admin::Drain { linger_ms: 0, drain_ms: 1000 };
-    let (addr, serve) = crate::admin::bind(app, cell.platform.listen, stop, clock, drain).await?;
+    let limits = crate::ingress::limits::Limits::cell("platform");
+    let (addr, serve) = crate::admin::bind(app, cell.platform.listen, limits, stop, clock, drain)?;
     log::info!("platform listening on {addr}");
-    serve.await?;
+    serve.await;
     Ok(())
 }
 
--- a/src/control/front/mod.rs
+++ b/src/control/front/mod.rs
@@ -25,7 +25,7 @@
 use tide::{Request, Response};
 
 /// Maximum size of a request body, bytes: enough for a payload of 4,000 bytes and 64 steps.
-const MAX_BODY: usize = 64 * 1024;
+pub const MAX_BODY: usize = 64 * 1024;
 
 /// Deadline of a caller that sends none, and the longest one that is used, ms.
 const DEADLINE_MS: u64 = 3_000;
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -3,7 +3,7 @@
 use super::admission::AdmissionView;
 use super::election::Election;
 use super::engine::Rules;
-use super::front::Front;
+use super::front::{Front, MAX_BODY};
 use super::leader::Leader;
 use super::leases;
 use super::links::client::LinkClient;
@@ -15,6 +15,7 @@
 use super::submissions::{SubmissionWriter, Writer};
 use crate::admin::{self, Drain};
 use crate::http::{self, ConnPool};
+use crate::ingress::limits::Limits;
 use crate::kernel::clock::Clock;
 use crate::kernel::stop::Stop;
 use crate::kernel::traffic::Traffic;
@@ -376,13 +377,16 @@
         linger_ms: s.grace_ms.saturating_sub(STOP_MARGIN_MS + DRAIN_MS),
         drain_ms: DRAIN_MS,
     };
-    let bind = |addr| (addr, stop.clone(), clock.clone());
-    let (addr, halt, time) = bind(s.front);
-    let (_, serve) = admin::bind(front_app(front), addr, halt, time, drain).await?;
-    let (addr, halt, time) = bind(s.ready);
-    let (_, ready) = admin::bind(ready_app(instance.clone()), addr, halt, time, drain).await?;
-    let (addr, halt, time) = bind(s.metrics);
-    let (_, metrics) = admin::bind(admin_app(instance.clone()), addr, halt, time, drain).await?;
+    let with = || (stop.clone(), clock.clone());
+    let (halt, time) = with();
+    let limits = Limits::callers(s.machine(), MAX_BODY);
+    let (_, serve) = admin::bind(front_app(front), s.front, limits, halt, time, drain)?;
+    let ((halt, time), app) = (with(), ready_app(instance.clone()));
+    let limits = Limits::internal("ready");
+    let (_, ready) = admin::bind(app, s.ready, limits, halt, time, drain)?;
+    let ((halt, time), app) = (with(), admin_app(instance.clone()));
+    let limits = Limits::internal("metrics");
+    let (_, metrics) = admin::bind(app, s.metrics, limits, halt, time, drain)?;
     let listener = http::listen(s.links)?;
     log::info!(id = s.id, domain = s.domain, front:% = s.front; "instance starts");
     let mut loops: Vec<JoinHandle<()>> =
@@ -408,12 +412,11 @@
     let link = instance.link.clone();
     loops.push(task::spawn(async move { link.run().await }));
     let scheduler = task::spawn(instance.clone().lead());
-    let (served, _, _) = futures::join!(serve, ready, metrics);
+    futures::join!(serve, ready, metrics);
     scheduler.await;
     for l in loops {
         l.cancel().await;
     }
     log::info!(id = instance.settings.id; "instance stopped");
-    served?;
     Ok(())
 }
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -4,6 +4,7 @@
 use super::model::MAX_MS;
 use super::policy::features::{self, Features, Modes};
 use super::policy::place::Placement;
+use crate::ingress::limits::Machine;
 use crate::options::SettingsError;
 use crate::platform::contracts;
 use serde::Deserialize;
@@ -15,6 +16,12 @@
 /// 300 ms.
 const MIN_CONFIG_MS: u64 = 500;
 
+/// Smallest memory of a process, MB: an idle instance needs some 20.
+const MIN_MEMORY_MB: u64 = 32;
+
+/// Smallest number of descriptors of a process: some 200 are for files.
+const MIN_FDS: u64 = 256;
+
 /// Smallest bandwidth of a link, Mbit/s: the heartbeats of a leader alone need a part of it.
 const MIN_LINK_MBPS: f64 = 0.1;
 
@@ -40,6 +47,12 @@
     /// Share of a processor that the instance may use; by default a whole one.
     #[serde(default = "whole")]
     pub share: f64,
+    /// Memory that the process may use, MB; at least 32.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
+    /// Descriptors that the process may use; at least 256.
+    #[serde(default = "default_max_fds")]
+    pub max_fds: u64,
     /// Bandwidth of the instance's network link, Mbit/s; none if it is not known.
     pub link_mbps: Option<f64>,
     /// Address of the platform's store.
@@ -90,6 +103,14 @@
     1.0
 }
 
+fn default_memory_mb() -> f64 {
+    256.0
+}
+
+fn default_max_fds() -> u64 {
+    4_096
+}
+
 fn default_stop_ms() -> u64 {
     1_000
 }
@@ -112,6 +133,12 @@
         (self.share * 1_000.0) as u64
     }
 
+    /// What the process may use.
+    pub fn machine(&self) -> Machine {
+        let memory = (self.memory_mb * f64::from(1 << 20)) as usize;
+        Machine { memory, fds: self.max_fds as usize }
+    }
+
     /// Scheduling features that are on.
     pub fn features(&self) -> Features {
         let cost = |(restore_ms, checkpoint_s)| {
@@ -149,6 +176,8 @@
             let (field, value) = ("link_mbps".into(), s.link_mbps.unwrap_or(0.0) as u64);
             return Err(SettingsError::Range { field, value, min: 1, max: u64::MAX });
         }
+        check_min("memory_mb", s.memory_mb as u64, MIN_MEMORY_MB)?;
+        check_min("max_fds", s.max_fds, MIN_FDS)?;
         check_min("hold_max_ms", s.hold_max_ms, 1_000)?;
         check_min("grace_ms", s.grace_ms, 1_000)?;
         check_min("keep_ms", s.keep_ms, 1_000)?;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 pub mod writes;
 
 use crate::admin::{self, Drain};
+use crate::ingress::limits::Limits;
 use crate::kernel::clock::Clock;
 use crate::kernel::stop::{self, Stop};
 use crate::options::{Cell, EntrySpec, Timing};
@@ -120,11 +121,11 @@
         let (bound, http) = admin::bind(
             api::app(self.clone()),
             self.addr.listen,
+            Limits::cell("entry"),
             self.stop.clone(),
             self.clock.clone(),
             drain,
-        )
-        .await?;
+        )?;
         log::info!("entry {} of domain {} listening on {bound}", self.addr.id, self.addr.domain);
         let (mut final_trigger, final_stop) = stop::pair();
         let final_tasks = [
@@ -141,11 +142,10 @@
             futures::future::join_all(loops).await;
             self.members.lock().await.leave(&self.platform).await;
         };
-        let (served, ()) = futures::join!(http, leave);
+        futures::join!(http, leave);
         final_trigger.fire();
         futures::future::join_all(final_tasks).await;
         log::info!("entry {} stopped", self.addr.id);
-        served?;
         Ok(())
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,14 +9,15 @@
 //!   server; `wire`: the frames between entry instances and runners.
 //! - `kernel`: basic types shared by all processes, such as the clock and resources.
 //! - `options`: settings of a cell; `cli`: the command line; `smoke`: the load driver.
-//! - `http`: HTTP clients and listener; `admin`: metrics, JSON answers and draining of HTTP
-//!   listeners; `logs`: structured logs.
+//! - `ingress`: HTTP listeners with limits on what clients may use; `http`: HTTP clients; `admin`:
+//!   metrics and JSON answers; `logs`: structured logs.
 
 pub mod admin;
 pub mod cli;
 pub mod control;
 pub mod entry;
 pub mod http;
+pub mod ingress;
 pub mod kernel;
 pub mod logs;
 pub mod options;
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -5,6 +5,7 @@
 mod conn;
 
 use crate::admin;
+use crate::ingress::limits::Limits;
 use crate::kernel::clock::Clock;
 use crate::kernel::stop::Stop;
 use crate::options::{RunnerSettings, RunnerSpec};
@@ -151,14 +152,14 @@
     /// requests in flight are finished.
     pub async fn serve(self: Arc<Self>, stop: Stop) -> eyre::Result<()> {
         let listener = crate::http::listen(self.addr.listen)?;
+        let (halt, time) = (stop.clone(), self.clock.clone());
+        let limits = Limits::cell("runner");
         let (admin_addr, admin) =
-            admin::bind(self.admin_app(), self.addr.admin, stop.clone(), self.clock.clone(), DRAIN)
-                .await?;
+            admin::bind(self.admin_app(), self.addr.admin, limits, halt, time, DRAIN)?;
         log::info!("runner {} listening on {} admin {admin_addr}", self.addr.id, self.addr.listen);
         let accept = self.clone().accept(listener, stop.clone());
-        let (a, b) = futures::join!(accept, admin);
-        a?;
-        b?;
+        let (accepted, ()) = futures::join!(accept, admin);
+        accepted?;
         Ok(())
     }
 
--- a/tests/common/crowd.rs
+++ b/tests/common/crowd.rs
@@ -85,6 +85,7 @@
             &json!({"version": 3, "services": [], "limits": {}, "routes": routes}),
         );
         let instance = Instance::new(0, &platform, Advice::new(60), &dir);
+        instance.set(&json!({"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}));
         instance.boot();
         let conns = ConnPool::new(Clock::real());
         while !instance.ready(&conns).await || !instance.leads(&conns).await {
--- a/tests/common/leader.rs
+++ b/tests/common/leader.rs
@@ -104,6 +104,8 @@
         links: at,
         metrics: at,
         share: 0.5,
+        memory_mb: 256.0,
+        max_fds: 4_096,
         link_mbps: None,
         store: at,
         cross_part: true,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -101,14 +101,14 @@
         let (_, serve) = currantgw::admin::bind(
             currantgw::standin::server::app(platform),
             cell.platform.listen,
+            currantgw::ingress::limits::Limits::cell("platform"),
             s,
             clock.clone(),
             currantgw::admin::Drain { linger_ms: 0, drain_ms: 100 },
         )
-        .await
         .unwrap();
         this.triggers.push(t);
-        this.tasks.push(async_std::task::spawn(async move { serve.await.unwrap() }));
+        this.tasks.push(async_std::task::spawn(serve));
         for r in &cell.runners {
             let runner = Runner::new(r.clone(), cell.runner.clone(), clock.clone());
             let (t, s) = stop::pair();
--- a/tests/common/soak/instances.rs
+++ b/tests/common/soak/instances.rs
@@ -61,6 +61,16 @@
         }
     }
 
+    /// Sets fields of the settings from the next start on.
+    pub fn set(&self, fields: &Value) {
+        let text = std::fs::read(&self.settings).unwrap();
+        let mut settings: Value = serde_json::from_slice(&text).unwrap();
+        for (name, value) in fields.as_object().unwrap() {
+            settings[name] = value.clone();
+        }
+        std::fs::write(&self.settings, settings.to_string()).unwrap();
+    }
+
     /// Starts the process.
     pub fn boot(&self) {
         let program =
--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -385,6 +385,8 @@
             links: free_addr(),
             metrics: free_addr(),
             share: 1.0,
+            memory_mb: 256.0,
+            max_fds: 4_096,
             link_mbps: None,
             store: self.store,
             cross_part: true,
--- a/tests/control_links.rs
+++ b/tests/control_links.rs
@@ -107,6 +107,8 @@
         links: free_addr(),
         metrics: free_addr(),
         share: 0.12,
+        memory_mb: 256.0,
+        max_fds: 4_096,
         link_mbps: None,
         store,
         cross_part: true,
--- a/tests/control_settings.rs
+++ b/tests/control_settings.rs
@@ -4,6 +4,7 @@
 use currantgw::control::model::Invalid;
 use currantgw::control::policy::features::Features;
 use currantgw::control::settings::NodeSettings;
+use currantgw::ingress::limits::Machine;
 use currantgw::kernel::res::Resources;
 use currantgw::options::SettingsError;
 use currantgw::platform::{callers, catalogue, runners};
@@ -86,6 +87,8 @@
         ("{{#bounds.revoke_strict}}", "{{/bounds.revoke_strict}}", ""),
         ("{{#bounds.revoke_ms}}", "{{/bounds.revoke_ms}}", "4000"),
         ("{{#limits.link_mbps}}", "{{/limits.link_mbps}}", "20"),
+        ("{{#limits.memory_mb}}", "{{/limits.memory_mb}}", "120"),
+        ("{{#limits.max_fds}}", "{{/limits.max_fds}}", "3075"),
         ("{{#bounds.stop_ms}}", "{{/bounds.stop_ms}}", "400"),
         ("{{#bounds.restore_ms}}", "{{/bounds.restore_ms}}", "100"),
         ("{{#bounds.checkpoint_s}}", "{{/bounds.checkpoint_s}}", "0.5"),
@@ -103,10 +106,21 @@
     assert_eq!((s.revoke_strict, rules.teams, rules.max_age_ms), (true, true, 4_000));
     assert_eq!((s.stop_ms, s.link_mbps), (400, Some(20.0)));
     assert_eq!((s.restore_ms, s.checkpoint_s), (Some(100), Some(0.5)));
+    assert_eq!(s.machine(), Machine { memory: 120 << 20, fds: 3_075 });
     let filled = render(false);
     let s = NodeSettings::parse(&filled).expect("a template filled in");
     assert_eq!((s.keep_ms, s.grace_ms, s.millis()), (120_000, 6_000, 250));
     assert_eq!((s.stop_ms, s.link_mbps), (1_000, None));
+    assert_eq!(s.machine(), Machine { memory: 256 << 20, fds: 4_096 });
+}
+
+#[test]
+fn a_machine_too_small_for_an_instance_is_refused() {
+    for (name, value) in [("memory_mb", "31"), ("memory_mb", "-1"), ("max_fds", "255")] {
+        let text = NODE.replacen('{', &format!("{{\"{name}\": {value},"), 1);
+        let err = NodeSettings::parse(&text).unwrap_err();
+        assert_matches!(err, SettingsError::Range { field, .. } if field == name);
+    }
 }
 
 #[test]
--- a/tests/control_submissions.rs
+++ b/tests/control_submissions.rs
@@ -60,6 +60,8 @@
         links: at,
         metrics: at,
         share: 1.0,
+        memory_mb: 256.0,
+        max_fds: 4_096,
         link_mbps: None,
         store: at,
         cross_part: true,
