A body is read no further than the limit of its listener

What callers saw: 40 connections with chunked bodies took the process to 344 MB; the machine has 101.

Cause: the handler read a body without a declared length whole, and compared its size with MAX_BODY afterwards.

The listener now stops reading one byte beyond the limit. The application gets the request without its body, marked as too long, since it may have other reasons to refuse it: an unknown queue or key is still 404 or 401, else 413.

bodies_in_large_chunks failed before (344 MB) and passes; the longest body that the interface allows is still served, whole and in chunks of one byte.

--- a/src/control/front/mod.rs
+++ b/src/control/front/mod.rs
@@ -18,6 +18,7 @@
 use super::rows::{self, JobRow};
 use super::store_health::StoreHealth;
 use super::submissions::{SubmissionWriter, WriteOutcome};
+use crate::ingress::BodyTooLong;
 use crate::kernel::clock::Clock;
 use crate::platform::callers;
 use std::sync::Arc;
@@ -222,13 +223,11 @@
         version: u64,
         began: u64,
     ) -> Response {
-        let too_long = Invalid::TooLong(MAX_BODY);
-        if req.len().is_some_and(|n| n > MAX_BODY) {
-            return invalid(&too_long);
+        if let Some(BodyTooLong(most)) = req.ext() {
+            return invalid(&Invalid::TooLong(*most));
         }
         let body = match req.body_bytes().await {
-            Ok(b) if b.len() <= MAX_BODY => b,
-            Ok(_) => return invalid(&too_long),
+            Ok(b) => b,
             Err(e) => return invalid(&Invalid::Body(e.to_string())),
         };
         let spec = match callers::job(&body) {
--- a/src/ingress/budget.rs
+++ b/src/ingress/budget.rs
@@ -64,6 +64,8 @@
     Memory,
     /// Nothing could be closed in favour of it: all others are being served.
     Full,
+    /// The body of its request was too long.
+    Body,
 }
 
 impl Reason {
@@ -75,6 +77,7 @@
             Self::Connections => "connections",
             Self::Memory => "memory",
             Self::Full => "full",
+            Self::Body => "body",
         }
     }
 }
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -35,6 +35,11 @@
 /// connection, which may lead to another instance.
 const RETRY_S: &str = "1";
 
+/// Extension of a request whose body is longer than the limit, bytes. The application gets it without
+/// the body, since it may have other reasons to refuse it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyTooLong(pub usize);
+
 /// The answer to a request for which there is no memory. Its connection is closed, since the request
 /// may not have been read.
 fn no_memory() -> Response {
@@ -164,7 +169,7 @@
             most_connections = limits.connections, memory = report.memory,
             most_memory = limits.memory, slow = of(Reason::Slow),
             closed_for_connections = of(Reason::Connections), closed_for_memory = of(Reason::Memory),
-            full = of(Reason::Full);
+            full = of(Reason::Full), bodies = of(Reason::Body);
             "clients beyond the limits of a listener");
     }
 }
@@ -196,7 +201,9 @@
 
     /// Reads a request and hands it to the application.
     async fn respond(&self, mut req: h::Request) -> h::Result<Response> {
-        let mut res = if !self.read_body(&mut req).await? {
+        let has_memory = self.read_body(&mut req).await?;
+        let is_read = req.ext().get::<BodyTooLong>().is_none();
+        let mut res = if !has_memory {
             self.place.budget().refuse(Reason::Full);
             no_memory()
         } else if self.place.begin_serving() {
@@ -205,25 +212,33 @@
             return Err(h::Error::from_str(503, "the connection is being closed"));
         };
         self.place.begin_answer();
-        if self.stop.fired() {
+        if self.stop.fired() || !is_read {
             res.insert_header("Connection", "close");
         }
         Ok(res)
     }
 
-    /// Reads the body of a request into it; false if there is no memory for it.
+    /// Reads the body of a request into it, or marks it with [`BodyTooLong`]; false if there is no
+    /// memory for the body.
     async fn read_body(&self, req: &mut h::Request) -> std::io::Result<bool> {
         let (declared, most) = (req.len(), self.place.budget().limits().body);
         if declared == Some(0) {
             return Ok(true);
         }
-        // A buffer that grows has up to twice the size of its content.
-        if !self.place.reserve(declared.unwrap_or(2 * most)) {
-            return Ok(false);
-        }
         let mut body = Vec::new();
-        req.read_to_end(&mut body).await?;
-        if declared.is_some_and(|len| len != body.len()) {
+        if declared.is_none_or(|len| len <= most) {
+            // A buffer that grows has up to twice the size of its content.
+            if !self.place.reserve(declared.unwrap_or(2 * most)) {
+                return Ok(false);
+            }
+            body.reserve_exact(declared.map_or(0, |len| len + 1));
+            (&mut *req).take(most as u64 + 1).read_to_end(&mut body).await?;
+        }
+        if declared.unwrap_or(body.len()) > most {
+            self.place.budget().refuse(Reason::Body);
+            req.ext_mut().insert(BodyTooLong(most));
+            body.clear();
+        } else if declared.is_some_and(|len| len != body.len()) {
             return Err(ErrorKind::UnexpectedEof.into());
         }
         req.set_body(body);
--- a/tests/common/crowd.rs
+++ b/tests/common/crowd.rs
@@ -148,7 +148,8 @@
         {
             let reply =
                 conns.call(self.instance.front, method, path, &headers, body, REQUEST_MS).await;
-            assert_eq!(reply.expect("an ordinary caller is answered").status, 200);
+            let reply = reply.expect("an ordinary caller is answered");
+            assert_eq!(reply.status, 200, "{}", String::from_utf8_lossy(&reply.body));
         }
     }
 }
