A connection that always has something to read gives way to other tasks

What callers saw: beside 100 clients that sent bodies in chunks of one byte an ordinary submission took 4.8 s, and once got 503.

Cause: the library decodes as long as the socket has data, within one poll of the task. A few such connections keep all threads of the runtime busy, and the store's answers, the link and the scheduler wait behind them.

The stream now returns Pending, and wakes its task, after each 16 KiB. A usual request fits into that and pays nothing.

--- a/src/ingress/stream.rs
+++ b/src/ingress/stream.rs
@@ -9,8 +9,13 @@
 /// Size of the buffer for the first bytes of a request, bytes: usually all of it.
 const FIRST_BYTES: usize = 4 * 1024;
 
+/// Bytes that a connection reads before other tasks get their turn.
+const TURN_BYTES: usize = 16 * 1024;
+
 #[derive(Debug, Default)]
 struct Input {
+    /// Bytes read since other tasks had their turn.
+    in_turn: usize,
     /// First bytes of a request, and how many of them have been taken.
     first: (Vec<u8>, usize),
 }
@@ -66,11 +71,18 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<std::io::Result<usize>> {
-        let taken = self.input().take_first(buf);
-        match taken {
-            Some(n) => Poll::Ready(Ok(n)),
-            None => Pin::new(&mut &self.tcp).poll_read(cx, buf),
+        let mut input = self.input();
+        if input.in_turn >= TURN_BYTES {
+            input.in_turn = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
         }
+        let n = match input.take_first(buf) {
+            Some(n) => n,
+            None => ready!(Pin::new(&mut &self.tcp).poll_read(cx, buf))?,
+        };
+        input.in_turn += n;
+        Poll::Ready(Ok(n))
     }
 }
 
