A head is limited as it arrives, and not at the end of its lines

What callers saw: 40 request or header lines without end took a process to 190 to 238 MB on the listeners for callers, readiness and metrics; the machine has 101.

Cause: the HTTP library compares the size of a head with its limit of 8 KiB once a line has ended.

The stream under the library counts the bytes of a head up to its empty line, and fails beyond the library's own limit: 431, or 400 if the head is not ASCII, on which the library panics, or malformed; before, these connections were closed without an answer.

--- a/src/ingress/budget.rs
+++ b/src/ingress/budget.rs
@@ -64,6 +64,8 @@
     Memory,
     /// Nothing could be closed in favour of it: all others are being served.
     Full,
+    /// The head of its request was too long or malformed.
+    Head,
     /// The body of its request was too long.
     Body,
 }
@@ -77,6 +79,7 @@
             Self::Connections => "connections",
             Self::Memory => "memory",
             Self::Full => "full",
+            Self::Head => "head",
             Self::Body => "body",
         }
     }
@@ -278,6 +281,12 @@
         &self.budget
     }
 
+    /// What the connection does.
+    pub fn phase(&self) -> Phase {
+        let state = self.budget.state.lock().unwrap();
+        state.conns.get(&self.id).map_or(Phase::Idle, |c| c.phase)
+    }
+
     /// A request begins; false if there is no memory for it, and it must be refused.
     pub fn begin_request(&self) -> bool {
         self.enter(Phase::Reading) && self.reserve(REQUEST_BYTES)
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -10,7 +10,7 @@
 use crate::kernel::stop::Stop;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use budget::{Budget, Place, Reason, Report};
+use budget::{Budget, Phase, Place, Reason, Report};
 use futures::future::{self, Abortable};
 use futures::{AsyncReadExt, FutureExt};
 use limits::{Limits, RECEIVE_BYTES};
@@ -18,7 +18,7 @@
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
-use stream::ClientStream;
+use stream::{ClientStream, HeadError};
 use tide::http::{self as h, Response};
 
 /// Interval between two checks for overdue connections, and the shortest one between two log lines
@@ -40,15 +40,43 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BodyTooLong(pub usize);
 
-/// The answer to a request for which there is no memory. Its connection is closed, since the request
-/// may not have been read.
-fn no_memory() -> Response {
-    let mut res = Response::new(503);
-    let why = "not accepted: there is no memory for the request";
-    res.set_body(serde_json::json!({"error": why}));
-    res.insert_header("Connection", "close");
-    res.insert_header("Retry-After", RETRY_S);
-    res
+/// Why a request was not handed to the application.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+enum Refusal {
+    #[error("not accepted: there is no memory for the request")]
+    Full,
+    #[error(transparent)]
+    Head(HeadError),
+    #[error("malformed request")]
+    Malformed,
+}
+
+impl Refusal {
+    fn reason(self) -> Reason {
+        match self {
+            Self::Full => Reason::Full,
+            Self::Head(_) | Self::Malformed => Reason::Head,
+        }
+    }
+
+    fn status(self) -> u16 {
+        match self {
+            Self::Full => 503,
+            Self::Head(HeadError::TooLong) => 431,
+            Self::Head(HeadError::NotAscii) | Self::Malformed => 400,
+        }
+    }
+
+    /// The answer. Its connection is closed, since the request may not have been read.
+    fn answer(self) -> Response {
+        let mut res = Response::new(self.status());
+        res.set_body(serde_json::json!({"error": self.to_string()}));
+        res.insert_header("Connection", "close");
+        if self == Self::Full {
+            res.insert_header("Retry-After", RETRY_S);
+        }
+        res
+    }
 }
 
 /// A listener for an application.
@@ -85,7 +113,7 @@
     pub async fn serve(self, linger_ms: u64, drain_ms: u64) {
         let Self { app, socket, budget, stop, clock } = self;
         let connection = |tcp, place| Connection {
-            stream: ClientStream::new(tcp),
+            stream: ClientStream::new(tcp, budget.limits().body),
             app: app.clone(),
             place,
             stop: stop.clone(),
@@ -169,7 +197,7 @@
             most_connections = limits.connections, memory = report.memory,
             most_memory = limits.memory, slow = of(Reason::Slow),
             closed_for_connections = of(Reason::Connections), closed_for_memory = of(Reason::Memory),
-            full = of(Reason::Full), bodies = of(Reason::Body);
+            full = of(Reason::Full), heads = of(Reason::Head), bodies = of(Reason::Body);
             "clients beyond the limits of a listener");
     }
 }
@@ -189,11 +217,15 @@
         let mut server = async_h1::server::Server::new(self.stream.clone(), endpoint);
         while self.stream.next_request().await {
             if !self.place.begin_request() {
-                return self.refuse().await;
+                return self.refuse(Refusal::Full).await;
             }
             // Boxed, so that an idle connection does not hold the state of a request.
             match Box::pin(server.accept_one()).await {
                 Ok(async_h1::server::ConnectionStatus::KeepAlive) => self.place.end_request(),
+                Err(_) if self.place.phase() == Phase::Reading => {
+                    let head = self.stream.head_error();
+                    return self.refuse(head.map_or(Refusal::Malformed, Refusal::Head)).await;
+                }
                 _ => return,
             }
         }
@@ -201,15 +233,15 @@
 
     /// Reads a request and hands it to the application.
     async fn respond(&self, mut req: h::Request) -> h::Result<Response> {
-        let has_memory = self.read_body(&mut req).await?;
+        let refusal = self.read_body(&mut req).await?.err();
         let is_read = req.ext().get::<BodyTooLong>().is_none();
-        let mut res = if !has_memory {
-            self.place.budget().refuse(Reason::Full);
-            no_memory()
-        } else if self.place.begin_serving() {
-            self.app.respond(req).await?
-        } else {
-            return Err(h::Error::from_str(503, "the connection is being closed"));
+        let mut res = match refusal {
+            Some(refusal) => {
+                self.place.budget().refuse(refusal.reason());
+                refusal.answer()
+            }
+            None if self.place.begin_serving() => self.app.respond(req).await?,
+            None => return Err(h::Error::from_str(503, "the connection is being closed")),
         };
         self.place.begin_answer();
         if self.stop.fired() || !is_read {
@@ -218,18 +250,17 @@
         Ok(res)
     }
 
-    /// Reads the body of a request into it, or marks it with [`BodyTooLong`]; false if there is no
-    /// memory for the body.
-    async fn read_body(&self, req: &mut h::Request) -> std::io::Result<bool> {
+    /// Reads the body of a request into it, or marks it with [`BodyTooLong`].
+    async fn read_body(&self, req: &mut h::Request) -> std::io::Result<Result<(), Refusal>> {
         let (declared, most) = (req.len(), self.place.budget().limits().body);
         if declared == Some(0) {
-            return Ok(true);
+            return Ok(Ok(()));
         }
         let mut body = Vec::new();
         if declared.is_none_or(|len| len <= most) {
             // A buffer that grows has up to twice the size of its content.
             if !self.place.reserve(declared.unwrap_or(2 * most)) {
-                return Ok(false);
+                return Ok(Err(Refusal::Full));
             }
             body.reserve_exact(declared.map_or(0, |len| len + 1));
             (&mut *req).take(most as u64 + 1).read_to_end(&mut body).await?;
@@ -242,14 +273,14 @@
             return Err(ErrorKind::UnexpectedEof.into());
         }
         req.set_body(body);
-        Ok(true)
+        Ok(Ok(()))
     }
 
     /// Answers a request that was not read.
-    async fn refuse(&self) {
-        self.place.budget().refuse(Reason::Full);
+    async fn refuse(&self, refusal: Refusal) {
+        self.place.budget().refuse(refusal.reason());
         self.place.begin_answer();
-        let mut answer = async_h1::server::Encoder::new(no_memory(), h::Method::Get);
+        let mut answer = async_h1::server::Encoder::new(refusal.answer(), h::Method::Get);
         let _ = futures::io::copy(&mut answer, &mut self.stream.clone()).await;
     }
 }
