A refusal is seen by a client that is still sending

What callers saw: a client whose head is too long got its 431 and, at once, a reset; many clients then report the reset and not the answer.

Cause: a connection that is closed with unread bytes is reset.

What is left of a body that was refused unread was already limited by what a body may take on the wire; a new test guards that.

refusals_reach_clients_that_send_a_long_head failed before (connection reset) and passes. The tests' client now asks for the end of the stream after an answer, so that a reset counts as a lost refusal.

--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -276,11 +276,13 @@
         Ok(Ok(()))
     }
 
-    /// Answers a request that was not read.
+    /// Answers a request that was not read, and waits until the client has seen the answer.
     async fn refuse(&self, refusal: Refusal) {
         self.place.budget().refuse(refusal.reason());
         self.place.begin_answer();
         let mut answer = async_h1::server::Encoder::new(refusal.answer(), h::Method::Get);
-        let _ = futures::io::copy(&mut answer, &mut self.stream.clone()).await;
+        if futures::io::copy(&mut answer, &mut self.stream.clone()).await.is_ok() {
+            self.stream.finish().await;
+        }
     }
 }
--- a/src/ingress/stream.rs
+++ b/src/ingress/stream.rs
@@ -1,6 +1,9 @@
 //! The stream of a client's connection, with limits on what the HTTP library reads from it.
 //!
 //! The library checks the size of a head only when a line ends. The stream fails before.
+//!
+//! Closing a connection with unread bytes resets it, and the client may not see its answer. After a
+//! refusal the stream is therefore read on, within a limit.
 
 use async_std::net::TcpStream;
 use futures::{AsyncRead, AsyncWrite};
@@ -15,6 +18,9 @@
 /// Bytes on the wire for one byte of a body: a chunk of one byte takes six.
 const WIRE_FACTOR: usize = 8;
 
+/// Most bytes read of a request that was refused before it was read.
+const REST_BYTES: usize = 256 * 1024;
+
 /// Size of the buffer for the first bytes of a request, bytes: usually all of it.
 const FIRST_BYTES: usize = 4 * 1024;
 
@@ -67,6 +73,8 @@
     /// The body, of which the library may read so many bytes more.
     Body(usize),
     Failed(HeadError),
+    /// What is left of a refused request, of which so many bytes more are read.
+    Rest(usize),
 }
 
 /// Bytes that a connection reads before other tasks get their turn.
@@ -117,7 +125,7 @@
                     return Err(std::io::Error::new(ErrorKind::InvalidData, e));
                 }
             },
-            Part::Body(left) => *left = left.saturating_sub(bytes.len()),
+            Part::Body(left) | Part::Rest(left) => *left = left.saturating_sub(bytes.len()),
             Part::Failed(e) => return Err(std::io::Error::new(ErrorKind::InvalidData, *e)),
         }
         Ok(())
@@ -158,6 +166,13 @@
             _ => None,
         }
     }
+
+    /// Ends this side of the stream, and discards what the client still sends, up to a limit.
+    pub async fn finish(&self) {
+        let _ = self.tcp.shutdown(std::net::Shutdown::Write);
+        self.input().part = Part::Rest(REST_BYTES);
+        let _ = futures::io::copy(&mut self.clone(), &mut futures::io::sink()).await;
+    }
 }
 
 impl AsyncRead for ClientStream {
@@ -167,7 +182,7 @@
         buf: &mut [u8],
     ) -> Poll<std::io::Result<usize>> {
         let mut input = self.input();
-        if matches!(input.part, Part::Body(0)) {
+        if matches!(input.part, Part::Body(0) | Part::Rest(0)) {
             return Poll::Ready(Ok(0));
         }
         if input.in_turn >= TURN_BYTES {
--- a/tests/common/crowd.rs
+++ b/tests/common/crowd.rs
@@ -9,7 +9,7 @@
 use currantgw::kernel::clock::Clock;
 use serde_json::json;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -186,7 +186,7 @@
     }
 
     /// Sends all of it, or as much as the server takes. Returns whether it did take all.
-    fn send(&self, stream: &mut TcpStream) -> bool {
+    pub fn send(&self, stream: &mut TcpStream) -> bool {
         let parts = std::iter::repeat_n(&self.part, self.times);
         std::iter::once(&self.head).chain(parts).all(|bytes| stream.write_all(bytes).is_ok())
     }
@@ -219,16 +219,17 @@
 }
 
 /// Sends `payload` on a new connection, and returns the status of the answer; an error if the
-/// connection ends without one.
+/// connection is reset, since a client may then not see the answer.
 pub async fn status(to: SocketAddr, payload: Payload) -> std::io::Result<u16> {
     task::spawn_blocking(move || {
         let mut stream = TcpStream::connect(to)?;
         stream.set_write_timeout(Some(STALLED))?;
         stream.set_read_timeout(Some(Duration::from_millis(REQUEST_MS)))?;
         payload.send(&mut stream);
-        let mut head = [0; 12];
-        stream.read_exact(&mut head)?;
-        let status = String::from_utf8_lossy(&head[9..]).parse();
+        stream.shutdown(Shutdown::Write)?;
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer)?;
+        let status = String::from_utf8_lossy(&answer).get(9..12).unwrap_or_default().parse();
         status.map_err(|_| ErrorKind::InvalidData.into())
     })
     .await
--- a/tests/misbehaving_clients.rs
+++ b/tests/misbehaving_clients.rs
@@ -10,6 +10,7 @@
 }
 
 use common::crowd::{crowd, status, Payload, Server};
+use std::net::TcpStream;
 
 const POST: &str = "POST /plain/00000000000000b1 HTTP/1.1\r\nHost: h.example\r\n";
 
@@ -197,6 +198,28 @@
     server.check(Vec::new()).await;
 }
 
+/// As above, for a head that is too long.
+#[async_std::test]
+async fn refusals_reach_clients_that_send_a_long_head() {
+    let server = Server::start().await;
+    for _ in 0..20 {
+        let long = Payload::head(format!("{POST}X: {}\r\n\r\n", "a".repeat(100_000)));
+        assert_eq!(status(server.instance.front, long).await.unwrap(), 431);
+    }
+    server.check(Vec::new()).await;
+}
+
+/// Guards against the bodies of refused requests being read to their ends.
+#[async_std::test]
+async fn refused_bodies_are_not_read_to_their_ends() {
+    let server = Server::start().await;
+    let head = "POST /nowhere/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 99999999999\r\n\r\n";
+    let payload = endless(head, b'a', 1_024);
+    let mut stream = TcpStream::connect(server.instance.front).unwrap();
+    assert!(!payload.send(&mut stream), "64 MB were read");
+    server.check(vec![stream]).await;
+}
+
 /// Guards against a limit that refuses what the interface allows: the longest body, however it is sent.
 #[async_std::test]
 async fn the_longest_body_is_served_in_calm() {
