Messages over links have a limit, and their read buffers are small

What was seen: 40 clients that open a link and send a frame of 8 MiB without its end took the process to 235 MB; the machine has 101. The library accepts messages of 64 MiB and frames of 16 MiB. Its read buffer of 128 KiB is cleared before each read, so that every link touches all of it: 1,000 links of a leader are 128 MB.

A leader reads messages of at most 256 KiB, several times a relayed job of the largest row; the instances linked to it 16 MiB, a catalogue.

--- a/src/control/links/client.rs
+++ b/src/control/links/client.rs
@@ -1,8 +1,8 @@
 //! Client side of links: an instance's link to the leader.
 
 use super::{
-    admission, decode, encode, write_frames, Candidate, EncodedFrame, Frame, Relay,
-    LINK_TIMEOUT_MS, QUEUED_FRAMES,
+    admission, decode, encode, websocket, write_frames, Candidate, EncodedFrame, Frame, Relay,
+    LEADER_BYTES, LINK_TIMEOUT_MS, QUEUED_FRAMES,
 };
 use crate::control::access::Caller;
 use crate::control::admission::AdmissionView;
@@ -282,8 +282,10 @@
     async fn run_link(&self, addr: SocketAddr) {
         let opened = self.clock.timeout(LINK_TIMEOUT_MS, async {
             let stream = http::connect(addr).await?;
-            let handshake = async_tungstenite::client_async(format!("ws://{addr}/"), stream).await;
-            handshake.map_err(|e| std::io::Error::other(e.to_string()))
+            let config = websocket(LEADER_BYTES);
+            let url = format!("ws://{addr}/");
+            let opened = async_tungstenite::client_async_with_config(url, stream, config).await;
+            opened.map_err(|e| std::io::Error::other(e.to_string()))
         });
         let ws = match opened.await {
             Ok(Ok((ws, _))) => ws,
--- a/src/control/links/mod.rs
+++ b/src/control/links/mod.rs
@@ -21,6 +21,7 @@
 use crate::kernel::traffic::Traffic;
 use async_std::channel;
 use async_std::net::TcpStream;
+use async_tungstenite::tungstenite::protocol::WebSocketConfig;
 use async_tungstenite::tungstenite::Message;
 use async_tungstenite::WebSocketSender;
 use serde::{Deserialize, Serialize};
@@ -35,6 +36,16 @@
 /// behind is closed, and its instance reads the missed changes from the store.
 const QUEUED_FRAMES: usize = 1_024;
 
+/// Size of the read buffer of a link, bytes. The library clears it before each read, and its default
+/// of 128 KiB is a large part of the memory of a leader with hundreds of links.
+const READ_BUFFER: usize = 8 * 1024;
+
+/// Longest message to a leader, bytes: a relayed job, whose row is an array of numbers in CBOR.
+const CALL_BYTES: usize = 256 * 1024;
+
+/// Longest message from a leader, bytes: a catalogue.
+const LEADER_BYTES: usize = 16 << 20;
+
 /// Kind under which frames that cannot be decoded are counted.
 const UNKNOWN_KIND: &str = "link unknown";
 
@@ -198,6 +209,12 @@
     }
 }
 
+/// Configuration of the websocket of a link that reads messages of at most `message` bytes.
+fn websocket(message: usize) -> Option<WebSocketConfig> {
+    let config = WebSocketConfig::default().read_buffer_size(READ_BUFFER);
+    Some(config.max_message_size(Some(message)).max_frame_size(Some(message)))
+}
+
 /// An encoded frame.
 #[derive(Clone, Debug)]
 struct EncodedFrame {
--- a/src/control/links/server.rs
+++ b/src/control/links/server.rs
@@ -3,8 +3,8 @@
 
 use super::advice_queues::{self, QueueLoad};
 use super::{
-    admission, choose_successor, decode, encode, write_frames, Candidate, EncodedFrame, Frame,
-    Relay, LINK_TIMEOUT_MS, QUEUED_FRAMES,
+    admission, choose_successor, decode, encode, websocket, write_frames, Candidate, EncodedFrame,
+    Frame, Relay, CALL_BYTES, LINK_TIMEOUT_MS, QUEUED_FRAMES,
 };
 use crate::control::election::Election;
 use crate::control::mirror::Mirror;
@@ -409,7 +409,8 @@
 
     /// Serves one link until it closes.
     async fn serve_link(&self, stream: TcpStream, from: SocketAddr) {
-        let handshake = async_tungstenite::accept_async(stream);
+        let config = websocket(CALL_BYTES);
+        let handshake = async_tungstenite::accept_async_with_config(stream, config);
         let Ok(Ok(ws)) = self.clock.timeout(LINK_TIMEOUT_MS, handshake).await else { return };
         let key = self.server.next_id.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = channel::bounded(QUEUED_FRAMES);
--- a/tests/common/crowd.rs
+++ b/tests/common/crowd.rs
@@ -52,9 +52,11 @@
     pub fds: usize,
 }
 
-/// What each client of a crowd sends: `head`, and `part` several times.
+/// What each client of a crowd sends: `upgrade`, whose answer it waits for, `head`, and `part` several
+/// times.
 #[derive(Clone, Debug, Default)]
 pub struct Payload {
+    pub upgrade: Vec<u8>,
     pub head: Vec<u8>,
     pub part: Vec<u8>,
     pub times: usize,
@@ -187,6 +189,13 @@
 
     /// Sends all of it, or as much as the server takes. Returns whether it did take all.
     pub fn send(&self, stream: &mut TcpStream) -> bool {
+        if !self.upgrade.is_empty() {
+            stream.set_read_timeout(Some(STALLED)).unwrap();
+            let sent = stream.write_all(&self.upgrade).and_then(|()| stream.read(&mut [0; 1_024]));
+            if !matches!(sent, Ok(1..)) {
+                return false;
+            }
+        }
         let parts = std::iter::repeat_n(&self.part, self.times);
         std::iter::once(&self.head).chain(parts).all(|bytes| stream.write_all(bytes).is_ok())
     }
--- a/tests/misbehaving_clients.rs
+++ b/tests/misbehaving_clients.rs
@@ -25,12 +25,12 @@
 fn chunks(size: usize, times: usize) -> Payload {
     let head = format!("{POST}Transfer-Encoding: chunked\r\n\r\n").into_bytes();
     let part = format!("{size:x}\r\n{}\r\n", " ".repeat(size)).into_bytes();
-    Payload { head, part, times }
+    Payload { head, part, times, ..Payload::default() }
 }
 
 /// `times` times 64 KiB of `byte` after `head`.
 fn endless(head: &str, byte: u8, times: usize) -> Payload {
-    Payload { head: head.into(), part: vec![byte; 64 * 1024], times }
+    Payload { head: head.into(), part: vec![byte; 64 * 1024], times, ..Payload::default() }
 }
 
 /// Guards against a request line without end filling the memory.
@@ -79,11 +79,24 @@
 async fn heads_over_the_limit() {
     let server = Server::start().await;
     let part = format!("X: {}\r\n", "a".repeat(1_000)).into_bytes();
-    let payload = Payload { head: POST.into(), part, times: 5_000 };
+    let payload = Payload { part, times: 5_000, ..Payload::head(POST) };
     let open = crowd(server.instance.front, 40, payload).await;
     server.check(open).await;
 }
 
+/// Guards against messages over a link that are longer than any of an instance.
+#[async_std::test]
+async fn long_messages_over_links() {
+    let server = Server::start().await;
+    let upgrade = "GET / HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\
+        Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+    // A masked binary frame of 8 MiB, of which 5 MiB follow.
+    let head = [0x82, 0xff, 0, 0, 0, 0, 0, 0x80, 0, 0, 1, 2, 3, 4];
+    let payload = Payload { upgrade: upgrade.into(), head: head.to_vec(), ..endless("", b'a', 80) };
+    let open = crowd(server.instance.links, 40, payload).await;
+    server.check(open).await;
+}
+
 /// Guards against empty lines before a request holding a connection, or the process.
 #[async_std::test]
 async fn empty_lines_without_end() {
