Links have a budget of their own

What was seen: 220 idle connections to each listener took 451 descriptors of 400: on the links' listener each was closed after 1.2 s only, in any number.

The links' listener has a budget as the HTTP listeners have: two fifths of the descriptors, an eighth of the memory for handshakes. A connection that has not completed its handshake goes at the limit, an open link never does. The limit is on both together, and not a small one on handshakes: when a leader changes, all instances of the cell open their links at once. Callers get a quarter of the descriptors instead of a third, so that with one call to the store for each caller there are some left for runners.

--- a/src/control/links/server.rs
+++ b/src/control/links/server.rs
@@ -15,11 +15,14 @@
 use crate::control::rows::{self, LeaderRow};
 use crate::control::store_health::StoreHealth;
 use crate::control::submissions::{SubmissionWriter, WriteOutcome};
+use crate::ingress;
+use crate::ingress::budget::{Budget, Place, Reason};
 use crate::kernel::clock::Clock;
 use crate::kernel::traffic::Traffic;
 use async_std::channel::{self, Sender};
 use async_std::net::{TcpListener, TcpStream};
 use futures::channel::oneshot;
+use futures::future::{self, Abortable};
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
 use std::collections::BTreeMap;
@@ -56,6 +59,9 @@
 /// of a failed request, and short enough that it is soon used again.
 const AVOID_MS: u64 = 1_000;
 
+/// Memory of a handshake, bytes: the limit of the websocket library.
+const HANDSHAKE_BYTES: usize = 64 * 1024;
+
 /// Key of the queue of this instance's own connection to the advice service.
 const LOCAL: u64 = 0;
 
@@ -319,6 +325,8 @@
     pub election: Arc<Election>,
     /// Health of the store.
     pub store_health: Arc<StoreHealth>,
+    /// Budget of the connections.
+    pub budget: Arc<Budget>,
     /// The clock.
     pub clock: Clock,
 }
@@ -326,23 +334,42 @@
 impl LinkAcceptor {
     /// Accepts links on `listener`; never returns.
     pub async fn serve(&self, listener: TcpListener) {
-        let announce =
-            futures::future::join(self.announce_store_health(), self.announce_catalogue());
-        futures::future::join(self.accept(listener), announce).await;
+        let announce = future::join(self.announce_store_health(), self.announce_catalogue());
+        let accept = future::join(self.accept(listener), ingress::check(&self.budget, &self.clock));
+        future::join(accept, announce).await;
     }
 
     async fn accept(&self, listener: TcpListener) {
         let mut open = FuturesUnordered::new();
         loop {
-            futures::select! {
-                conn = listener.accept().fuse() => match conn {
-                    Ok((stream, from)) => open.push(self.serve_link(stream, from)),
-                    Err(e) => {
-                        log::warn!(why:% = e; "link not accepted");
-                        self.clock.sleep(RETRY_MS).await;
-                    }
-                },
-                _ = open.next() => {}
+            // Kept while others are served: it may hold a connection that waits for room.
+            let mut next = Box::pin(self.accept_one(&listener).fuse());
+            let (stream, from) = loop {
+                futures::select! {
+                    conn = next => match conn {
+                        Some(conn) => break conn,
+                        None => next = Box::pin(self.accept_one(&listener).fuse()),
+                    },
+                    _ = open.next() => {}
+                }
+            };
+            let (place, registration) = self.budget.open();
+            open.push(Abortable::new(self.serve_link(stream, from, place), registration));
+        }
+    }
+
+    /// The next connection for which there is room.
+    async fn accept_one(&self, listener: &TcpListener) -> Option<(TcpStream, SocketAddr)> {
+        match listener.accept().await {
+            Ok(conn) if self.budget.make_room().await => Some(conn),
+            Ok(_) => {
+                self.budget.refuse(Reason::Full);
+                None
+            }
+            Err(e) => {
+                log::warn!(why:% = e; "link not accepted");
+                self.clock.sleep(RETRY_MS).await;
+                None
             }
         }
     }
@@ -408,10 +435,19 @@
     }
 
     /// Serves one link until it closes.
-    async fn serve_link(&self, stream: TcpStream, from: SocketAddr) {
+    async fn serve_link(&self, stream: TcpStream, from: SocketAddr, place: Place) {
+        if !place.reserve(HANDSHAKE_BYTES) {
+            return self.budget.refuse(Reason::Full);
+        }
         let config = websocket(CALL_BYTES);
         let handshake = async_tungstenite::accept_async_with_config(stream, config);
-        let Ok(Ok(ws)) = self.clock.timeout(LINK_TIMEOUT_MS, handshake).await else { return };
+        let Ok(Ok(ws)) = self.clock.timeout(LINK_TIMEOUT_MS, handshake).await else {
+            return self.budget.refuse(Reason::Head);
+        };
+        place.end_request();
+        if !place.begin_serving() {
+            return;
+        }
         let key = self.server.next_id.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = channel::bounded(QUEUED_FRAMES);
         let _ = tx.try_send(encode(&self.idle_frame()));
@@ -442,7 +478,7 @@
                     }
                 }
             };
-            futures::future::select(Box::pin(write), Box::pin(read)).await;
+            future::select(Box::pin(write), Box::pin(read)).await;
         }
         // Removing the link fails its advice requests at once; the scheduler sends them elsewhere.
         self.server.links.lock().unwrap().remove(&key);
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -15,6 +15,7 @@
 use super::submissions::{SubmissionWriter, Writer};
 use crate::admin::{self, Drain};
 use crate::http::{self, ConnPool};
+use crate::ingress::budget::Budget;
 use crate::ingress::limits::Limits;
 use crate::kernel::clock::Clock;
 use crate::kernel::stop::Stop;
@@ -406,6 +407,7 @@
         submissions: instance.submissions.clone(),
         election: instance.election.clone(),
         store_health: instance.store_health.clone(),
+        budget: Arc::new(Budget::new(Limits::links(s.machine()), clock.clone())),
         clock,
     };
     loops.push(task::spawn(async move { acceptor.serve(listener).await }));
--- a/src/ingress/limits.rs
+++ b/src/ingress/limits.rs
@@ -51,16 +51,24 @@
 impl Limits {
     /// Limits of the listener for callers on `machine`, with bodies of at most `body` bytes.
     ///
-    /// A third of the descriptors: a caller's request can need one more, to the store, and the rest
+    /// A quarter of the descriptors: a caller's request can need one more, to the store, and the rest
     /// is for runners and links. A quarter of the memory for what has been read, and another one for
     /// what the system has received and is not read yet.
     pub fn callers(machine: Machine, body: usize) -> Self {
         let memory = (machine.memory / 4).max(MIN_MEMORY);
-        let by_fds = machine.fds.saturating_sub(FILE_FDS) / 3;
+        let by_fds = machine.fds.saturating_sub(FILE_FDS) / 4;
         let by_memory = memory / (2 * RECEIVE_BYTES);
         Self { listener: "front", connections: by_fds.min(by_memory).max(MIN_CONNS), memory, body }
     }
 
+    /// Limits of the listener for links of other instances on `machine`, of which a leader has one for
+    /// each.
+    pub fn links(machine: Machine) -> Self {
+        let connections = (machine.fds.saturating_sub(FILE_FDS) * 2 / 5).max(MIN_CONNS);
+        let memory = (machine.memory / 8).max(MIN_MEMORY);
+        Self { listener: "links", connections, memory, body: 0 }
+    }
+
     /// Limits of a listener for the load balancer or for operators.
     pub const fn internal(listener: &'static str) -> Self {
         Self { listener, connections: INTERNAL_CONNS, memory: MIN_MEMORY, body: INTERNAL_BODY }
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -174,7 +174,7 @@
 }
 
 /// Closes overdue connections, and reports what was closed and refused; never returns.
-async fn check(budget: &Budget, clock: &Clock) {
+pub async fn check(budget: &Budget, clock: &Clock) {
     loop {
         clock.sleep(CHECK_MS).await;
         budget.close_overdue();
--- a/tests/control_advice_queues.rs
+++ b/tests/control_advice_queues.rs
@@ -19,6 +19,8 @@
 use currantgw::control::rows::LeaderRow;
 use currantgw::control::store_health::StoreHealth;
 use currantgw::control::submissions::SubmissionWriter;
+use currantgw::ingress::budget::Budget;
+use currantgw::ingress::limits::Limits;
 use currantgw::kernel::clock::Clock;
 use futures::future::join_all;
 use std::collections::VecDeque;
@@ -235,6 +237,7 @@
             submissions: Arc::new(submissions),
             election: Arc::new(Election::new(store, clock.clone(), &leader::settings())),
             store_health,
+            budget: Arc::new(Budget::new(Limits::cell("links"), clock.clone())),
             clock,
         };
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
