An answer that is read whole has a limit

What was seen: a server that answers without an end, in its head or in chunks, is read until the call's timeout, 10 times its limit for a fetch: 256 MB in the test.

Cause: the HTTP client's pool collects a body until its end, and the library's decoder compares a head with its limit only at the end of a line, as the server side does.

The counted stream of a call, which sees every byte, fails beyond 32 MiB, or 64 MiB for what is fetched in pages; the call is then broken, and its connection is not used again. an_answer_without_end_is_a_broken_call failed before and passes.

--- a/src/http.rs
+++ b/src/http.rs
@@ -34,6 +34,13 @@
 /// server that sends its answer very slowly.
 const MAX_ANSWER_WAITS: u64 = 10;
 
+/// Longest answer to a call, bytes: several times a refused transaction of 100 rows of the largest
+/// size.
+const CALL_BYTES: usize = 32 << 20;
+
+/// Longest answer that is fetched, bytes: tables of the store are read in pages.
+const FETCH_BYTES: usize = 64 << 20;
+
 /// Largest size of the buffer for reading a body, bytes.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -111,10 +118,13 @@
     received: AtomicUsize,
 }
 
-/// A connection whose bytes are counted.
+/// A connection whose bytes are counted, and which fails once the answer exceeds a limit. The library
+/// and the reading of the body have none.
 struct CountedStream {
     inner: TcpStream,
     bytes: Arc<CallBytes>,
+    /// Longest answer, bytes.
+    most: usize,
 }
 
 impl AsyncRead for CountedStream {
@@ -125,7 +135,10 @@
     ) -> Poll<std::io::Result<usize>> {
         let read = Pin::new(&mut self.inner).poll_read(cx, buf);
         if let Poll::Ready(Ok(n)) = &read {
-            self.bytes.received.fetch_add(*n, Ordering::Relaxed);
+            let received = self.bytes.received.fetch_add(*n, Ordering::Relaxed) + n;
+            if received > self.most {
+                return Poll::Ready(Err(std::io::Error::other("the answer is too long")));
+            }
         }
         read
     }
@@ -263,7 +276,8 @@
         // Boxed, since the state of an exchange is large, and each future around it would hold and move
         // copies of it: a test thread's stack of 2 MiB overflowed.
         let bytes = Arc::new(CallBytes::default());
-        let counted = CountedStream { inner: stream.clone(), bytes: bytes.clone() };
+        let most = if part_ms.is_some() { FETCH_BYTES } else { CALL_BYTES };
+        let counted = CountedStream { inner: stream.clone(), bytes: bytes.clone(), most };
         let kind = traffic_kind(req.url());
         let exchange = Box::pin(self.exchange(counted, req, part_ms));
         let result = self.clock.timeout(whole_ms, exchange).await;
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -88,3 +88,33 @@
     assert!(matches!(stored, Ok(Commit::Done(9))), "{stored:?}");
     server.await;
 }
+
+/// Guards against an answer without end filling the memory, in its head or in its body.
+#[async_std::test]
+async fn an_answer_without_end_is_a_broken_call() {
+    const PART: usize = 1 << 20;
+    const PARTS: usize = 256;
+    let heads = ["HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"];
+    for (head, fetched) in [(heads[0], false), (heads[1], false), (heads[1], true)] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let server = task::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.write_all(head.as_bytes()).await;
+            let part = format!("{PART:x}\r\n{}\r\n", "a".repeat(PART));
+            for n in 0..PARTS {
+                if stream.write_all(part.as_bytes()).await.is_err() {
+                    return n;
+                }
+            }
+            PARTS
+        });
+        let conns = ConnPool::new(Clock::real());
+        let reply = match fetched {
+            true => conns.fetch(addr, "/", 60_000).await,
+            false => conns.call(addr, Method::Get, "/", &[], None, 60_000).await,
+        };
+        assert!(matches!(reply, Err(CallError::Broken(_))), "{:?}", reply.map(|r| r.status));
+        assert!(server.await < PARTS, "all was read");
+    }
+}
