--- a/src/ingress/limits.rs
+++ b/src/ingress/limits.rs
@@ -34,8 +34,7 @@
     pub fds: usize,
 }
 
-/// Limits of one listener. Whatever they allow, clients together stay below a fixed part of the
-/// machine.
+/// Limits of one listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Name of the listener in logs and metrics.
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -19,7 +19,8 @@
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use stream::{ClientStream, HeadError};
-use tide::http::{self as h, Response};
+use tide::http as http_types;
+use tide::http::Response;
 
 /// Interval between two checks for overdue connections, and the shortest one between two log lines
 /// of a listener, ms.
@@ -173,7 +174,7 @@
     matches!(kind, ConnectionAborted | ConnectionRefused | ConnectionReset)
 }
 
-/// Closes overdue connections, and reports what was closed and refused; never returns.
+/// Regularly closes overdue connections, and reports what was closed and refused; never returns.
 pub async fn check(budget: &Budget, clock: &Clock) {
     loop {
         clock.sleep(CHECK_MS).await;
@@ -232,16 +233,16 @@
     }
 
     /// Reads a request and hands it to the application.
-    async fn respond(&self, mut req: h::Request) -> h::Result<Response> {
-        let refusal = self.read_body(&mut req).await?.err();
+    async fn respond(&self, mut req: http_types::Request) -> http_types::Result<Response> {
+        let has_memory = self.read_body(&mut req).await?;
         let is_read = req.ext().get::<BodyTooLong>().is_none();
-        let mut res = match refusal {
-            Some(refusal) => {
-                self.place.budget().refuse(refusal.reason());
-                refusal.answer()
-            }
-            None if self.place.begin_serving() => self.app.respond(req).await?,
-            None => return Err(h::Error::from_str(503, "the connection is being closed")),
+        let mut res = if !has_memory {
+            self.place.budget().refuse(Reason::Full);
+            Refusal::Full.answer()
+        } else if self.place.begin_serving() {
+            self.app.respond(req).await?
+        } else {
+            return Err(http_types::Error::from_str(503, "the connection is being closed"));
         };
         self.place.begin_answer();
         if self.stop.fired() || !is_read {
@@ -250,17 +251,18 @@
         Ok(res)
     }
 
-    /// Reads the body of a request into it, or marks it with [`BodyTooLong`].
-    async fn read_body(&self, req: &mut h::Request) -> std::io::Result<Result<(), Refusal>> {
+    /// Reads the body of a request into it, or marks it with [`BodyTooLong`]; false if there is no
+    /// memory for the body.
+    async fn read_body(&self, req: &mut http_types::Request) -> std::io::Result<bool> {
         let (declared, most) = (req.len(), self.place.budget().limits().body);
         if declared == Some(0) {
-            return Ok(Ok(()));
+            return Ok(true);
         }
         let mut body = Vec::new();
         if declared.is_none_or(|len| len <= most) {
             // A buffer that grows has up to twice the size of its content.
             if !self.place.reserve(declared.unwrap_or(2 * most)) {
-                return Ok(Err(Refusal::Full));
+                return Ok(false);
             }
             body.reserve_exact(declared.map_or(0, |len| len + 1));
             (&mut *req).take(most as u64 + 1).read_to_end(&mut body).await?;
@@ -273,14 +275,14 @@
             return Err(ErrorKind::UnexpectedEof.into());
         }
         req.set_body(body);
-        Ok(Ok(()))
+        Ok(true)
     }
 
     /// Answers a request that was not read, and waits until the client has seen the answer.
     async fn refuse(&self, refusal: Refusal) {
         self.place.budget().refuse(refusal.reason());
         self.place.begin_answer();
-        let mut answer = async_h1::server::Encoder::new(refusal.answer(), h::Method::Get);
+        let mut answer = async_h1::server::Encoder::new(refusal.answer(), http_types::Method::Get);
         if futures::io::copy(&mut answer, &mut self.stream.clone()).await.is_ok() {
             self.stream.finish().await;
         }
--- a/src/ingress/stream.rs
+++ b/src/ingress/stream.rs
@@ -24,6 +24,9 @@
 /// Size of the buffer for the first bytes of a request, bytes: usually all of it.
 const FIRST_BYTES: usize = 4 * 1024;
 
+/// Bytes that a connection reads before other tasks get their turn.
+const TURN_BYTES: usize = 16 * 1024;
+
 /// End of a head.
 const HEAD_END: u32 = u32::from_be_bytes(*b"\r\n\r\n");
 
@@ -77,9 +80,6 @@
     Rest(usize),
 }
 
-/// Bytes that a connection reads before other tasks get their turn.
-const TURN_BYTES: usize = 16 * 1024;
-
 #[derive(Debug)]
 struct Input {
     /// Bytes read since other tasks had their turn.
