--- a/tests/common/crowd.rs
+++ b/tests/common/crowd.rs
@@ -52,6 +52,17 @@
     pub fds: usize,
 }
 
+impl Usage {
+    fn add(&mut self, now: Self) {
+        self.memory = self.memory.max(now.memory);
+        self.fds = self.fds.max(now.fds);
+    }
+}
+
+fn ports(instance: &Instance) -> [u16; 4] {
+    [&instance.front, &instance.ready, &instance.links, &instance.metrics].map(SocketAddr::port)
+}
+
 /// What each client of a crowd sends: `upgrade`, whose answer it waits for, `head`, and `part` several
 /// times.
 #[derive(Clone, Debug, Default)]
@@ -96,16 +107,11 @@
         }
         let (usage, done) = (Arc::<Mutex<Usage>>::default(), Arc::<AtomicBool>::default());
         let sampler = {
-            let (usage, done, pid) = (usage.clone(), done.clone(), instance.pid());
-            let ports = [&instance.front, &instance.ready, &instance.links, &instance.metrics]
-                .map(SocketAddr::port);
+            let (usage, done, pid, ports) =
+                (usage.clone(), done.clone(), instance.pid(), ports(&instance));
             thread::spawn(move || {
                 while !done.load(Ordering::Relaxed) {
-                    let now = sample(pid, &ports);
-                    let mut most = usage.lock().unwrap();
-                    most.memory = most.memory.max(now.memory);
-                    most.fds = most.fds.max(now.fds);
-                    drop(most);
+                    usage.lock().unwrap().add(sample(pid, &ports));
                     thread::sleep(SAMPLE);
                 }
             })
@@ -119,6 +125,9 @@
         assert!(!self.instance.has_ended(), "the process has ended");
         self.serves_a_caller().await;
         assert!(!self.instance.has_ended(), "the process has ended");
+        // The crowd may have been faster than the sampler.
+        let now = sample(self.instance.pid(), &ports(&self.instance));
+        self.usage.lock().unwrap().add(now);
         let usage = *self.usage.lock().unwrap();
         println!(
             "{} connections, {} kB, {} descriptors",
