--- a/tests/common/crowd.rs
+++ b/tests/common/crowd.rs
@@ -111,7 +111,8 @@
                 (usage.clone(), done.clone(), instance.pid(), ports(&instance));
             thread::spawn(move || {
                 while !done.load(Ordering::Relaxed) {
-                    usage.lock().unwrap().add(sample(pid, &ports));
+                    let now = sample(pid, &ports);
+                    usage.lock().unwrap().add(now);
                     thread::sleep(SAMPLE);
                 }
             })
