--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -60,7 +60,7 @@
     assert_eq!(count(&budget.report(), Reason::Connections), 1);
 }
 
-/// Guards against waiting for good where all connections are being served.
+/// Guards against an accept loop that waits forever while all connections are being served.
 #[async_std::test]
 async fn there_is_no_room_while_all_are_served() {
     let (budget, clock) = budget(2, 2);
--- a/tests/misbehaving_clients.rs
+++ b/tests/misbehaving_clients.rs
@@ -123,7 +123,7 @@
     server.check(open).await;
 }
 
-/// Guards against a trailer that stops in a line holding its connection for good.
+/// Guards against incomplete trailers that keep their connections open forever.
 #[async_std::test]
 async fn trailers_without_end() {
     let server = Server::start().await;
