--- a/review/platform3.py
+++ b/review/platform3.py
@@ -306,6 +306,12 @@
         self.up = True
         self.cell.record.line("runner", self.n, "up as", self.id)
         self.beats = asyncio.ensure_future(self.beat(self.id))
+        self.leases = asyncio.ensure_future(self.watch_lease(self.id))
+
+    async def watch_lease(self, life):
+        while self.up and self.id == life:
+            self.lapse()
+            await asyncio.sleep(0.02)
 
     async def beat(self, life):
         while self.up and self.id == life:
