--- a/review/platform3.py
+++ b/review/platform3.py
@@ -262,6 +262,9 @@
         # Work in ms: of each task, or of those of each step.
         ms = body["ms"]
         self.total = (ms[int(task.split(".")[2])] if isinstance(ms, list) else ms) / 1000
+        if body.get("vary"):
+            self.total *= random.Random(task).uniform(0.5, 1.5)
+        self.lasts = body.get("lasts", False)
         self.kept = body.get("ckpt", 0)
         self.name = body.get("name", "")
         self.saved = saved
@@ -407,7 +410,8 @@
         self.running[task] = run
         self.highest[task] = attempt
         left = run.total - run.done + run.restore
-        run.timer = asyncio.get_event_loop().call_later(left, self.finish, run)
+        if not run.lasts:
+            run.timer = asyncio.get_event_loop().call_later(left, self.finish, run)
         self.cell.started(self, run)
         return 200, {"clock_ms": self.clock()}
 
@@ -428,7 +432,8 @@
                 await asyncio.wait_for(self.ended.wait(), end - mono())
             except asyncio.TimeoutError:
                 pass
-        active = [[r.task, r.attempt, r.checkpoint(), int(100 * r.worked() / r.total),
+        percent = lambda r: 100 if r.lasts else int(100 * r.worked() / r.total)
+        active = [[r.task, r.attempt, r.checkpoint(), percent(r),
                    self.cell.cpu(r)] for r in self.running.values()]
         return 200, {"clock_ms": self.clock(), "active": active, "finished": self.finished[:500]}
 
@@ -470,7 +475,7 @@
         used = sum(self.cpu(x) for r in self.runners if r.up for x in r.running.values())
         return used / total if total else 1.0
 
-    async def open(self, runners, instances, routes):
+    async def open(self, runners, instances, routes, cpu=32000):
         await self.store.server.open()
         self.store.put("op", "config", {
             "version": 7, "routes": routes,
@@ -481,7 +486,7 @@
                        "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
         zones = ["rw-kigali", "rw-huye", "rw-musanze", "rw-rubavu"]
         for n in range(runners):
-            r = Runner(self, n, zones[n % 4], f"r{n % 4}-{n // 24}")
+            r = Runner(self, n, zones[n % 4], f"r{n % 4}-{n // 24}", cpu)
             self.runners.append(r)
             await r.start()
         ports = free_ports(4 * instances)
@@ -515,12 +520,12 @@
         self.record.line("all instances are ready")
         return True
 
-    async def submit(self, name, path, host, job, front=None, timeout=3.0):
-        """Hands a job in, again after no answer or a 5xx. Returns (id, status)."""
+    async def submit(self, name, path, host, job, front=None, timeout=3.0, tries=4):
+        """Hands a job in, again after no answer or a rejection. Returns (id, status)."""
         ident = "".join(random.choice("0123456789abcdef") for _ in range(16))
         json_cpu[ident] = job["phases"][0]["cpu"]
         status = 0
-        for attempt in range(4):
+        for attempt in range(tries):
             port = front or random.choice(self.instances)[1]
             status, _ = await call(port, "POST", path + ident, host, job, timeout)
             self.record.line("POST", name, ident, "->", status)
